--- /dev/null
+++ b/packages/peridotsill/src/peridotsill/__init__.py
@@ -0,0 +1,133 @@
+"""Core of peridotsill: resources, settings, decisions and plumbing."""
+
+from peridotsill._codec import bounded
+from peridotsill._codec import decode
+from peridotsill._codec import decode_plain
+from peridotsill._codec import encode
+from peridotsill._codec import from_plain
+from peridotsill._codec import TextEnum
+from peridotsill._codec import to_plain
+from peridotsill._decisions import Candidate
+from peridotsill._decisions import Decision
+from peridotsill._decisions import Explanation
+from peridotsill._decisions import Journal
+from peridotsill._hashing import rendezvous
+from peridotsill._hashing import short_digest
+from peridotsill._json_http import HttpProblem
+from peridotsill._json_http import JsonApp
+from peridotsill._json_http import JsonClient
+from peridotsill._json_http import JsonRequest
+from peridotsill._json_http import read_body
+from peridotsill._json_http import Routes
+from peridotsill._ledger import Hold
+from peridotsill._ledger import Ledger
+from peridotsill._ledger import Release
+from peridotsill._ledger import SlotAsk
+from peridotsill._ledger import SlotGrant
+from peridotsill._ledger import SlotRefusal
+from peridotsill._ledger import SlotReply
+from peridotsill._ledger import SlotResult
+from peridotsill._listener import Listener
+from peridotsill._listener import ListenerOptions
+from peridotsill._model import Config
+from peridotsill._model import CONFIG_HISTORY_PREFIX
+from peridotsill._model import CONFIG_KEY
+from peridotsill._model import ConfigValues
+from peridotsill._model import Disruption
+from peridotsill._model import DisruptionKind
+from peridotsill._model import DisruptionStep
+from peridotsill._model import Job
+from peridotsill._model import JobState
+from peridotsill._model import NodeRow
+from peridotsill._model import Owner
+from peridotsill._model import Pool
+from peridotsill._model import resource_key
+from peridotsill._model import RESOURCE_KINDS
+from peridotsill._model import Service
+from peridotsill._model import Vm
+from peridotsill._model import Wave
+from peridotsill._model import WaveState
+from peridotsill._requests import Answer
+from peridotsill._requests import Header
+from peridotsill._requests import Problem
+from peridotsill._requests import Ran
+from peridotsill._requests import Request
+from peridotsill._requests import RequestClass
+from peridotsill._settings import Address
+from peridotsill._settings import Limits
+from peridotsill._settings import load_settings
+from peridotsill._settings import load_token
+from peridotsill._settings import Settings
+from peridotsill._settings import Timing
+from peridotsill._view import Change
+from peridotsill._view import ChangeType
+from peridotsill._view import Row
+from peridotsill._view import Scan
+from peridotsill._view import View
+
+__all__ = [
+    "CONFIG_HISTORY_PREFIX",
+    "CONFIG_KEY",
+    "RESOURCE_KINDS",
+    "Address",
+    "Answer",
+    "Candidate",
+    "Change",
+    "ChangeType",
+    "Config",
+    "ConfigValues",
+    "Decision",
+    "Disruption",
+    "DisruptionKind",
+    "DisruptionStep",
+    "Explanation",
+    "Header",
+    "Hold",
+    "HttpProblem",
+    "Job",
+    "JobState",
+    "Journal",
+    "JsonApp",
+    "JsonClient",
+    "JsonRequest",
+    "Ledger",
+    "Limits",
+    "Listener",
+    "ListenerOptions",
+    "NodeRow",
+    "Owner",
+    "Pool",
+    "Problem",
+    "Ran",
+    "Release",
+    "Request",
+    "RequestClass",
+    "Routes",
+    "Row",
+    "Scan",
+    "Service",
+    "Settings",
+    "SlotAsk",
+    "SlotGrant",
+    "SlotRefusal",
+    "SlotReply",
+    "SlotResult",
+    "TextEnum",
+    "Timing",
+    "View",
+    "Vm",
+    "Wave",
+    "WaveState",
+    "bounded",
+    "decode",
+    "decode_plain",
+    "encode",
+    "from_plain",
+    "load_settings",
+    "load_token",
+    "read_body",
+    "rendezvous",
+    "resource_key",
+    "short_digest",
+    "to_plain",
+]
--- /dev/null
+++ b/packages/peridotsill/src/peridotsill/_listener.py
@@ -0,0 +1,293 @@
+"""A cheroot server that bounds each phase and refuses ambiguous lengths.
+
+cheroot alone takes a half-closed short body for a whole one, accepts
+conflicting lengths, and gives a slow sender a fresh timeout for every byte;
+the classes here close those gaps.
+"""
+
+import collections.abc
+import contextlib
+import io
+import socket
+import threading
+import time
+import typing
+
+import attrs
+from cheroot import makefile
+from cheroot import server
+from cheroot import wsgi
+
+from peridotsill import _codec
+
+_SINGLE_HEADERS = frozenset(
+    {
+        b"Content-Length",
+        b"Transfer-Encoding",
+        b"Host",
+        b"Idempotency-Key",
+        b"Peridotsill-Idempotent",
+        b"Peridotsill-Class",
+        b"Request-Timeout",
+    }
+)
+_WRITE_TIMEOUT_SECONDS = 60.0
+
+
+class _HeaderReader(server.HeaderReader):
+    """Refuses repeated singletons and lengths that contradict."""
+
+    def __init__(self) -> None:
+        self._seen: set[bytes] = set()
+
+    def __call__(
+        self, rfile: typing.Any, hdict: dict[bytes, bytes] | None = None
+    ) -> dict[bytes, bytes]:
+        headers = super().__call__(rfile, hdict)
+        length = headers.get(b"Content-Length")
+        if length is not None and not length.isdigit():
+            raise ValueError("Content-Length is not a natural number.")
+        encoding = headers.get(b"Transfer-Encoding")
+        if encoding is not None and length is not None:
+            raise ValueError("Content-Length with Transfer-Encoding.")
+        if encoding is not None and encoding.lower() != b"chunked":
+            raise ValueError("Unknown Transfer-Encoding.")
+        return typing.cast(dict[bytes, bytes], headers)
+
+    def _allow_header(self, key_name: bytes) -> bool:
+        if not key_name or b" " in key_name or b"_" in key_name:
+            raise ValueError("Malformed header name.")
+        if key_name in _SINGLE_HEADERS and key_name in self._seen:
+            raise ValueError(f"Repeated header {key_name.decode()}.")
+        self._seen.add(key_name)
+        return True
+
+    def _transform_key(self, key_name: bytes) -> bytes:
+        if key_name != key_name.strip():
+            raise ValueError("White space around a header name.")
+        return key_name.title()
+
+
+class _HttpRequest(server.HTTPRequest):
+    """A request whose header phase has one deadline for all its bytes."""
+
+    def __init__(self, *args: typing.Any, **kwargs: typing.Any) -> None:
+        super().__init__(*args, **kwargs)
+        self.header_reader = _HeaderReader()
+
+    def parse_request(self) -> None:
+        """Read the header within the listener's time for it."""
+        self.conn.start_phase(self.server.header_seconds)
+        super().parse_request()
+        self.conn.start_phase(self.server.body_seconds)
+
+    def respond(self) -> None:
+        """Run the application and count the request as open meanwhile."""
+        with self.server.open_requests.entered():
+            super().respond()
+
+    def send_headers(self) -> None:
+        """Announce the connection's end while the listener closes."""
+        if self.server.closing:
+            self.close_connection = True
+        super().send_headers()
+
+    def simple_response(self, status: str, msg: str = "") -> None:
+        """Answer a request that the parser refused, and close."""
+        code = int(str(status)[:3])
+        problem = {
+            "type": "about:blank",
+            "title": str(status)[4:],
+            "status": code,
+            "detail": msg or str(status)[4:],
+            "ran": "no",
+        }
+        body = _codec.encode(problem)
+        head = (
+            f"HTTP/1.1 {status}\r\nContent-Type: application/problem+json"
+            f"\r\nContent-Length: {len(body)}\r\nConnection: close\r\n\r\n"
+        )
+        self.close_connection = True
+        try:
+            self.conn.wfile.write(head.encode("latin-1") + body)
+        except OSError:
+            return
+
+
+class _TimedSocket(io.RawIOBase):
+    """Raw reads of a socket that all share one phase's deadline."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        self._sock = sock
+        self.deadline = float("inf")
+
+    def readable(self) -> bool:
+        return True
+
+    def readinto(self, buffer: typing.Any) -> int:
+        left = self.deadline - time.monotonic()
+        if left <= 0:
+            raise TimeoutError("timed out")
+        self._sock.settimeout(min(left, 3600.0))
+        try:
+            return self._sock.recv_into(buffer)
+        finally:
+            self._sock.settimeout(_WRITE_TIMEOUT_SECONDS)
+
+
+class _Reader(makefile.StreamReader):
+    """cheroot's reader over a `_TimedSocket`."""
+
+    def __init__(self, sock: socket.socket, raw: _TimedSocket) -> None:
+        # cheroot's own constructor would make its raw reader itself.
+        super(makefile.StreamReader, self).__init__(
+            typing.cast(typing.Any, raw), io.DEFAULT_BUFFER_SIZE
+        )
+        self.bytes_read = 0
+
+
+class _Connection(server.HTTPConnection):
+    """A caller's connection with bounded phases."""
+
+    RequestHandlerClass = _HttpRequest
+
+    def __init__(
+        self,
+        owner: typing.Any,
+        sock: socket.socket,
+        make: typing.Any = makefile.MakeFile,
+    ) -> None:
+        super().__init__(owner, sock, make)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 5)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 2)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 3)
+        self._raw = _TimedSocket(sock)
+        self.rfile = _Reader(sock, self._raw)
+
+    def start_phase(self, seconds: float) -> None:
+        """Give all further reads together ``seconds`` from now."""
+        self._raw.deadline = time.monotonic() + seconds
+
+
+class OpenRequests:
+    """Counts requests from their first byte to the last of the answer."""
+
+    def __init__(self) -> None:
+        self._count = 0
+        self._changed = threading.Condition()
+
+    @property
+    def count(self) -> int:
+        """Number of requests that are open now."""
+        return self._count
+
+    @contextlib.contextmanager
+    def entered(self) -> collections.abc.Iterator[None]:
+        """Count one request while the context lasts."""
+        self.add(1)
+        try:
+            yield
+        finally:
+            self.add(-1)
+
+    def add(self, amount: int) -> None:
+        """Change the count."""
+        with self._changed:
+            self._count += amount
+            self._changed.notify_all()
+
+    def wait_idle(self, timeout_seconds: float | None = None) -> bool:
+        """Wait until no request is open; false if time ran out."""
+        with self._changed:
+            return self._changed.wait_for(
+                lambda: self._count == 0, timeout_seconds
+            )
+
+
+class _Server(wsgi.Server):
+    """cheroot's server with the phases' limits on it."""
+
+    ConnectionClass = _Connection
+    header_seconds = 2.0
+    body_seconds = 10.0
+    closing = False
+    open_requests: OpenRequests
+
+    def error_log(
+        self, msg: str = "", level: int = 20, traceback: bool = False
+    ) -> None:
+        """Drop cheroot's own lines; a broken connection is no event."""
+
+
+@attrs.frozen(kw_only=True)
+class ListenerOptions:
+    """Where and how a listener serves."""
+
+    host: str
+    port: int
+    threads: int = 16
+    header_seconds: float = 2.0
+    body_seconds: float = 10.0
+    idle_seconds: float = 10.0
+    header_bytes: int = 16384
+    body_bytes: int = 1 << 20
+    connections: int = 2000
+
+
+class Listener:
+    """One listening address with a WSGI application behind it."""
+
+    def __init__(
+        self,
+        *,
+        options: ListenerOptions,
+        app: collections.abc.Callable[..., typing.Any],
+    ) -> None:
+        self._server = _Server(
+            (options.host, options.port),
+            app,
+            numthreads=options.threads,
+            max=options.threads,
+            request_queue_size=512,
+            timeout=typing.cast(int, options.idle_seconds),
+            shutdown_timeout=typing.cast(int, None),
+        )
+        self._server.requests._queue_put_timeout = 1
+        self._server.header_seconds = options.header_seconds
+        self._server.body_seconds = options.body_seconds
+        self._server.max_request_header_size = options.header_bytes
+        self._server.max_request_body_size = options.body_bytes
+        self._server.keep_alive_conn_limit = options.connections
+        self._server.open_requests = OpenRequests()
+        self._thread: typing.Any = None
+
+    @property
+    def open_requests(self) -> OpenRequests:
+        """The requests that this listener is working on."""
+        return self._server.open_requests
+
+    def start(self) -> None:
+        """Bind and serve in a thread of its own.
+
+        Raises:
+            OSError: If the address can't be bound.
+        """
+        self._server.prepare()
+        self._thread = threading.Thread(target=self._server.serve, daemon=True)
+        self._thread.start()
+
+    @property
+    def keepalive_count(self) -> int:
+        """Number of connections that wait for a next request."""
+        manager = self._server._connections  # type: ignore[attr-defined]
+        return int(manager._num_connections)
+
+    def close_gently(self) -> None:
+        """Say on each further answer that its connection ends."""
+        self._server.closing = True
+
+    def stop(self) -> None:
+        """Finish the open requests, then close every connection."""
+        self.open_requests.wait_idle()
+        self._server.stop()
--- /dev/null
+++ b/packages/peridotsill/src/peridotsill/_settings.py
@@ -0,0 +1,140 @@
+"""Settings of one daemon: a JSON file, checked before anything starts."""
+
+import pathlib
+
+import attrs
+
+from peridotsill import _codec
+from peridotsill import exceptions
+
+
+@attrs.frozen(kw_only=True)
+class Address:
+    """An IP number and a TCP port."""
+
+    host: str
+    port: int = _codec.bounded(minimum=1, maximum=65535)
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+
+@attrs.frozen(kw_only=True)
+class Limits:
+    """Bounds on what callers may ask of one node."""
+
+    header_bytes: int = _codec.bounded(
+        minimum=1024, maximum=1 << 20, default=16384
+    )
+    body_bytes: int = _codec.bounded(
+        minimum=0, maximum=1 << 30, default=1 << 20
+    )
+    header_seconds: float = _codec.bounded(
+        minimum=0.1, maximum=300, default=2.0
+    )
+    body_seconds: float = _codec.bounded(
+        minimum=0.1, maximum=3600, default=10.0
+    )
+    idle_seconds: float = _codec.bounded(
+        minimum=0.5, maximum=3600, default=10.0
+    )
+    threads: int = _codec.bounded(minimum=4, maximum=2000, default=160)
+    connections: int = _codec.bounded(minimum=1, maximum=100000, default=2000)
+
+
+@attrs.frozen(kw_only=True)
+class Timing:
+    """Periods and leases of a node, in seconds."""
+
+    poll_seconds: float = _codec.bounded(minimum=0.05, default=1.0)
+    heartbeat_seconds: float = _codec.bounded(minimum=0.05, default=0.5)
+    sibling_timeout_seconds: float = _codec.bounded(minimum=0.1, default=2.5)
+    node_lease_seconds: float = _codec.bounded(minimum=0.5, default=8.0)
+    isolation_seconds: float = _codec.bounded(minimum=0.5, default=5.0)
+    probe_seconds: float = _codec.bounded(minimum=0.05, default=1.0)
+    duty_seconds: float = _codec.bounded(minimum=0.05, default=0.5)
+    flush_seconds: float = _codec.bounded(minimum=0.05, default=1.0)
+    stop_notice_seconds: float = _codec.bounded(minimum=0, default=3.0)
+    idle_connection_seconds: float = _codec.bounded(minimum=0.1, default=5.0)
+    platform_timeout_seconds: float = _codec.bounded(minimum=0.1, default=2.0)
+
+
+@attrs.frozen(kw_only=True)
+class Settings:
+    """Everything a daemon has to know before it can ask the platform.
+
+    ``token_file`` holds the secret shared by operators and nodes.
+    ``node_limit`` bounds how many nodes may serve at once; a runner's
+    connections are shared out by it.
+    """
+
+    node: str
+    domain: str
+    callers: Address
+    operators: Address
+    siblings: Address
+    platform: str
+    token_file: str
+    seeds: tuple[Address, ...] = ()
+    table_client: str = "http"
+    upstream_client: str = "http"
+    node_limit: int = _codec.bounded(minimum=1, maximum=64, default=10)
+    log_file: str = "-"
+    limits: Limits = Limits()
+    timing: Timing = Timing()
+
+
+def load_settings(path: str) -> Settings:
+    """Read and check a settings file.
+
+    Raises:
+        SettingsError: With every problem, each named by its path.
+    """
+    try:
+        text = pathlib.Path(path).read_bytes()
+    except OSError as error:
+        raise exceptions.SettingsError((f"{path}: {error.strerror}",)) from (
+            error
+        )
+    try:
+        settings = _codec.decode(text, Settings)
+    except exceptions.InvalidResource as error:
+        raise exceptions.SettingsError(error.problems) from error
+    problems = _cross_check(settings)
+    if problems:
+        raise exceptions.SettingsError(problems)
+    return settings
+
+
+def load_token(path: str) -> str:
+    """Read the shared secret.
+
+    Raises:
+        SettingsError: If the file can't be read or is too short.
+    """
+    try:
+        token = pathlib.Path(path).read_text().strip()
+    except OSError as error:
+        raise exceptions.SettingsError(
+            (f"token_file: {path}: {error.strerror}",)
+        ) from error
+    if len(token) < 16:
+        raise exceptions.SettingsError(
+            ("token_file: needs 16 characters or more",)
+        )
+    return token
+
+
+def _cross_check(settings: Settings) -> tuple[str, ...]:
+    problems = []
+    listeners = (settings.callers, settings.operators, settings.siblings)
+    if len(set(listeners)) < len(listeners):
+        problems.append("callers, operators, siblings: need three addresses")
+    if not settings.platform.startswith("http://"):
+        problems.append("platform: expected an http:// address")
+    timing = settings.timing
+    if timing.isolation_seconds >= timing.node_lease_seconds:
+        problems.append(
+            "timing.isolation_seconds: must be below node_lease_seconds"
+        )
+    return tuple(problems)
--- /dev/null
+++ b/packages/peridotsill_callers/src/peridotsill_callers/__init__.py
@@ -0,0 +1,13 @@
+"""Callers in front of the system: request marks, deadlines, answers."""
+
+from peridotsill_callers._app import CallerApp
+from peridotsill_callers._app import Handler
+from peridotsill_callers._app import Outcome
+from peridotsill_callers._parsing import parse_request
+
+__all__ = [
+    "CallerApp",
+    "Handler",
+    "Outcome",
+    "parse_request",
+]
--- /dev/null
+++ b/packages/peridotsill_node/src/peridotsill_node/__init__.py
@@ -0,0 +1,13 @@
+"""A node of the system: wiring, duties, and the two binaries."""
+
+from peridotsill_node._cli import operator_main
+from peridotsill_node._daemon import daemon_main
+from peridotsill_node._node import Node
+from peridotsill_node._node import running
+
+__all__ = [
+    "Node",
+    "daemon_main",
+    "operator_main",
+    "running",
+]
--- /dev/null
+++ b/packages/peridotsill_node/src/peridotsill_node/_feed.py
@@ -0,0 +1,166 @@
+"""Keeps a node's view current, and knows when it can't be."""
+
+import collections.abc
+import threading
+import time
+
+import peridotsill
+import peridotsill.exceptions
+from returns import result
+
+import peridotsill_platform
+import peridotsill_siblings
+
+PREFIXES = (
+    "pools/",
+    "vms/",
+    "services/",
+    "jobs/",
+    "waves/",
+    "config/",
+    "nodes/",
+    "owners/",
+)
+_TICK_SECONDS = 0.1
+_PAUSE_SECONDS = 1.0
+
+
+class Feed:
+    """Polls the table and the VM list, and asks siblings in an outage.
+
+    A process that was stopped for a while must not act on what it knew
+    before: `guard` makes such a process read again first.
+    """
+
+    def __init__(
+        self,
+        *,
+        table: peridotsill_platform.Table,
+        vm_list: peridotsill_platform.VmList,
+        membership: peridotsill_siblings.Membership,
+        view: peridotsill.View,
+        timing: peridotsill.Timing,
+        on_change: collections.abc.Callable[[], None],
+    ) -> None:
+        self._table = table
+        self._vm_list = vm_list
+        self._membership = membership
+        self._view = view
+        self._timing = timing
+        self._on_change = on_change
+        self._listed: tuple[peridotsill_platform.ListedVm, ...] | None = None
+        self._ticked_at = time.monotonic()
+        self._table_read_at = float("-inf")
+        self._started_at = time.monotonic()
+        self._bootstrapped = False
+        self._wake = threading.Event()
+        self._stopped = threading.Event()
+        self._refreshing = threading.Lock()
+
+    @property
+    def bootstrapped(self) -> bool:
+        """Whether the table or the siblings told the state once."""
+        return self._bootstrapped
+
+    @property
+    def listed(self) -> tuple[peridotsill_platform.ListedVm, ...] | None:
+        """The platform's list as last read; None before that."""
+        return self._listed
+
+    @property
+    def table_age_seconds(self) -> float:
+        """Seconds since the table was last read."""
+        return time.monotonic() - self._table_read_at
+
+    def start(self) -> None:
+        """Start the polling threads."""
+        for loop in (self._poll_loop, self._list_loop, self._tick_loop):
+            threading.Thread(target=loop, daemon=True).start()
+
+    def stop(self) -> None:
+        """End the polling threads."""
+        self._stopped.set()
+        self._wake.set()
+
+    def poke(self) -> None:
+        """Poll the table soon."""
+        self._wake.set()
+
+    def isolated(self) -> bool:
+        """Tell whether neither the table nor any sibling was heard of.
+
+        A node without known siblings is never isolated: there is nobody
+        who could know better.
+        """
+        if not self._membership.peer_count:
+            return False
+        limit = self._timing.isolation_seconds
+        if self.table_age_seconds < limit or self._membership.live():
+            return False
+        return time.monotonic() - self._started_at > limit
+
+    def guard(self) -> None:
+        """Read again first if this process was paused."""
+        if time.monotonic() - self._ticked_at > _PAUSE_SECONDS:
+            self.refresh()
+            self._ticked_at = time.monotonic()
+
+    def refresh(self) -> bool:
+        """Read the table, or the siblings' copies; false if neither."""
+        with self._refreshing:
+            if self._read_table():
+                return True
+            return self._read_siblings()
+
+    def _read_table(self) -> bool:
+        started_at = time.monotonic()
+        match self._table.scan(PREFIXES):
+            case result.Success(scan):
+                self._view.merge_scan(scan, started_at=started_at)
+                self._table_read_at = started_at
+                self._bootstrapped = True
+                self._on_change()
+                return True
+            case _:
+                return False
+
+    def _read_siblings(self) -> bool:
+        copies = self._membership.ask_all("/siblings/state", {})
+        found = False
+        for data in copies:
+            copy = _state_copy(data)
+            if copy is None or not copy.ready:
+                continue
+            self._view.merge_scan(copy.scan, started_at=float("-inf"))
+            found = True
+        if found:
+            self._bootstrapped = True
+            self._on_change()
+        return found
+
+    def _poll_loop(self) -> None:
+        while not self._stopped.is_set():
+            self._wake.clear()
+            if not self._read_table() and not self._bootstrapped:
+                self._read_siblings()
+            self._wake.wait(self._timing.poll_seconds)
+
+    def _list_loop(self) -> None:
+        while not self._stopped.wait(self._timing.poll_seconds):
+            try:
+                self._listed = self._vm_list.read()
+            except peridotsill.exceptions.PeridotsillError:
+                continue
+            self._on_change()
+
+    def _tick_loop(self) -> None:
+        while not self._stopped.wait(_TICK_SECONDS):
+            self.guard()
+            self._ticked_at = time.monotonic()
+
+
+def _state_copy(data: object) -> peridotsill_siblings.StateCopy | None:
+    try:
+        return peridotsill.from_plain(data, peridotsill_siblings.StateCopy)
+    except peridotsill.exceptions.InvalidResource:
+        return None
--- /dev/null
+++ b/packages/peridotsill_node/src/peridotsill_node/_node.py
@@ -0,0 +1,428 @@
+"""A node: all parts, how they are joined, and their start and stop."""
+
+import collections.abc
+import contextlib
+import threading
+import time
+import uuid
+
+import eliot
+import peridotsill
+
+import peridotsill_callers
+from peridotsill_node import _claims
+from peridotsill_node import _counters
+from peridotsill_node import _disruptions
+from peridotsill_node import _evidence
+from peridotsill_node import _feed
+from peridotsill_node import _flush
+from peridotsill_node import _operator_target
+from peridotsill_node import _ownership
+from peridotsill_node import _reconciler
+from peridotsill_node import _relay
+from peridotsill_node import _sibling_target
+from peridotsill_node import _writer
+import peridotsill_operators
+import peridotsill_platform
+import peridotsill_siblings
+import peridotsill_upstreams
+
+_SIBLING_THREADS = 96
+_OPERATOR_THREADS = 24
+_SYNC_SECONDS = 0.25
+_LINGER_SECONDS = 2.0
+
+
+class Node:
+    """One `peridotsilld` process."""
+
+    def __init__(self, *, settings: peridotsill.Settings, token: str) -> None:
+        self.settings = settings
+        self.id = f"{settings.node}-{uuid.uuid4().hex[:6]}"
+        self.leaving = False
+        self.journal = peridotsill.Journal(node=self.id)
+        self.counters = _counters.Counters()
+        self.view = peridotsill.View()
+        self._started = False
+        self._stopped = threading.Event()
+        self._make_platform()
+        self._make_peers(token)
+        self._make_request_side()
+        self._make_fleet_side()
+        self._make_listeners(token)
+
+    def _make_platform(self) -> None:
+        settings = self.settings
+        timeout = settings.timing.platform_timeout_seconds
+        client = peridotsill.JsonClient(base=settings.platform)
+        self.table = peridotsill_platform.make_table(
+            settings.table_client, settings.platform, timeout
+        )
+        self.objects = peridotsill_platform.ObjectStore(
+            client=client, timeout_seconds=timeout
+        )
+        self.vm_list = peridotsill_platform.VmList(
+            client=client, timeout_seconds=timeout
+        )
+        self.workers = peridotsill_platform.Workers(
+            client=client, timeout_seconds=timeout
+        )
+        self.committer = peridotsill_platform.GroupCommitter(table=self.table)
+
+    def _make_peers(self, token: str) -> None:
+        settings = self.settings
+        timing = settings.timing
+        self.upstreams = peridotsill_upstreams.Upstreams(
+            client=settings.upstream_client,
+            node_limit=settings.node_limit,
+            idle_seconds=timing.idle_connection_seconds,
+            probe_seconds=timing.probe_seconds,
+        )
+        self.sibling_target = _sibling_target.SiblingTarget(node=self)
+        self.membership = peridotsill_siblings.Membership(
+            node=self.id,
+            own_address=str(settings.siblings),
+            token=token,
+            period_seconds=timing.heartbeat_seconds,
+            timeout_seconds=timing.sibling_timeout_seconds,
+            heartbeat=self.sibling_target.heartbeat,
+            on_heard=self.sibling_target.heard,
+        )
+        self.feed = _feed.Feed(
+            table=self.table,
+            vm_list=self.vm_list,
+            membership=self.membership,
+            view=self.view,
+            timing=timing,
+            on_change=self.sync,
+        )
+        self.witness = _evidence.Witness(
+            view=self.view,
+            membership=self.membership,
+            health=self.upstreams.health,
+            listed=lambda: self.feed.listed,
+        )
+        self.decisions = _flush.DecisionStore(
+            node=self.id,
+            journal=self.journal,
+            objects=self.objects,
+            membership=self.membership,
+            period_seconds=timing.flush_seconds,
+        )
+
+    def _make_request_side(self) -> None:
+        self.slots = peridotsill_siblings.Slots(
+            membership=self.membership,
+            catalog=self.catalog,
+            in_flight=self.upstreams.health.in_flight,
+        )
+        self.claims = _claims.Claims(
+            node=self.id,
+            table=self.table,
+            committer=self.committer,
+            objects=self.objects,
+            is_live=self.membership.is_live,
+        )
+        self.relay = _relay.Relay(
+            parts=_relay.RelayParts(
+                node=self.id,
+                view=self.view,
+                feed=self.feed,
+                slots=self.slots,
+                upstreams=self.upstreams,
+                claims=self.claims,
+                journal=self.journal,
+                counters=self.counters,
+            )
+        )
+
+    def _make_fleet_side(self) -> None:
+        settings = self.settings
+        self.writer = _writer.Writer(
+            parts=_writer.WriterParts(
+                table=self.table,
+                view=self.view,
+                membership=self.membership,
+                journal=self.journal,
+                evidence=self.witness.evidence,
+            )
+        )
+        self.registration = _ownership.Registration(
+            row=peridotsill.NodeRow(
+                id=self.id,
+                domain=settings.domain,
+                callers=str(settings.callers),
+                operators=str(settings.operators),
+                siblings=str(settings.siblings),
+            ),
+            writer=self.writer,
+            view=self.view,
+            membership=self.membership,
+            lease_seconds=settings.timing.node_lease_seconds,
+        )
+        ownership = _ownership.Ownership(
+            node=self.id,
+            writer=self.writer,
+            view=self.view,
+            membership=self.membership,
+            journal=self.journal,
+        )
+        disruptions = _disruptions.Disruptions(
+            parts=_disruptions.DisruptionParts(
+                view=self.view,
+                writer=self.writer,
+                workers=self.workers,
+                upstreams=self.upstreams,
+                membership=self.membership,
+                journal=self.journal,
+                node=self.id,
+            )
+        )
+        wave_duty = _reconciler.WaveDuty(
+            view=self.view,
+            writer=self.writer,
+            disruptions=disruptions,
+            witness=self.witness,
+            journal=self.journal,
+        )
+        self.reconciler = _reconciler.Reconciler(
+            parts=_reconciler.ReconcilerParts(
+                view=self.view,
+                feed=self.feed,
+                writer=self.writer,
+                registration=self.registration,
+                ownership=ownership,
+                disruptions=disruptions,
+                witness=self.witness,
+                duties=(wave_duty,),
+                duty_seconds=settings.timing.duty_seconds,
+            )
+        )
+
+    def _make_listeners(self, token: str) -> None:
+        settings = self.settings
+        limits = settings.limits
+        caller_app = peridotsill_callers.CallerApp(
+            node=self.id,
+            handler=self.relay.handle,
+            is_ready=self.why_unready,
+            default_timeout_seconds=(
+                lambda: self.view.config.values.default_timeout_seconds
+            ),
+        )
+        self.callers = peridotsill.Listener(
+            options=peridotsill.ListenerOptions(
+                host=settings.callers.host,
+                port=settings.callers.port,
+                threads=limits.threads,
+                header_seconds=limits.header_seconds,
+                body_seconds=limits.body_seconds,
+                idle_seconds=limits.idle_seconds,
+                header_bytes=limits.header_bytes,
+                body_bytes=limits.body_bytes,
+                connections=limits.connections,
+            ),
+            app=caller_app,
+        )
+        self.siblings = peridotsill.Listener(
+            options=_inner_options(settings.siblings, _SIBLING_THREADS),
+            app=peridotsill.JsonApp(
+                routes=peridotsill_siblings.routes,
+                target=self.sibling_target,
+                token=token,
+            ),
+        )
+        self.operators = peridotsill.Listener(
+            options=_inner_options(settings.operators, _OPERATOR_THREADS),
+            app=peridotsill.JsonApp(
+                routes=peridotsill_operators.routes,
+                target=_operator_target.OperatorTarget(node=self),
+                token=token,
+            ),
+        )
+
+    def catalog(
+        self, service: str
+    ) -> peridotsill_siblings.ServiceSlots | None:
+        """Return a service's VMs that may get requests now."""
+        key = peridotsill.resource_key("services", service)
+        spec = self.view.resource(key, peridotsill.Service)
+        if spec is None:
+            return None
+        health = self.upstreams.health
+        vms = tuple(vm.name for vm in self.view.vms_of(spec.pool))
+        reasons = {vm: health.why_not(vm) for vm in vms}
+        open_vms = tuple(vm for vm in vms if not reasons[vm])
+        # With all others shut, an ejected VM is still worth a try.
+        if not open_vms:
+            open_vms = tuple(
+                vm for vm in vms if reasons[vm].startswith("ejected")
+            )
+        return peridotsill_siblings.ServiceSlots(service=spec, vms=open_vms)
+
+    def sync(self) -> None:
+        """Follow the view: upstreams, siblings and slots."""
+        connections = {
+            service.pool: service.connections_per_vm
+            for service in self.view.resources("services")
+        }
+        vms = self.view.resources("vms")
+        self.upstreams.sync(vms, connections)
+        self.upstreams.health.set_listed(self.witness.listed_leaving())
+        addresses = [str(seed) for seed in self.settings.seeds]
+        for row in self.view.rows("nodes/"):
+            addresses.append(str(row.value["siblings"]))
+        self.membership.sync(addresses)
+        self.slots.sync()
+
+    def _sync_loop(self) -> None:
+        before: set[str] = set()
+        while not self._stopped.wait(_SYNC_SECONDS):
+            beats = self.membership.live()
+            leaving: set[str] = set()
+            for beat in beats:
+                leaving |= set(beat.leaving_vms)
+            self.upstreams.health.set_reported(leaving)
+            live = {beat.node for beat in beats}
+            for node in before - live:
+                self.slots.node_lost(node)
+            before = live
+            self.slots.sync()
+
+    def why_unready(self) -> str:
+        """Return why the balancer should not send here, or nothing."""
+        if self.leaving:
+            return "leaving"
+        if not self.feed.bootstrapped:
+            return "the table has not been read yet"
+        if self.feed.isolated():
+            return "cut off from the table and from all siblings"
+        others = len(self.membership.serving()) - 1
+        if not self._started and others >= self.settings.node_limit:
+            return f"{others} other nodes are serving"
+        self._started = True
+        return ""
+
+    def status(self) -> peridotsill_operators.NodeStatus:
+        """Return this node's state for operators."""
+        return peridotsill_operators.NodeStatus(
+            node=self.id,
+            domain=self.settings.domain,
+            ready=not self.why_unready(),
+            leaving=self.leaving,
+            config_version=self.view.config.version,
+            revision=self.view.revision,
+        )
+
+    def gauges(self) -> dict[str, float]:
+        """Return the values that are measured when asked for."""
+        counts = self.slots.counts()
+        values: dict[str, float] = {
+            "requests_open": self.callers.open_requests.count,
+            "slots_held": counts.held,
+            "slots_waiting": counts.waiting,
+            "slot_messages": counts.messages,
+            "slot_fallbacks": counts.fallbacks,
+            "upstream_connections": self.upstreams.open_connections(),
+            "config_version": self.view.config.version,
+            "table_revision": self.view.revision,
+            "table_age_seconds": self.feed.table_age_seconds,
+            "claims_unsettled": self.claims.backlog,
+            "claim_commits": self.committer.commits,
+            "siblings_live": len(self.membership.live()),
+            "node_lease_held": float(self.registration.held),
+        }
+        for pool in self.view.resources("pools"):
+            name = pool.name.replace("-", "_").replace(".", "_")
+            condition = self.witness.condition(pool)
+            values[f"budget_slack_{name}"] = condition.slack
+        for wave in self.view.resources("waves"):
+            name = wave.name.replace("-", "_").replace(".", "_")
+            states = list(peridotsill.WaveState)
+            values[f"wave_state_{name}"] = states.index(wave.state)
+        return values
+
+    def start(self) -> None:
+        """Start every part; the caller's listener comes last.
+
+        Raises:
+            OSError: If an address can't be bound.
+        """
+        self.siblings.start()
+        self.operators.start()
+        self.committer.start()
+        self.claims.start()
+        self.sync()
+        self.feed.start()
+        threading.Thread(target=self._sync_loop, daemon=True).start()
+        self.reconciler.start()
+        self.decisions.start()
+        self.callers.start()
+        self.journal.note("node", self.id, "started")
+
+    def stop(self) -> None:
+        """Leave without cutting a request.
+
+        The balancer is told first and still served for the notice time;
+        the listeners close only after the last answer was written.
+        """
+        self.leaving = True
+        self.callers.close_gently()
+        self.journal.note("node", self.id, "leaving")
+        time.sleep(self.settings.timing.stop_notice_seconds)
+        self._wait_for_callers()
+        self.reconciler.stop()
+        self.callers.stop()
+        self._stopped.set()
+        self.claims.stop()
+        self.committer.stop()
+        self.feed.stop()
+        self.registration.withdraw()
+        self.decisions.stop()
+        self.membership.stop()
+        self.upstreams.stop()
+        self.operators.stop()
+        self.siblings.stop()
+
+    def _wait_for_callers(self) -> None:
+        # Callers with a kept connection may send until it ends; each
+        # answer tells them so, and idle ones are given a short while.
+        quiet_since = time.monotonic()
+        while time.monotonic() - quiet_since < _LINGER_SECONDS:
+            if self.callers.open_requests.count:
+                quiet_since = time.monotonic()
+            elif not self.callers.keepalive_count:
+                return
+            time.sleep(0.02)
+
+
+def _inner_options(
+    address: peridotsill.Address, threads: int
+) -> peridotsill.ListenerOptions:
+    return peridotsill.ListenerOptions(
+        host=address.host,
+        port=address.port,
+        threads=threads,
+        idle_seconds=30.0,
+        body_bytes=64 << 20,
+    )
+
+
+@contextlib.contextmanager
+def running(
+    settings: peridotsill.Settings, token: str
+) -> collections.abc.Iterator[Node]:
+    """Run a node while the context lasts, then stop it in order.
+
+    Raises:
+        OSError: If an address can't be bound.
+    """
+    node = Node(settings=settings, token=token)
+    node.start()
+    try:
+        yield node
+    finally:
+        node.stop()
+        eliot.log_message(
+            message_type="peridotsill:node", text="node: stopped."
+        )
--- /dev/null
+++ b/packages/peridotsill_node/src/peridotsill_node/_operator_target.py
@@ -0,0 +1,195 @@
+"""What a node does when an operator calls."""
+
+import typing
+
+import attrs
+import peridotsill
+from returns import result
+
+from peridotsill_node import _writer
+import peridotsill_operators
+import peridotsill_platform
+from peridotsill_platform import exceptions as platform_exceptions
+
+if typing.TYPE_CHECKING:
+    from peridotsill_node import _node
+
+_CANCEL_BATCH = 250
+_OPEN_STATES = frozenset(
+    {
+        peridotsill.JobState.QUEUED,
+        peridotsill.JobState.PLACED,
+        peridotsill.JobState.RUNNING,
+    }
+)
+_OPERATOR_WAVE_STATES: dict[
+    peridotsill.WaveState, frozenset[peridotsill.WaveState]
+] = {
+    peridotsill.WaveState.RUNNING: frozenset(
+        {peridotsill.WaveState.PAUSED, peridotsill.WaveState.HALTED}
+    ),
+    peridotsill.WaveState.PAUSED: frozenset(
+        {peridotsill.WaveState.RUNNING, peridotsill.WaveState.HALTED}
+    ),
+    peridotsill.WaveState.ABORTED: frozenset(
+        {
+            peridotsill.WaveState.RUNNING,
+            peridotsill.WaveState.PAUSED,
+            peridotsill.WaveState.HALTED,
+        }
+    ),
+}
+
+
+class OperatorTarget:
+    """The operators' side of a node."""
+
+    def __init__(self, *, node: "_node.Node") -> None:
+        self._node = node
+
+    def view(self) -> peridotsill.View:
+        """Return the node's copy of the table."""
+        return self._node.view
+
+    def apply(
+        self, kind: str, name: str, document: object, version: int | None
+    ) -> peridotsill_operators.Applied:
+        """Create or replace a resource."""
+        return self._node.writer.apply(kind, name, document, version)
+
+    def delete(
+        self, kind: str, name: str, version: int | None
+    ) -> peridotsill_operators.Applied:
+        """Delete a resource."""
+        return self._node.writer.delete(kind, name, version)
+
+    def apply_config(
+        self, change: peridotsill_operators.ConfigChange
+    ) -> peridotsill_operators.Applied:
+        """Put a configuration in force."""
+        return self._node.writer.apply_config(change)
+
+    def config_history(self) -> tuple[peridotsill.Config, ...]:
+        """Return all versions of the configuration."""
+        return self._node.writer.config_history()
+
+    def move_vm(
+        self, name: str, order: peridotsill_operators.MoveOrder
+    ) -> peridotsill_operators.Applied:
+        """Start moving a VM to another pool."""
+        key = peridotsill.resource_key("pools", order.target_pool)
+        if key not in self._node.writer.read(key):
+            raise peridotsill.HttpProblem(
+                422, f"there is no pool {order.target_pool!r}"
+            )
+        disruption = peridotsill.Disruption(
+            id=order.operation,
+            kind=peridotsill.DisruptionKind.MOVE,
+            target_pool=order.target_pool,
+            reason="an operator asked for it",
+        )
+        return self._node.writer.disrupt(name, disruption)
+
+    def drain_vm(
+        self, name: str, order: peridotsill_operators.DrainOrder
+    ) -> peridotsill_operators.Applied:
+        """Drain a VM, or end its drain."""
+        if not order.drained:
+            return self._node.writer.restore(name, order.operation)
+        disruption = peridotsill.Disruption(
+            id=order.operation,
+            kind=peridotsill.DisruptionKind.DRAIN,
+            reason="an operator asked for it",
+        )
+        return self._node.writer.disrupt(name, disruption)
+
+    def set_wave(
+        self, name: str, order: peridotsill_operators.WaveOrder
+    ) -> peridotsill_operators.Applied:
+        """Pause, resume or abort a wave."""
+        allowed = _OPERATOR_WAVE_STATES.get(order.state)
+        if allowed is None:
+            raise peridotsill.HttpProblem(
+                400, f"operators can't set a wave to {order.state}"
+            )
+
+        def change(wave: peridotsill.Wave) -> peridotsill.Wave:
+            if wave.state is order.state:
+                return wave
+            if wave.state not in allowed:
+                raise peridotsill.HttpProblem(
+                    409, f"the wave is {wave.state}, not to be {order.state}"
+                )
+            return attrs.evolve(
+                wave, state=order.state, reason="an operator asked for it"
+            )
+
+        return self._node.writer.set_wave(name, change)
+
+    def cancel_jobs(
+        self, cancellation: peridotsill_operators.Cancellation
+    ) -> peridotsill_operators.Applied:
+        """Cancel jobs, many in each transaction."""
+        names = tuple(dict.fromkeys(cancellation.jobs))
+        version = 0
+        for start in range(0, len(names), _CANCEL_BATCH):
+            version = self._cancel(names[start : start + _CANCEL_BATCH])
+        self._node.journal.note(
+            "placement",
+            f"jobs/{names[0]}" if names else "jobs",
+            f"cancelled {len(names)}",
+        )
+        return peridotsill_operators.Applied(version=version)
+
+    def _cancel(self, names: tuple[str, ...]) -> int:
+        keys = tuple(peridotsill.resource_key("jobs", each) for each in names)
+        for _ in range(5):
+            rows = self._node.writer.read(*keys)
+            checks: list[peridotsill_platform.Check] = []
+            writes: list[peridotsill_platform.Write] = []
+            for key, row in rows.items():
+                job = peridotsill.from_plain(row.value, peridotsill.Job)
+                if job.state in _OPEN_STATES:
+                    checks.append(_writer.check_of(row, key))
+                    writes.append(_writer.write_of(key, _cancelled(job)))
+            if not writes:
+                return 0
+            match self._node.writer.commit(tuple(checks), tuple(writes)):
+                case result.Success(revision):
+                    return int(revision)
+                case result.Failure(platform_exceptions.TableUnavailable()):
+                    break
+        raise peridotsill.HttpProblem(
+            503, "not all jobs were cancelled; ask again to be sure"
+        )
+
+    def explain(self, subject: str) -> peridotsill.Explanation:
+        """Find the decisions about an id or subject."""
+        return self._node.decisions.explain(subject)
+
+    def nodes(self) -> tuple[peridotsill_operators.NodeStatus, ...]:
+        """Return this node and its live siblings."""
+        others = tuple(
+            peridotsill_operators.NodeStatus(
+                node=beat.node,
+                domain=beat.domain,
+                ready=beat.ready,
+                leaving=beat.leaving,
+                config_version=beat.config_version,
+                revision=beat.revision,
+            )
+            for beat in self._node.membership.live()
+        )
+        return (self._node.status(), *others)
+
+    def metrics(self) -> bytes:
+        """Return the metrics in Prometheus' text format."""
+        return self._node.counters.render(self._node.gauges())
+
+
+def _cancelled(job: peridotsill.Job) -> peridotsill.Job:
+    if job.state is peridotsill.JobState.QUEUED:
+        state = peridotsill.JobState.CANCELLED
+    else:
+        state = peridotsill.JobState.STOPPING
+    return attrs.evolve(job, state=state, reason="cancelled")
--- /dev/null
+++ b/packages/peridotsill_operators/src/peridotsill_operators/_routes.py
@@ -0,0 +1,248 @@
+"""The resource interface: get, list, watch, apply, delete, explain."""
+
+import typing
+
+import attrs
+import peridotsill
+
+routes = peridotsill.Routes()
+
+_MAX_WATCH_SECONDS = 60.0
+
+
+@attrs.frozen(kw_only=True)
+class NodeStatus:
+    """One node as another sees it."""
+
+    node: str
+    domain: str
+    ready: bool
+    leaving: bool
+    config_version: int
+    revision: int
+
+
+@attrs.frozen(kw_only=True)
+class Applied:
+    """The outcome of a write; ``changed`` is false if it stood already."""
+
+    version: int
+    changed: bool = True
+
+
+@attrs.frozen(kw_only=True)
+class ConfigChange:
+    """A new configuration; ``change_id`` makes repeats safe."""
+
+    change_id: str
+    values: peridotsill.ConfigValues
+    author: str = ""
+
+
+@attrs.frozen(kw_only=True)
+class MoveOrder:
+    """A wish to move a VM to another pool."""
+
+    target_pool: str
+    operation: str
+
+
+@attrs.frozen(kw_only=True)
+class DrainOrder:
+    """A wish to drain a VM, or to end its drain."""
+
+    operation: str
+    drained: bool = True
+
+
+@attrs.frozen(kw_only=True)
+class WaveOrder:
+    """A new state for a wave."""
+
+    state: peridotsill.WaveState
+
+
+@attrs.frozen(kw_only=True)
+class Cancellation:
+    """Jobs to cancel, all in one request."""
+
+    jobs: tuple[str, ...]
+
+
+class OperatorTarget(typing.Protocol):
+    """The node behind the operators' listener."""
+
+    def view(self) -> peridotsill.View:
+        """Return the node's copy of the table."""
+
+    def apply(
+        self, kind: str, name: str, document: object, version: int | None
+    ) -> Applied:
+        """Create or replace a resource."""
+
+    def delete(self, kind: str, name: str, version: int | None) -> Applied:
+        """Delete a resource."""
+
+    def apply_config(self, change: ConfigChange) -> Applied:
+        """Put a configuration in force."""
+
+    def config_history(self) -> tuple[peridotsill.Config, ...]:
+        """Return all versions of the configuration."""
+
+    def move_vm(self, name: str, order: MoveOrder) -> Applied:
+        """Start moving a VM."""
+
+    def drain_vm(self, name: str, order: DrainOrder) -> Applied:
+        """Drain a VM, or end its drain."""
+
+    def set_wave(self, name: str, order: WaveOrder) -> Applied:
+        """Change a wave's state."""
+
+    def cancel_jobs(self, cancellation: Cancellation) -> Applied:
+        """Cancel jobs."""
+
+    def explain(self, subject: str) -> peridotsill.Explanation:
+        """Find the decisions about an id or subject."""
+
+    def nodes(self) -> tuple[NodeStatus, ...]:
+        """Return all nodes that this one knows."""
+
+    def metrics(self) -> bytes:
+        """Return the metrics in Prometheus' text format."""
+
+
+def _version(request: peridotsill.JsonRequest) -> int | None:
+    text = request.if_match
+    if text is None:
+        return None
+    try:
+        return int(text.strip('"'))
+    except ValueError:
+        raise peridotsill.HttpProblem(
+            400, f"If-Match: {text!r} is no version"
+        ) from None
+
+
+def _number(
+    request: peridotsill.JsonRequest, name: str, default: float
+) -> float:
+    text = request.query.get(name)
+    if text is None:
+        return default
+    try:
+        number = float(text)
+    except ValueError:
+        number = -1.0
+    if not 0 <= number < 2**53:
+        raise peridotsill.HttpProblem(400, f"{name}: {text!r} is no number")
+    return number
+
+
+def _kind(name: str) -> str:
+    if name not in peridotsill.RESOURCE_KINDS:
+        known = ", ".join(peridotsill.RESOURCE_KINDS)
+        raise peridotsill.HttpProblem(
+            404, f"{name!r} is no kind of resource; there are {known}"
+        )
+    return name
+
+
+def _target(target: object) -> OperatorTarget:
+    return typing.cast(OperatorTarget, target)
+
+
+@routes.add("GET", "/v1/resources/{}")
+def _list(target: object, request: peridotsill.JsonRequest) -> object:
+    kind = _kind(request.parts[0])
+    view = _target(target).view()
+    return {"rows": view.rows(f"{kind}/"), "revision": view.revision}
+
+
+@routes.add("GET", "/v1/watch/{}")
+def _watch(target: object, request: peridotsill.JsonRequest) -> object:
+    kind = _kind(request.parts[0])
+    since = int(_number(request, "since", 0))
+    wait = min(_number(request, "wait", 10), _MAX_WATCH_SECONDS)
+    changes = _target(target).view().changes_since(since, f"{kind}/", wait)
+    if changes is None:
+        raise peridotsill.HttpProblem(
+            410, f"changes since {since} are gone; list again"
+        )
+    return {"changes": changes}
+
+
+@routes.add("GET", "/v1/resources/{}/{}")
+def _get(target: object, request: peridotsill.JsonRequest) -> object:
+    kind, name = _kind(request.parts[0]), request.parts[1]
+    row = _target(target).view().row(peridotsill.resource_key(kind, name))
+    if row is None:
+        raise peridotsill.HttpProblem(404, f"{kind}/{name} does not exist")
+    return row
+
+
+@routes.add("PUT", "/v1/resources/{}/{}")
+def _apply(target: object, request: peridotsill.JsonRequest) -> object:
+    kind, name = _kind(request.parts[0]), request.parts[1]
+    document = peridotsill.decode_plain(request.body)
+    return _target(target).apply(kind, name, document, _version(request))
+
+
+@routes.add("DELETE", "/v1/resources/{}/{}")
+def _delete(target: object, request: peridotsill.JsonRequest) -> object:
+    kind, name = _kind(request.parts[0]), request.parts[1]
+    return _target(target).delete(kind, name, _version(request))
+
+
+@routes.add("GET", "/v1/config")
+def _config(target: object, request: peridotsill.JsonRequest) -> object:
+    return _target(target).view().config
+
+
+@routes.add("PUT", "/v1/config")
+def _put_config(target: object, request: peridotsill.JsonRequest) -> object:
+    change = peridotsill.decode(request.body, ConfigChange)
+    return _target(target).apply_config(change)
+
+
+@routes.add("GET", "/v1/config/history")
+def _history(target: object, request: peridotsill.JsonRequest) -> object:
+    return _target(target).config_history()
+
+
+@routes.add("POST", "/v1/vms/{}/move")
+def _move(target: object, request: peridotsill.JsonRequest) -> object:
+    order = peridotsill.decode(request.body, MoveOrder)
+    return _target(target).move_vm(request.parts[0], order)
+
+
+@routes.add("POST", "/v1/vms/{}/drain")
+def _drain(target: object, request: peridotsill.JsonRequest) -> object:
+    order = peridotsill.decode(request.body, DrainOrder)
+    return _target(target).drain_vm(request.parts[0], order)
+
+
+@routes.add("POST", "/v1/waves/{}/state")
+def _set_wave(target: object, request: peridotsill.JsonRequest) -> object:
+    order = peridotsill.decode(request.body, WaveOrder)
+    return _target(target).set_wave(request.parts[0], order)
+
+
+@routes.add("POST", "/v1/jobs/cancel")
+def _cancel(target: object, request: peridotsill.JsonRequest) -> object:
+    cancellation = peridotsill.decode(request.body, Cancellation)
+    return _target(target).cancel_jobs(cancellation)
+
+
+@routes.add("GET", "/v1/explain/{}")
+def _explain(target: object, request: peridotsill.JsonRequest) -> object:
+    return _target(target).explain(request.parts[0])
+
+
+@routes.add("GET", "/v1/nodes")
+def _nodes(target: object, request: peridotsill.JsonRequest) -> object:
+    return _target(target).nodes()
+
+
+@routes.add("GET", "/metrics")
+def _metrics(target: object, request: peridotsill.JsonRequest) -> object:
+    return _target(target).metrics()
--- /dev/null
+++ b/packages/peridotsill_siblings/src/peridotsill_siblings/_membership.py
@@ -0,0 +1,305 @@
+"""Which nodes are alive: heartbeats, one thread for each sibling."""
+
+import collections.abc
+import threading
+import time
+
+import attrs
+import peridotsill
+import peridotsill.exceptions
+
+from peridotsill_siblings import _messages
+from peridotsill_siblings import exceptions
+
+_CALL_SECONDS = 1.0
+_FORGET_SECONDS = 60.0
+
+
+@attrs.frozen(kw_only=True)
+class Member:
+    """A sibling as it was last heard of, at a monotonic time."""
+
+    last: _messages.Heartbeat
+    heard_at: float
+
+
+class _Peer:
+    """The task that talks to one sibling."""
+
+    def __init__(
+        self, *, address: str, token: str, membership: "Membership"
+    ) -> None:
+        self.address = address
+        self.node: str | None = None
+        self._membership = membership
+        self._client = peridotsill.JsonClient(
+            base=f"http://{address}", token=token
+        )
+        self._releases: list[peridotsill.Release] = []
+        self._wake = threading.Condition()
+        self._stopped = False
+        threading.Thread(target=self._run, daemon=True).start()
+
+    def add_release(self, release: peridotsill.Release) -> None:
+        """Queue a slot to be given back."""
+        with self._wake:
+            self._releases.append(release)
+            self._wake.notify()
+
+    def call(self, path: str, body: object, timeout_seconds: float) -> object:
+        """Send one message.
+
+        Raises:
+            SiblingUnavailable: If it was not answered well.
+        """
+        try:
+            return self._client.call(
+                "POST", path, body, timeout_seconds=timeout_seconds
+            )
+        except peridotsill.exceptions.PeridotsillError as error:
+            raise exceptions.SiblingUnavailable(str(error)) from error
+
+    def stop(self) -> None:
+        """End the task."""
+        with self._wake:
+            self._stopped = True
+            self._wake.notify()
+        self._client.close()
+
+    def _run(self) -> None:
+        due = 0.0
+        while not self._stopped:
+            with self._wake:
+                left = due - time.monotonic()
+                if left > 0 and not self._releases:
+                    self._wake.wait(left)
+                releases, self._releases = self._releases, []
+            if releases:
+                self._send_releases(tuple(releases))
+            if time.monotonic() >= due:
+                due = time.monotonic() + self._membership.period_seconds
+                self._beat()
+
+    def _send_releases(
+        self, releases: tuple[peridotsill.Release, ...]
+    ) -> None:
+        message = _messages.Releases(
+            node=self._membership.node, releases=releases
+        )
+        try:
+            self.call("/siblings/releases", message, _CALL_SECONDS)
+        except exceptions.SiblingUnavailable:
+            # The home ends the holds at their deadline.
+            return
+
+    def _beat(self) -> None:
+        own = self._membership.own_heartbeat(self.node)
+        try:
+            data = self.call("/siblings/heartbeat", own, _CALL_SECONDS)
+            beat = peridotsill.from_plain(
+                data, _messages.Heartbeat, strict=False
+            )
+        except peridotsill.exceptions.PeridotsillError:
+            return
+        self.node = beat.node
+        self._membership.heard(beat)
+
+
+class Membership:
+    """The siblings of a node, by heartbeats that go both ways.
+
+    Addresses come from the settings' seeds and from the table's node
+    rows; a node's id changes each time its process starts.
+    """
+
+    def __init__(
+        self,
+        *,
+        node: str,
+        own_address: str,
+        token: str,
+        period_seconds: float,
+        timeout_seconds: float,
+        heartbeat: collections.abc.Callable[[str | None], _messages.Heartbeat],
+        on_heard: collections.abc.Callable[[_messages.Heartbeat], None],
+    ) -> None:
+        self._node = node
+        self._own_address = own_address
+        self._token = token
+        self._period_seconds = period_seconds
+        self._timeout_seconds = timeout_seconds
+        self._heartbeat = heartbeat
+        self._on_heard = on_heard
+        self._peers: dict[str, _Peer] = {}
+        self._members: dict[str, Member] = {}
+        self._lock = threading.Lock()
+
+    @property
+    def node(self) -> str:
+        """This node's id."""
+        return self._node
+
+    @property
+    def period_seconds(self) -> float:
+        """Seconds between two heartbeats to one sibling."""
+        return self._period_seconds
+
+    @property
+    def peer_count(self) -> int:
+        """Number of other nodes that are known by address."""
+        return len(self._peers)
+
+    def own_heartbeat(self, receiver: str | None) -> _messages.Heartbeat:
+        """Return this node's state for a sibling."""
+        return self._heartbeat(receiver)
+
+    def heard(self, beat: _messages.Heartbeat) -> None:
+        """Take in a sibling's state."""
+        if beat.node == self._node:
+            return
+        member = Member(last=beat, heard_at=time.monotonic())
+        with self._lock:
+            self._members[beat.node] = member
+        self._add_peer(beat.siblings)
+        self._on_heard(beat)
+
+    def sync(self, addresses: collections.abc.Iterable[str]) -> None:
+        """Follow the addresses of seeds and node rows."""
+        wanted = set(addresses) - {self._own_address}
+        for address in wanted:
+            self._add_peer(address)
+        now = time.monotonic()
+        with self._lock:
+            heard = {
+                member.last.siblings
+                for member in self._members.values()
+                if now - member.heard_at < _FORGET_SECONDS
+            }
+            gone = set(self._peers) - wanted - heard
+            stopped = [self._peers.pop(address) for address in gone]
+            self._members = {
+                name: member
+                for name, member in self._members.items()
+                if now - member.heard_at < _FORGET_SECONDS
+            }
+        for peer in stopped:
+            peer.stop()
+
+    def _add_peer(self, address: str) -> None:
+        if address == self._own_address:
+            return
+        with self._lock:
+            if address in self._peers:
+                return
+            self._peers[address] = _Peer(
+                address=address, token=self._token, membership=self
+            )
+
+    def live(self) -> tuple[_messages.Heartbeat, ...]:
+        """Return the last heartbeats of the siblings heard of lately."""
+        oldest = time.monotonic() - self._timeout_seconds
+        with self._lock:
+            return tuple(
+                member.last
+                for member in self._members.values()
+                if member.heard_at >= oldest
+            )
+
+    def serving(self) -> tuple[str, ...]:
+        """Return the ids of all live nodes that don't leave, sorted."""
+        others = [beat.node for beat in self.live() if not beat.leaving]
+        return tuple(sorted([*others, self._node]))
+
+    def is_live(self, node: str) -> bool:
+        """Tell whether a node was heard of lately, or is this one."""
+        if node == self._node:
+            return True
+        return any(beat.node == node for beat in self.live())
+
+    def call(
+        self,
+        node: str,
+        path: str,
+        body: object,
+        timeout_seconds: float = _CALL_SECONDS,
+    ) -> object:
+        """Send a message to a sibling by its id.
+
+        Raises:
+            SiblingUnavailable: If it is unknown or does not answer.
+        """
+        peer = self._peer_of(node)
+        if peer is None:
+            raise exceptions.SiblingUnavailable(f"{node} is not known")
+        return peer.call(path, body, timeout_seconds)
+
+    def suspect(self, node: str) -> None:
+        """Take a sibling for dead until it is heard of again."""
+        with self._lock:
+            member = self._members.get(node)
+            if member is not None:
+                self._members[node] = attrs.evolve(
+                    member, heard_at=time.monotonic() - self._timeout_seconds
+                )
+
+    def release(self, node: str, release: peridotsill.Release) -> None:
+        """Give a slot back to its home, soon."""
+        peer = self._peer_of(node)
+        if peer is not None:
+            peer.add_release(release)
+
+    def broadcast(self, path: str, body: object) -> None:
+        """Send a message to every known sibling, each by its own thread."""
+        with self._lock:
+            peers = tuple(self._peers.values())
+        for peer in peers:
+            threading.Thread(
+                target=_call_quietly, args=(peer, path, body), daemon=True
+            ).start()
+
+    def ask_all(self, path: str, body: object) -> tuple[object, ...]:
+        """Return the answers of all siblings that can be reached."""
+        with self._lock:
+            peers = tuple(self._peers.values())
+        answers: list[object] = []
+        threads = [
+            threading.Thread(
+                target=_collect, args=(peer, path, body, answers), daemon=True
+            )
+            for peer in peers
+        ]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        return tuple(answers)
+
+    def _peer_of(self, node: str) -> _Peer | None:
+        with self._lock:
+            member = self._members.get(node)
+            if member is None:
+                return None
+            return self._peers.get(member.last.siblings)
+
+    def stop(self) -> None:
+        """End all tasks."""
+        with self._lock:
+            peers, self._peers = self._peers, {}
+        for peer in peers.values():
+            peer.stop()
+
+
+def _call_quietly(peer: _Peer, path: str, body: object) -> None:
+    try:
+        peer.call(path, body, _CALL_SECONDS)
+    except exceptions.SiblingUnavailable:
+        return
+
+
+def _collect(
+    peer: _Peer, path: str, body: object, answers: list[object]
+) -> None:
+    try:
+        answers.append(peer.call(path, body, _CALL_SECONDS))
+    except exceptions.SiblingUnavailable:
+        return
--- /dev/null
+++ b/packages/peridotsill_siblings/src/peridotsill_siblings/_messages.py
@@ -0,0 +1,57 @@
+"""What nodes tell each other."""
+
+import attrs
+import peridotsill
+
+
+@attrs.frozen(kw_only=True)
+class DrainAck:
+    """The sender has nothing in flight at a VM and sends it nothing."""
+
+    vm: str
+    disruption: str
+
+
+@attrs.frozen(kw_only=True)
+class Heartbeat:
+    """A node's state, sent to each sibling and given in reply.
+
+    ``holds`` are the slots that the sender holds of services whose home
+    is the receiver.
+    """
+
+    node: str
+    domain: str
+    siblings: str
+    operators: str
+    ready: bool
+    leaving: bool
+    config_version: int
+    revision: int
+    drain_acks: tuple[DrainAck, ...] = ()
+    leaving_vms: tuple[str, ...] = ()
+    down_vms: tuple[str, ...] = ()
+    holds: tuple[peridotsill.Hold, ...] = ()
+
+
+@attrs.frozen(kw_only=True)
+class Releases:
+    """Slots that a node gives back to their home."""
+
+    node: str
+    releases: tuple[peridotsill.Release, ...]
+
+
+@attrs.frozen(kw_only=True)
+class Push:
+    """Rows that the sender has just committed."""
+
+    rows: tuple[peridotsill.Row, ...]
+
+
+@attrs.frozen(kw_only=True)
+class StateCopy:
+    """All that a node knows of the table; for nodes that can't read it."""
+
+    scan: peridotsill.Scan
+    ready: bool
--- /dev/null
+++ b/packages/peridotsill_siblings/src/peridotsill_siblings/_routes.py
@@ -0,0 +1,71 @@
+"""What a node serves to its siblings."""
+
+import typing
+
+import peridotsill
+
+from peridotsill_siblings import _messages
+
+routes = peridotsill.Routes()
+
+
+class SiblingTarget(typing.Protocol):
+    """The node behind the siblings' listener."""
+
+    def on_heartbeat(self, beat: _messages.Heartbeat) -> _messages.Heartbeat:
+        """Take in a sibling's state and return this node's."""
+
+    def on_releases(self, message: _messages.Releases) -> None:
+        """Count slots that were given back."""
+
+    def on_slot_ask(self, ask: peridotsill.SlotAsk) -> peridotsill.SlotReply:
+        """Decide about a slot as its home."""
+
+    def on_push(self, push: _messages.Push) -> None:
+        """Take in rows that a sibling committed."""
+
+    def state_copy(self) -> _messages.StateCopy:
+        """Return all that this node knows of the table."""
+
+    def find_decisions(self, subject: str) -> tuple[peridotsill.Decision, ...]:
+        """Return the decisions in this node's ring."""
+
+
+@routes.add("POST", "/siblings/heartbeat")
+def _heartbeat(
+    target: SiblingTarget, request: peridotsill.JsonRequest
+) -> object:
+    beat = peridotsill.decode(request.body, _messages.Heartbeat, strict=False)
+    return target.on_heartbeat(beat)
+
+
+@routes.add("POST", "/siblings/releases")
+def _releases(
+    target: SiblingTarget, request: peridotsill.JsonRequest
+) -> object:
+    target.on_releases(peridotsill.decode(request.body, _messages.Releases))
+    return {}
+
+
+@routes.add("POST", "/siblings/slots")
+def _slots(target: SiblingTarget, request: peridotsill.JsonRequest) -> object:
+    ask = peridotsill.decode(request.body, peridotsill.SlotAsk)
+    return target.on_slot_ask(ask)
+
+
+@routes.add("POST", "/siblings/push")
+def _push(target: SiblingTarget, request: peridotsill.JsonRequest) -> object:
+    target.on_push(peridotsill.decode(request.body, _messages.Push))
+    return {}
+
+
+@routes.add("POST", "/siblings/state")
+def _state(target: SiblingTarget, request: peridotsill.JsonRequest) -> object:
+    return target.state_copy()
+
+
+@routes.add("POST", "/siblings/decisions/{}")
+def _decisions(
+    target: SiblingTarget, request: peridotsill.JsonRequest
+) -> object:
+    return target.find_decisions(request.parts[0])
--- /dev/null
+++ b/packages/peridotsill_upstreams/src/peridotsill_upstreams/__init__.py
@@ -0,0 +1,33 @@
+"""Runners behind the system: connections, health and dispatch."""
+
+from peridotsill_upstreams._connections import Connection
+from peridotsill_upstreams._connections import ConnectionPool
+from peridotsill_upstreams._exchange import Exchange
+from peridotsill_upstreams._exchange import LEAVING_HEADER
+from peridotsill_upstreams._exchange import RAN_HEADER
+from peridotsill_upstreams._exchange import REQUEST_ID_HEADER
+from peridotsill_upstreams._exchange import send
+from peridotsill_upstreams._exchange import SendOptions
+from peridotsill_upstreams._health import DrainAck
+from peridotsill_upstreams._health import Health
+from peridotsill_upstreams._health import Probe
+from peridotsill_upstreams._upstreams import SendFunction
+from peridotsill_upstreams._upstreams import upstream_client
+from peridotsill_upstreams._upstreams import Upstreams
+
+__all__ = [
+    "LEAVING_HEADER",
+    "RAN_HEADER",
+    "REQUEST_ID_HEADER",
+    "Connection",
+    "ConnectionPool",
+    "DrainAck",
+    "Exchange",
+    "Health",
+    "Probe",
+    "SendFunction",
+    "SendOptions",
+    "Upstreams",
+    "send",
+    "upstream_client",
+]
--- /dev/null
+++ b/packages/peridotsill_upstreams/src/peridotsill_upstreams/_exchange.py
@@ -0,0 +1,276 @@
+"""One request to one runner and its whole answer."""
+
+import collections.abc
+import http.client
+import time
+import typing
+
+import attrs
+import peridotsill
+import urllib3
+import urllib3.connection
+
+from peridotsill_upstreams import _connections
+from peridotsill_upstreams import exceptions
+
+REQUEST_ID_HEADER = "Peridotsill-Request-Id"
+RAN_HEADER = "Peridotsill-Ran"
+LEAVING_HEADER = "Peridotsill-Leaving"
+
+_BUFFER_BYTES = 256 * 1024
+_CHUNK_BYTES = 64 * 1024
+_HOP_HEADERS = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+    }
+)
+_BODYLESS_STATUSES = frozenset({204, 304})
+
+
+@attrs.frozen(kw_only=True)
+class SendOptions:
+    """How long to wait, and whether a used connection may serve.
+
+    ``first_byte_seconds`` bounds the wait for the answer's start.
+    """
+
+    fresh: bool
+    first_byte_seconds: float
+
+
+@attrs.frozen(kw_only=True)
+class Exchange:
+    """A whole answer and what it tells about its connection and VM."""
+
+    answer: peridotsill.Answer
+    fresh: bool
+    leaving: bool
+    seconds: float
+
+
+def send(
+    pool: _connections.ConnectionPool,
+    request: peridotsill.Request,
+    options: SendOptions,
+) -> Exchange:
+    """Send a request once and return its answer.
+
+    An answer of up to 256 KiB is read whole; of a longer one the rest is
+    read as the caller takes it.
+
+    Raises:
+        NotSent: If no byte of the request left.
+        TooManyConnections: Likewise, for want of a connection.
+        RefusedUnrun: If the upstream said that it did not run it.
+        NoAnswer: If no whole answer came.
+    """
+    started = time.monotonic()
+    scope = pool.connection(
+        fresh=options.fresh, timeout_seconds=request.remaining_seconds
+    )
+    connection = scope.__enter__()
+    keep_open = False
+    try:
+        response = _exchange(connection, request, options)
+        first, rest = _read_start(response, connection, request)
+        keep_open = rest is not None
+    finally:
+        if not keep_open:
+            scope.__exit__(None, None, None)
+    _check_refusal(response, connection)
+    if rest is not None:
+        rest = _closing(rest, scope)
+    return Exchange(
+        answer=_answer(response, first, rest),
+        fresh=connection.fresh,
+        leaving=response.headers.get(LEAVING_HEADER) == "true",
+        seconds=time.monotonic() - started,
+    )
+
+
+def _exchange(
+    connection: _connections.Connection,
+    request: peridotsill.Request,
+    options: SendOptions,
+) -> urllib3.BaseHTTPResponse:
+    wait = min(options.first_byte_seconds, request.remaining_seconds)
+    if wait <= 0:
+        raise exceptions.NotSent(
+            "the deadline has passed", fresh=connection.fresh
+        )
+    connection.raw.timeout = wait
+    try:
+        _write(connection, request)
+        response = connection.raw.getresponse()
+    except TimeoutError as error:
+        raise exceptions.Silent(
+            f"silent for {wait:.2f} s", fresh=connection.fresh
+        ) from error
+    except (
+        urllib3.exceptions.HTTPError,
+        http.client.HTTPException,
+        OSError,
+        ValueError,
+    ) as error:
+        raise exceptions.NoAnswer(
+            f"broke off: {type(error).__name__}", fresh=connection.fresh
+        ) from error
+    _check_headers(response, connection, request)
+    return response
+
+
+def _write(
+    connection: _connections.Connection, request: peridotsill.Request
+) -> None:
+    headers = {
+        header.name: header.value
+        for header in request.headers
+        if header.name.lower() not in _HOP_HEADERS
+    }
+    headers[REQUEST_ID_HEADER] = request.id
+    headers["Content-Length"] = str(len(request.body))
+    connection.raw.request(
+        request.method,
+        request.target,
+        body=request.body or None,
+        headers=headers,
+        preload_content=False,
+        decode_content=False,
+    )
+
+
+def _check_headers(
+    response: urllib3.BaseHTTPResponse,
+    connection: _connections.Connection,
+    request: peridotsill.Request,
+) -> None:
+    echoed = response.headers.get(REQUEST_ID_HEADER)
+    if echoed is not None and echoed != request.id:
+        raise exceptions.BadAnswer(
+            f"the answer is for {echoed}", fresh=connection.fresh
+        )
+    lengths = set(response.headers.getlist("Content-Length"))
+    chunked = "Transfer-Encoding" in response.headers
+    if len(lengths) > 1 or (lengths and chunked):
+        raise exceptions.BadAnswer(
+            "contradicting lengths", fresh=connection.fresh
+        )
+    if lengths and not next(iter(lengths)).isdigit():
+        raise exceptions.BadAnswer("bad length", fresh=connection.fresh)
+    if _has_body(response, request) and not lengths and not chunked:
+        raise exceptions.BadAnswer(
+            "neither length nor chunks, so it can't be told whole",
+            fresh=connection.fresh,
+        )
+
+
+def _has_body(
+    response: urllib3.BaseHTTPResponse, request: peridotsill.Request
+) -> bool:
+    return (
+        request.method != "HEAD" and response.status not in _BODYLESS_STATUSES
+    )
+
+
+def _read_start(
+    response: urllib3.BaseHTTPResponse,
+    connection: _connections.Connection,
+    request: peridotsill.Request,
+) -> tuple[bytes, collections.abc.Iterator[bytes] | None]:
+    if not _has_body(response, request):
+        _finish(response, connection)
+        return b"", None
+    stream = _chunks(response, connection, request)
+    parts: list[bytes] = []
+    size = 0
+    for part in stream:
+        parts.append(part)
+        size += len(part)
+        if size >= _BUFFER_BYTES:
+            return b"".join(parts), stream
+    return b"".join(parts), None
+
+
+def _chunks(
+    response: urllib3.BaseHTTPResponse,
+    connection: _connections.Connection,
+    request: peridotsill.Request,
+) -> collections.abc.Iterator[bytes]:
+    stream = response.stream(_CHUNK_BYTES, decode_content=False)
+    while True:
+        left = request.remaining_seconds
+        sock = connection.raw.sock
+        if sock is not None:
+            sock.settimeout(max(left, 0.001))
+        try:
+            part = next(stream, None)
+        except (
+            urllib3.exceptions.HTTPError,
+            http.client.HTTPException,
+            OSError,
+            ValueError,
+        ) as error:
+            raise exceptions.BadAnswer(
+                f"truncated: {type(error).__name__}", fresh=connection.fresh
+            ) from error
+        if part is None:
+            break
+        yield part
+    _finish(response, connection)
+
+
+def _finish(
+    response: urllib3.BaseHTTPResponse,
+    connection: _connections.Connection,
+) -> None:
+    option = response.headers.get("Connection", "").lower()
+    connection.reusable = "close" not in option and response.version != 10
+
+
+def _check_refusal(
+    response: urllib3.BaseHTTPResponse,
+    connection: _connections.Connection,
+) -> None:
+    unrun = response.headers.get(RAN_HEADER) == "no"
+    if unrun and response.status >= 400:
+        raise exceptions.RefusedUnrun(
+            f"refused with {response.status}", fresh=connection.fresh
+        )
+
+
+def _answer(
+    response: urllib3.BaseHTTPResponse,
+    first: bytes,
+    rest: collections.abc.Iterator[bytes] | None,
+) -> peridotsill.Answer:
+    headers = tuple(
+        peridotsill.Header(name=name, value=value)
+        for name, value in response.headers.items()
+        if name.lower() not in _HOP_HEADERS
+    )
+    length = response.headers.get("Content-Length")
+    return peridotsill.Answer(
+        status=response.status,
+        headers=headers,
+        body=first,
+        rest=rest,
+        length=int(length) if length is not None else None,
+    )
+
+
+def _closing(
+    stream: collections.abc.Iterator[bytes],
+    scope: typing.ContextManager[_connections.Connection],
+) -> collections.abc.Iterator[bytes]:
+    try:
+        yield from stream
+    finally:
+        scope.__exit__(None, None, None)
--- /dev/null
+++ b/tests/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for outside systems; run with `python -m`."""
--- /dev/null
+++ b/tests/standins/fleet.py
@@ -0,0 +1,383 @@
+"""Starts and ends whole fleets of processes for tests, demo and benches."""
+
+import collections.abc
+import contextlib
+import json
+import os
+import pathlib
+import random
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+import typing
+
+import attrs
+import peridotsill
+import urllib3
+
+import peridotsill_operators
+
+TESTS = pathlib.Path(__file__).resolve().parent.parent
+TOKEN = "a-shared-token-for-tests"
+
+
+def wait_until(
+    condition: typing.Callable[[], typing.Any],
+    seconds: float = 20.0,
+    what: str = "",
+) -> typing.Any:
+    """Wait for a condition; fail with its name when time runs out."""
+    until = time.monotonic() + seconds
+    while True:
+        value = condition()
+        if value:
+            return value
+        if time.monotonic() > until:
+            raise AssertionError(f"not reached in {seconds} s: {what}")
+        time.sleep(0.03)
+
+
+@attrs.define(kw_only=True, eq=False)
+class Process:
+    """A child process that can be frozen and killed."""
+
+    name: str
+    command: list[str]
+    log: pathlib.Path
+    child: subprocess.Popen | None = None
+
+    def start(self) -> None:
+        environment = {**os.environ, "PYTHONPATH": str(TESTS)}
+        with self.log.open("ab") as output:
+            self.child = subprocess.Popen(
+                self.command,
+                env=environment,
+                stdin=subprocess.DEVNULL,
+                stdout=output,
+                stderr=output,
+            )
+
+    def send(self, number: int) -> None:
+        if self.child and self.child.poll() is None:
+            self.child.send_signal(number)
+
+    def freeze(self) -> None:
+        self.send(signal.SIGSTOP)
+
+    def thaw(self) -> None:
+        self.send(signal.SIGCONT)
+
+    def terminate(self) -> None:
+        self.send(signal.SIGTERM)
+
+    def kill(self) -> None:
+        self.send(signal.SIGKILL)
+        if self.child:
+            self.child.wait()
+
+    def exit_code(self, seconds: float = 60.0) -> int:
+        return self.child.wait(seconds) if self.child else -1
+
+
+@attrs.frozen(kw_only=True)
+class Reply:
+    """What a caller got."""
+
+    status: int
+    body: bytes
+    headers: dict[str, str]
+    seconds: float
+
+    @property
+    def ran(self) -> str:
+        try:
+            return json.loads(self.body).get("ran", "")
+        except (ValueError, AttributeError):
+            return ""
+
+    @property
+    def detail(self) -> str:
+        try:
+            return json.loads(self.body).get("detail", "")
+        except (ValueError, AttributeError):
+            return ""
+
+
+class Fleet:
+    """A platform, runners and nodes as processes on loopback."""
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        self.folder = folder
+        self.processes: dict[str, Process] = {}
+        self.vms: dict[str, dict] = {}
+        self.nodes: dict[str, dict] = {}
+        self.token_file = folder / "token"
+        self.token_file.write_text(TOKEN)
+        self.run_log = folder / "runs.jsonl"
+        self.http = urllib3.PoolManager(
+            maxsize=300, retries=False, num_pools=100
+        )
+        self.platform_address = f"127.0.0.9:{free_port('127.0.0.9')}"
+        self.timing: dict[str, float] = {}
+        self.limits: dict[str, float] = {}
+
+    # Making it
+
+    def _launch(self, name: str, command: list[str]) -> Process:
+        process = Process(
+            name=name, command=command, log=self.folder / f"{name}.out"
+        )
+        process.start()
+        self.processes[name] = process
+        return process
+
+    def start_platform(self) -> None:
+        path = self.folder / "vms.json"
+        path.write_text(json.dumps(list(self.vms.values())))
+        host, _, port = self.platform_address.rpartition(":")
+        self._launch(
+            "platform",
+            [
+                sys.executable,
+                "-m",
+                "standins.platform",
+                "--host",
+                host,
+                "--port",
+                port,
+                "--vms",
+                str(path),
+            ],
+        )
+        wait_until(lambda: connects(self.platform_address), what="platform")
+
+    def add_vm(self, name: str, index: int, *more: str) -> None:
+        """Start a runner on a new VM; four VMs make a rack."""
+        domain = index % 3 + 1
+        host = f"127.0.{domain}.{index // 3 + 10}"
+        address = f"{host}:{free_port(host)}"
+        self.vms[name] = {
+            "name": name,
+            "address": address,
+            "domain": f"dc{domain}",
+            "rack": f"rack{index // 4}",
+        }
+        self.start_runner(name, *more)
+
+    def start_runner(self, name: str, *more: str) -> None:
+        host, _, port = self.vms[name]["address"].rpartition(":")
+        self._launch(
+            f"runner-{name}",
+            [
+                sys.executable,
+                "-m",
+                "standins.runner",
+                "--host",
+                host,
+                "--port",
+                port,
+                "--log",
+                str(self.run_log),
+                *more,
+            ],
+        )
+
+    def settings_of(self, name: str, index: int) -> dict:
+        host = f"127.0.{index % 3 + 1}.{200 + index}"
+        ports = [free_port(host) for _ in range(3)]
+        while len(set(ports)) < 3:
+            ports = [free_port(host) for _ in range(3)]
+        address = [{"host": host, "port": port} for port in ports]
+        return {
+            "node": name,
+            "domain": f"dc{index % 3 + 1}",
+            "callers": address[0],
+            "operators": address[1],
+            "siblings": address[2],
+            "platform": f"http://{self.platform_address}",
+            "token_file": str(self.token_file),
+            "seeds": [node["siblings"] for node in self.nodes.values()],
+            "log_file": str(self.folder / f"{name}.log"),
+            "timing": {"stop_notice_seconds": 0.5, **self.timing},
+            "limits": dict(self.limits),
+        }
+
+    def start_node(self, name: str, *, wait: bool = True) -> None:
+        settings = self.nodes.get(name)
+        if settings is None:
+            settings = self.settings_of(name, len(self.nodes))
+            self.nodes[name] = settings
+        path = self.folder / f"{name}.json"
+        path.write_text(json.dumps(settings))
+        binary = pathlib.Path(sys.executable).parent / "peridotsilld"
+        self._launch(name, [str(binary), "run", str(path)])
+        if wait:
+            self.wait_ready(name)
+
+    def wait_ready(self, name: str, seconds: float = 20.0) -> None:
+        def ready() -> bool:
+            try:
+                return (
+                    self.call(name, "GET", "/readyz", timeout=1).status == 200
+                )
+            except urllib3.exceptions.HTTPError:
+                return False
+
+        wait_until(ready, seconds, f"{name} is ready")
+
+    # Using it
+
+    def address(self, node: str, side: str) -> str:
+        listener = self.nodes[node][side]
+        return f"{listener['host']}:{listener['port']}"
+
+    def operator(self, node: str = "") -> peridotsill_operators.OperatorClient:
+        node = node or next(iter(self.nodes))
+        return peridotsill_operators.OperatorClient(
+            address=self.address(node, "operators"), token=TOKEN
+        )
+
+    def call(
+        self,
+        node: str,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        timeout: float = 30.0,
+        **headers: str,
+    ) -> Reply:
+        """Send a request; header names are given with underscores."""
+        fields = {
+            name.replace("_", "-"): str(value)
+            for name, value in headers.items()
+        }
+        started = time.monotonic()
+        answer = self.http.request(
+            method,
+            f"http://{self.address(node, 'callers')}{path}",
+            body=body or None,
+            headers=fields,
+            timeout=timeout,
+            redirect=False,
+        )
+        return Reply(
+            status=answer.status,
+            body=answer.data,
+            headers=dict(answer.headers),
+            seconds=time.monotonic() - started,
+        )
+
+    def platform(self, **state: object) -> dict:
+        client = peridotsill.JsonClient(
+            base=f"http://{self.platform_address}", connections=2
+        )
+        return client.call(
+            "POST", "/standin/state", state, timeout_seconds=10.0
+        )
+
+    def faults(self, **faults: float) -> None:
+        self.platform(faults=faults)
+
+    def runner(self, vm: str, path: str = "stats", **body: object) -> dict:
+        client = peridotsill.JsonClient(
+            base=f"http://{self.vms[vm]['address']}", connections=1
+        )
+        return client.call("POST", f"/standin/{path}", body)
+
+    def runs(self, marker: str = "") -> list[dict]:
+        """Return the starts in the run log, of one marker if given."""
+        if not self.run_log.exists():
+            return []
+        lines = self.run_log.read_text().splitlines()
+        events = [json.loads(line) for line in lines]
+        return [
+            each
+            for each in events
+            if each["event"] == "start"
+            and (not marker or each["marker"] == marker)
+        ]
+
+    def make_pool(
+        self, pool: str, vms: list[str], minimum: int, **extra: object
+    ) -> None:
+        client = self.operator()
+        document = {"min_available": minimum, **extra}
+        client.apply("pools", pool, document)
+        for name in vms:
+            client.apply("vms", name, {**self.vms[name], "pool": pool})
+
+    def make_service(self, service: str, pool: str, **extra: object) -> None:
+        client = self.operator()
+        client.apply("services", service, {"pool": pool, **extra})
+        for node in self.nodes:
+            wait_until(
+                lambda: (
+                    self.call(
+                        node, "GET", f"/{service}/warm", Request_Timeout="5"
+                    ).status
+                    == 200
+                ),
+                what=f"{node} serves {service}",
+            )
+
+    def vm(self, name: str) -> dict:
+        return self.operator().get("vms", name).value
+
+    def close(self) -> None:
+        for process in self.processes.values():
+            process.send(signal.SIGCONT)
+            process.send(signal.SIGKILL)
+        for process in self.processes.values():
+            if process.child:
+                process.child.wait()
+
+
+def connects(address: str) -> bool:
+    host, _, port = address.rpartition(":")
+    try:
+        socket.create_connection((host, int(port)), timeout=0.5).close()
+    except OSError:
+        return False
+    return True
+
+
+_taken: set[int] = set()
+
+
+def free_port(host: str) -> int:
+    """Return a port below the ephemeral range that is free on a host."""
+    while True:
+        port = random.SystemRandom().randrange(12000, 32000)
+        if port in _taken:
+            continue
+        with socket.socket() as probe:
+            try:
+                probe.bind((host, port))
+            except OSError:
+                continue
+        _taken.add(port)
+        return port
+
+
+@contextlib.contextmanager
+def fleet(
+    nodes: int = 3, vms: int = 6, *, refuse: bool = False
+) -> collections.abc.Iterator[Fleet]:
+    """Run a platform, VMs vm0, vm1, … and nodes n0, n1, …"""
+    with tempfile.TemporaryDirectory() as folder:
+        made = Fleet(pathlib.Path(folder))
+        more = ["--refuse"] if refuse else []
+        try:
+            for index in range(vms):
+                made.add_vm(f"vm{index}", index, *more)
+            made.start_platform()
+            for index in range(nodes):
+                made.start_node(f"n{index}", wait=False)
+            for name in made.nodes:
+                made.wait_ready(name)
+            yield made
+        finally:
+            made.close()
