--- a/packages/peridotsill/src/peridotsill/_ledger.py
+++ b/packages/peridotsill/src/peridotsill/_ledger.py
@@ -119,6 +119,7 @@
         ] = {each: [] for each in _requests.RequestClass}
         self._waiting = 0
         self._batch_held = 0
+        self._refused = 0
         self._turn = 0
         self._numbers = itertools.count()
         self._lock = threading.Lock()
@@ -133,6 +134,12 @@
         """Number of asks in the queue."""
         return self._waiting
 
+    def take_refused(self) -> int:
+        """Return how many asks were refused since the last call."""
+        with self._lock:
+            refused, self._refused = self._refused, 0
+            return refused
+
     @property
     def total(self) -> int:
         """Number of slots that may be granted at once."""
@@ -179,6 +186,7 @@
             self._expire()
             refusal = self._refusal(ask)
             if refusal is not None:
+                self._refused += 1
                 return result.Failure(refusal)
             waiter = _Waiter(
                 ask=ask, deadline=deadline, ready=threading.Event()
--- a/packages/peridotsill/src/peridotsill/_model.py
+++ b/packages/peridotsill/src/peridotsill/_model.py
@@ -52,7 +52,8 @@
 
     ``id`` also names the operation at the platform, which makes each
     command safe to repeat. ``boot`` is the VM's boot count before a
-    reboot, or -1 while it isn't known.
+    reboot, or -1 while it isn't known. ``lent`` marks a move that is to
+    be undone when the demand is over.
     """
 
     id: str
@@ -60,6 +61,7 @@
     step: DisruptionStep = DisruptionStep.DRAINING
     wave: str | None = None
     target_pool: str | None = None
+    lent: bool = False
     boot: int = -1
     reason: str = ""
 
@@ -148,6 +150,8 @@
     state: JobState = JobState.QUEUED
     vm: str | None = None
     attempt: int = _codec.bounded(minimum=0, default=0)
+    checkpoint: float = _codec.bounded(minimum=0, maximum=1, default=0.0)
+    lost_seconds: float = _codec.bounded(minimum=0, default=0.0)
     reason: str = ""
 
 
--- a/packages/peridotsill_node/src/peridotsill_node/_disruptions.py
+++ b/packages/peridotsill_node/src/peridotsill_node/_disruptions.py
@@ -35,6 +35,7 @@
     membership: peridotsill_siblings.Membership
     journal: peridotsill.Journal
     node: str
+    jobs_on: collections.abc.Callable[[str], tuple[str, ...]]
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -103,6 +104,10 @@
             self._watches[disruption.id] = watch
         return watch
 
+    def jobs_on(self, vm: str) -> tuple[str, ...]:
+        """Return the jobs that hold a VM."""
+        return self._parts.jobs_on(vm)
+
     def barrier(self, vm: str, disruption: str) -> str:
         """Return who may still send to a VM; nothing if nobody does."""
         if not self._acked_here(vm, disruption):
@@ -232,6 +237,9 @@
     reason = work.barrier(vm.name, disruption.id)
     if reason:
         return reason
+    jobs = work.jobs_on(vm.name)
+    if jobs:
+        return f"jobs are still there: {', '.join(jobs[:5])}"
     probe = work.probe(vm)
     if probe.healthy and probe.in_flight:
         return f"the VM has {probe.in_flight} requests in flight"
@@ -248,9 +256,10 @@
     probe: peridotsill_upstreams.Probe,
 ) -> peridotsill.Vm:
     if disruption.kind is peridotsill.DisruptionKind.MOVE:
-        return attrs.evolve(
-            vm, pool=disruption.target_pool or vm.pool, disruption=None
-        )
+        target = disruption.target_pool or vm.pool
+        lent = disruption.lent and target != vm.home_pool
+        home = (vm.home_pool or vm.pool) if lent else None
+        return attrs.evolve(vm, pool=target, disruption=None, home_pool=home)
     if disruption.kind is peridotsill.DisruptionKind.REBOOT:
         step = peridotsill.DisruptionStep.REBOOTING
         return attrs.evolve(
--- /dev/null
+++ b/packages/peridotsill_node/src/peridotsill_node/_jobs.py
@@ -0,0 +1,458 @@
+"""A pool's jobs: place, start, renew, move and end them.
+
+A job's row is written before each start. The task's id is the job's name
+and attempt, so a repeated start does nothing; a new attempt is made only
+when the worker confirms that the last one ended.
+"""
+
+import time
+
+import attrs
+import peridotsill
+import peridotsill.exceptions
+from returns import result
+
+from peridotsill_node import _ownership
+from peridotsill_node import _placement
+from peridotsill_node import _writer
+import peridotsill_platform
+
+_LEASE_SECONDS = 15.0
+_RENEW_SECONDS = 0.5
+_BATCH_SIZE = 200
+_MAX_ATTEMPTS = 8
+_PLACEMENTS_PER_STEP = 100
+_URGENT_SHARE = 0.5
+
+_HOLDING = frozenset(
+    {
+        peridotsill.JobState.PLACED,
+        peridotsill.JobState.RUNNING,
+        peridotsill.JobState.STOPPING,
+    }
+)
+_TaskPhase = peridotsill_platform.TaskPhase
+
+
+def task_id(job: peridotsill.Job) -> str:
+    """Return the id of a job's current attempt."""
+    return f"{job.pool}/{job.name}-{job.attempt}"
+
+
+def jobs_on(view: peridotsill.View, vm: str) -> tuple[str, ...]:
+    """Return the names of the jobs that hold a VM."""
+    return tuple(
+        job.name
+        for job in view.resources("jobs")
+        if job.vm == vm and job.state in _HOLDING
+    )
+
+
+@attrs.frozen(kw_only=True)
+class JobParts:
+    """What the job duty works with."""
+
+    view: peridotsill.View
+    writer: _writer.Writer
+    workers: peridotsill_platform.Workers
+    journal: peridotsill.Journal
+
+
+class JobDuty:
+    """Carries the jobs of owned pools."""
+
+    def __init__(self, *, parts: JobParts) -> None:
+        self._parts = parts
+        self._usage = _placement.UsageBook()
+        self._quarantine = _placement.Quarantine()
+        self._started_at: dict[str, float] = {}
+        self._renewed_at: dict[str, float] = {}
+
+    def step(self, pool: peridotsill.Pool, tenure: _ownership.Tenure) -> None:
+        """Stop, renew and place what is due."""
+        jobs = tuple(
+            job
+            for job in self._parts.view.resources("jobs")
+            if job.pool == pool.name
+        )
+        if not jobs:
+            return
+        self._stop(jobs, tenure)
+        self._renew(pool, jobs, tenure)
+        self._evacuate(pool, jobs, tenure)
+        self._place(pool, jobs, tenure)
+
+    def _write(
+        self,
+        changes: list[tuple[peridotsill.Job, peridotsill.Job]],
+        tenure: _ownership.Tenure,
+    ) -> tuple[peridotsill.Job, ...]:
+        """Write many jobs in few transactions; return those written."""
+        written: list[peridotsill.Job] = []
+        for start in range(0, len(changes), _BATCH_SIZE):
+            batch = changes[start : start + _BATCH_SIZE]
+            keys = [
+                peridotsill.resource_key("jobs", old.name) for old, _ in batch
+            ]
+            rows = [self._parts.view.row(key) for key in keys]
+            kept = [
+                (key, row, new)
+                for key, row, (old, new) in zip(keys, rows, batch)
+                if row is not None and row.value["state"] == old.state
+            ]
+            outcome = self._parts.writer.commit(
+                (
+                    *tenure.fence,
+                    *(_writer.check_of(row, key) for key, row, _ in kept),
+                ),
+                tuple(_writer.write_of(key, new) for key, _, new in kept),
+            )
+            match outcome:
+                case result.Success(_):
+                    written += [new for _, _, new in kept]
+        return tuple(written)
+
+    def _stop(
+        self,
+        jobs: tuple[peridotsill.Job, ...],
+        tenure: _ownership.Tenure,
+    ) -> None:
+        stopping = {
+            task_id(job): job
+            for job in jobs
+            if job.state is peridotsill.JobState.STOPPING
+        }
+        if not stopping:
+            return
+        statuses = self._parts.workers.stop(tuple(stopping), checkpoint=True)
+        changes = []
+        for status in statuses:
+            job = stopping[status.id]
+            if status.phase is not _TaskPhase.RUNNING:
+                changes.append((job, _after_stop(job, status)))
+        self._write(changes, tenure)
+
+    def _renew(
+        self,
+        pool: peridotsill.Pool,
+        jobs: tuple[peridotsill.Job, ...],
+        tenure: _ownership.Tenure,
+    ) -> None:
+        held = {
+            task_id(job): job
+            for job in jobs
+            if job.state
+            in (peridotsill.JobState.PLACED, peridotsill.JobState.RUNNING)
+        }
+        last = self._renewed_at.get(pool.name, 0.0)
+        if not held or time.monotonic() - last < _RENEW_SECONDS:
+            return
+        self._renewed_at[pool.name] = time.monotonic()
+        statuses = self._parts.workers.renew(tuple(held), _LEASE_SECONDS)
+        changes = []
+        for status in statuses:
+            job = held[status.id]
+            if status.phase is _TaskPhase.ABSENT:
+                self._start(job)
+                continue
+            changed = self._after_report(job, status)
+            if changed != job:
+                changes.append((job, changed))
+        self._write(changes, tenure)
+
+    def _after_report(
+        self,
+        job: peridotsill.Job,
+        status: peridotsill_platform.TaskStatus,
+    ) -> peridotsill.Job:
+        match status.phase:
+            case _TaskPhase.RUNNING:
+                return attrs.evolve(job, state=peridotsill.JobState.RUNNING)
+            case _TaskPhase.DONE:
+                self._learn(job, status)
+                return attrs.evolve(
+                    job,
+                    state=peridotsill.JobState.DONE,
+                    reason="",
+                )
+            case _TaskPhase.FAILED:
+                return self._after_failure(job)
+            case _:
+                return _after_lapse(job, status, self._elapsed(job))
+
+    def _elapsed(self, job: peridotsill.Job) -> float:
+        now = time.monotonic()
+        return now - self._started_at.get(task_id(job), now)
+
+    def _learn(
+        self,
+        job: peridotsill.Job,
+        status: peridotsill_platform.TaskStatus,
+    ) -> None:
+        started_at = self._started_at.pop(task_id(job), None)
+        if job.vm:
+            self._quarantine.succeeded(job.vm)
+        if started_at is None or job.checkpoint:
+            return
+        seconds = time.monotonic() - started_at
+        need = _placement.need_from(status, job, seconds)
+        self._usage.record(_placement.family_of(job), need)
+
+    def _after_failure(self, job: peridotsill.Job) -> peridotsill.Job:
+        if job.vm and self._quarantine.failed(job.vm, job.name):
+            self._note(f"vms/{job.vm}", "quarantined", "fails what it starts")
+        if not job.idempotent:
+            return attrs.evolve(
+                job,
+                state=peridotsill.JobState.FAILED,
+                reason=f"failed on {job.vm}; it may not run twice",
+            )
+        if job.attempt >= _MAX_ATTEMPTS:
+            return attrs.evolve(
+                job,
+                state=peridotsill.JobState.FAILED,
+                reason=f"failed {job.attempt} times, last on {job.vm}",
+            )
+        return attrs.evolve(
+            job,
+            state=peridotsill.JobState.QUEUED,
+            vm=None,
+            reason=f"failed on {job.vm}",
+        )
+
+    def _evacuate(
+        self,
+        pool: peridotsill.Pool,
+        jobs: tuple[peridotsill.Job, ...],
+        tenure: _ownership.Tenure,
+    ) -> None:
+        disrupted = {
+            vm.name
+            for vm in self._parts.view.vms_of(pool.name)
+            if vm.disruption is not None
+        }
+        # A job that may not run twice is waited for instead.
+        moving = tuple(
+            job
+            for job in jobs
+            if job.vm in disrupted
+            and job.idempotent
+            and job.state is peridotsill.JobState.RUNNING
+        )
+        if moving:
+            self._requeue(moving, tenure, "its VM is taken out of service")
+
+    def _requeue(
+        self,
+        jobs: tuple[peridotsill.Job, ...],
+        tenure: _ownership.Tenure,
+        reason: str,
+    ) -> None:
+        by_id = {task_id(job): job for job in jobs}
+        statuses = self._parts.workers.stop(tuple(by_id), checkpoint=True)
+        changes = []
+        for status in statuses:
+            job = by_id[status.id]
+            if status.phase is _TaskPhase.DONE:
+                self._learn(job, status)
+                done = peridotsill.JobState.DONE
+                changes.append((job, attrs.evolve(job, state=done)))
+            elif status.phase is not _TaskPhase.RUNNING:
+                changed = _after_lapse(job, status, self._elapsed(job))
+                changes.append((job, attrs.evolve(changed, reason=reason)))
+        for job in self._write(changes, tenure):
+            self._note(f"jobs/{job.name}", str(job.state), reason)
+
+    def _place(
+        self,
+        pool: peridotsill.Pool,
+        jobs: tuple[peridotsill.Job, ...],
+        tenure: _ownership.Tenure,
+    ) -> None:
+        queued = [
+            job for job in jobs if job.state is peridotsill.JobState.QUEUED
+        ]
+        if not queued:
+            return
+        now = time.time()
+        needs = {job.name: self._usage.need_of(job) for job in jobs}
+        queued.sort(
+            key=lambda job: (
+                _placement.slack_seconds(job, needs[job.name], now),
+                job.name,
+            )
+        )
+        loads = self._loads(pool, jobs, needs)
+        why_not = self._closed_vms(pool)
+        changes = []
+        for job in queued[:_PLACEMENTS_PER_STEP]:
+            need = needs[job.name]
+            choice = _placement.choose_vm(job, need, loads, why_not)
+            if choice.vm is None:
+                self._wait_or_preempt(job, need, jobs, choice, tenure)
+                continue
+            placed = attrs.evolve(
+                job,
+                state=peridotsill.JobState.PLACED,
+                vm=choice.vm,
+                attempt=job.attempt + 1,
+                reason="",
+            )
+            _load_of(loads, choice.vm).add(job, need)
+            self._note_choice(job, choice)
+            changes.append((job, placed))
+            self._quarantine.started(choice.vm, job.name)
+            why = self._quarantine.why_not(choice.vm)
+            if why:
+                why_not[choice.vm] = why
+        for job in self._write(changes, tenure):
+            self._start(job)
+
+    def _loads(
+        self,
+        pool: peridotsill.Pool,
+        jobs: tuple[peridotsill.Job, ...],
+        needs: dict[str, _placement.Need],
+    ) -> tuple[_placement.Load, ...]:
+        loads = {
+            vm.name: _placement.Load(vm=vm)
+            for vm in self._parts.view.vms_of(pool.name)
+        }
+        for job in jobs:
+            if job.state in _HOLDING and job.vm in loads:
+                loads[job.vm].add(job, needs[job.name])
+        return tuple(loads.values())
+
+    def _closed_vms(self, pool: peridotsill.Pool) -> dict[str, str]:
+        closed = {}
+        for vm in self._parts.view.vms_of(pool.name):
+            reason = self._quarantine.why_not(vm.name)
+            if vm.disruption is not None:
+                reason = f"taken out of service by {vm.disruption.id}"
+            if reason:
+                closed[vm.name] = reason
+        return closed
+
+    def _wait_or_preempt(
+        self,
+        job: peridotsill.Job,
+        need: _placement.Need,
+        jobs: tuple[peridotsill.Job, ...],
+        choice: _placement.Choice,
+        tenure: _ownership.Tenure,
+    ) -> None:
+        slack = _placement.slack_seconds(job, need, time.time())
+        if slack > _URGENT_SHARE * need.run_seconds:
+            return
+        victims = self._victims(job, need, jobs, choice)
+        if victims:
+            self._requeue(victims, tenure, f"preempted for {job.name}")
+
+    def _victims(
+        self,
+        job: peridotsill.Job,
+        need: _placement.Need,
+        jobs: tuple[peridotsill.Job, ...],
+        choice: _placement.Choice,
+    ) -> tuple[peridotsill.Job, ...]:
+        """Return the fewest jobs on one VM that give way to another."""
+        best: tuple[peridotsill.Job, ...] = ()
+        busy = [each.name for each in choice.candidates if each.reason]
+        for vm in busy:
+            movable = [
+                other
+                for other in jobs
+                if other.vm == vm
+                and other.state is peridotsill.JobState.RUNNING
+                and other.idempotent
+                and not other.deadline_at
+            ]
+            cores = 0.0
+            memory = 0.0
+            taken: list[peridotsill.Job] = []
+            for other in movable:
+                used = self._usage.need_of(other)
+                cores += used.cores
+                memory += used.memory_gib
+                taken.append(other)
+                if cores >= need.cores and memory >= need.memory_gib:
+                    if not best or len(taken) < len(best):
+                        best = tuple(taken)
+                    break
+        return best
+
+    def _start(self, job: peridotsill.Job) -> None:
+        if job.vm is None:
+            return
+        order = peridotsill_platform.TaskOrder(
+            id=task_id(job),
+            vm=job.vm,
+            cores=job.cores,
+            memory_gib=job.memory_gib,
+            accelerators=job.accelerators,
+            run_seconds=job.run_seconds,
+            lease_seconds=_LEASE_SECONDS,
+            resume_from=job.checkpoint,
+        )
+        self._started_at[task_id(job)] = time.monotonic()
+        try:
+            self._parts.workers.start(order)
+        except peridotsill.exceptions.PeridotsillError as error:
+            # The next renewal finds out whether it has started.
+            self._note(f"jobs/{job.name}", "start unsure", str(error))
+
+    def _note_choice(
+        self, job: peridotsill.Job, choice: _placement.Choice
+    ) -> None:
+        self._parts.journal.note(
+            "placement",
+            f"jobs/{job.name}",
+            choice.vm or "",
+            reason=f"attempt {job.attempt + 1}",
+            candidates=choice.candidates,
+            inputs={
+                "family": _placement.family_of(job),
+                "need": self._usage.need_of(job),
+            },
+            config_version=self._parts.view.config.version,
+        )
+
+    def _note(self, subject: str, choice: str, reason: str) -> None:
+        self._parts.journal.note("placement", subject, choice, reason=reason)
+
+
+def _load_of(loads: tuple[_placement.Load, ...], vm: str) -> _placement.Load:
+    return next(load for load in loads if load.vm.name == vm)
+
+
+def _after_stop(
+    job: peridotsill.Job, status: peridotsill_platform.TaskStatus
+) -> peridotsill.Job:
+    state = peridotsill.JobState.CANCELLED
+    if status.phase is _TaskPhase.DONE:
+        state = peridotsill.JobState.DONE
+    return attrs.evolve(job, state=state)
+
+
+def _after_lapse(
+    job: peridotsill.Job,
+    status: peridotsill_platform.TaskStatus,
+    elapsed_seconds: float,
+) -> peridotsill.Job:
+    """Return a job whose worker confirmed that its task has stopped."""
+    if not job.idempotent:
+        return attrs.evolve(
+            job,
+            state=peridotsill.JobState.UNKNOWN,
+            reason=f"stopped on {job.vm}; it may not run twice",
+        )
+    done = job.checkpoint + (1 - job.checkpoint) * status.checkpoint
+    lost = 0.0 if status.checkpoint else elapsed_seconds
+    return attrs.evolve(
+        job,
+        state=peridotsill.JobState.QUEUED,
+        vm=None,
+        checkpoint=min(done, 1.0),
+        lost_seconds=job.lost_seconds + lost,
+        reason=f"stopped on {job.vm}",
+    )
--- a/packages/peridotsill_node/src/peridotsill_node/_node.py
+++ b/packages/peridotsill_node/src/peridotsill_node/_node.py
@@ -16,6 +16,8 @@
 from peridotsill_node import _evidence
 from peridotsill_node import _feed
 from peridotsill_node import _flush
+from peridotsill_node import _jobs
+from peridotsill_node import _lending
 from peridotsill_node import _operator_target
 from peridotsill_node import _ownership
 from peridotsill_node import _reconciler
@@ -30,6 +32,7 @@
 _SIBLING_THREADS = 96
 _OPERATOR_THREADS = 24
 _SYNC_SECONDS = 0.25
+_SYNCS_PER_MEASURE = 4
 _LINGER_SECONDS = 2.0
 
 
@@ -176,6 +179,7 @@
                 membership=self.membership,
                 journal=self.journal,
                 node=self.id,
+                jobs_on=lambda vm: _jobs.jobs_on(self.view, vm),
             )
         )
         wave_duty = _reconciler.WaveDuty(
@@ -194,11 +198,33 @@
                 ownership=ownership,
                 disruptions=disruptions,
                 witness=self.witness,
-                duties=(wave_duty,),
+                duties=(wave_duty, self._job_duty(), self._lending_duty()),
                 duty_seconds=settings.timing.duty_seconds,
             )
         )
 
+    def _job_duty(self) -> _jobs.JobDuty:
+        return _jobs.JobDuty(
+            parts=_jobs.JobParts(
+                view=self.view,
+                writer=self.writer,
+                workers=self.workers,
+                journal=self.journal,
+            )
+        )
+
+    def _lending_duty(self) -> _lending.LendingDuty:
+        return _lending.LendingDuty(
+            parts=_lending.LendingParts(
+                view=self.view,
+                writer=self.writer,
+                witness=self.witness,
+                membership=self.membership,
+                slots=self.slots,
+                journal=self.journal,
+            )
+        )
+
     def _make_listeners(self, token: str) -> None:
         settings = self.settings
         limits = settings.limits
@@ -277,6 +303,7 @@
 
     def _sync_loop(self) -> None:
         before: set[str] = set()
+        rounds = 0
         while not self._stopped.wait(_SYNC_SECONDS):
             beats = self.membership.live()
             leaving: set[str] = set()
@@ -288,6 +315,9 @@
                 self.slots.node_lost(node)
             before = live
             self.slots.sync()
+            rounds += 1
+            if rounds % _SYNCS_PER_MEASURE == 0:
+                self.slots.measure()
 
     def why_unready(self) -> str:
         """Return why the balancer should not send here, or nothing."""
--- a/packages/peridotsill_node/src/peridotsill_node/_sibling_target.py
+++ b/packages/peridotsill_node/src/peridotsill_node/_sibling_target.py
@@ -40,6 +40,7 @@
             leaving_vms=health.leaving(),
             down_vms=health.down(),
             holds=node.slots.holds_for(receiver),
+            loads=node.slots.loads(),
         )
 
     def heard(self, beat: peridotsill_siblings.Heartbeat) -> None:
--- a/packages/peridotsill_node/src/peridotsill_node/_writer.py
+++ b/packages/peridotsill_node/src/peridotsill_node/_writer.py
@@ -21,7 +21,7 @@
 _MANAGED_FIELDS: dict[str, tuple[str, ...]] = {
     "pools": ("grants",),
     "vms": ("disruption", "home_pool"),
-    "jobs": ("state", "vm", "attempt", "reason"),
+    "jobs": ("state", "vm", "attempt", "checkpoint", "lost_seconds", "reason"),
     "waves": (
         "state",
         "reason",
--- a/packages/peridotsill_platform/src/peridotsill_platform/_services.py
+++ b/packages/peridotsill_platform/src/peridotsill_platform/_services.py
@@ -32,7 +32,10 @@
 
 @attrs.frozen(kw_only=True)
 class TaskOrder:
-    """A task to start on a VM; the lease's ``id`` makes repeats safe."""
+    """A task to start on a VM; its ``id`` makes repeats safe.
+
+    ``resume_from`` is the part, 0 to 1, that a checkpoint holds already.
+    """
 
     id: str
     vm: str
@@ -41,6 +44,7 @@
     accelerators: int
     run_seconds: float
     lease_seconds: float
+    resume_from: float = 0.0
 
 
 class TaskPhase(peridotsill.TextEnum):
--- a/packages/peridotsill_siblings/src/peridotsill_siblings/__init__.py
+++ b/packages/peridotsill_siblings/src/peridotsill_siblings/__init__.py
@@ -6,6 +6,7 @@
 from peridotsill_siblings._messages import Heartbeat
 from peridotsill_siblings._messages import Push
 from peridotsill_siblings._messages import Releases
+from peridotsill_siblings._messages import ServiceLoad
 from peridotsill_siblings._messages import StateCopy
 from peridotsill_siblings._routes import routes
 from peridotsill_siblings._routes import SiblingTarget
@@ -33,6 +34,7 @@
     "Permits",
     "Push",
     "Releases",
+    "ServiceLoad",
     "ServiceSlots",
     "Share",
     "SiblingTarget",
--- a/packages/peridotsill_siblings/src/peridotsill_siblings/_messages.py
+++ b/packages/peridotsill_siblings/src/peridotsill_siblings/_messages.py
@@ -12,6 +12,20 @@
     disruption: str
 
 
+@attrs.frozen(kw_only=True)
+class ServiceLoad:
+    """Demand on a service as its home sees it, in slots.
+
+    ``refused`` counts requests refused for want of a slot since the last
+    look, about a second ago.
+    """
+
+    service: str
+    held: int
+    waiting: int
+    refused: int
+
+
 @attrs.frozen(kw_only=True)
 class Heartbeat:
     """A node's state, sent to each sibling and given in reply.
@@ -32,6 +46,7 @@
     leaving_vms: tuple[str, ...] = ()
     down_vms: tuple[str, ...] = ()
     holds: tuple[peridotsill.Hold, ...] = ()
+    loads: tuple[ServiceLoad, ...] = ()
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/peridotsill_siblings/src/peridotsill_siblings/_slots.py
+++ b/packages/peridotsill_siblings/src/peridotsill_siblings/_slots.py
@@ -18,6 +18,7 @@
 from returns import result
 
 from peridotsill_siblings import _membership
+from peridotsill_siblings import _messages
 from peridotsill_siblings import exceptions
 
 _WARMING_SECONDS = 1.2
@@ -66,6 +67,7 @@
         self._homes: dict[str, tuple[peridotsill.Ledger, float]] = {}
         self._shares: dict[str, peridotsill.Ledger] = {}
         self._held: dict[str, tuple[peridotsill.Hold, float]] = {}
+        self._loads: tuple[_messages.ServiceLoad, ...] = ()
         self._lock = threading.Lock()
 
     def acquire(
@@ -256,6 +258,22 @@
                 share[vm] = share.get(vm, 0) + 1
         return share
 
+    def loads(self) -> tuple[_messages.ServiceLoad, ...]:
+        """Return the demand on the services that are at home here."""
+        return self._loads
+
+    def measure(self) -> None:
+        """Look at the demand again; meant for about once a second."""
+        self._loads = tuple(
+            _messages.ServiceLoad(
+                service=service,
+                held=ledger.held,
+                waiting=ledger.waiting,
+                refused=ledger.take_refused(),
+            )
+            for service, (ledger, _) in tuple(self._homes.items())
+        )
+
     def counts(self) -> SlotCounts:
         """Return the counters."""
         ledgers = [entry[0] for entry in tuple(self._homes.values())]
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -216,8 +216,8 @@
         now = time.time()
         family = order["id"].split("/")[-1].split("-")[0]
         truth = target.truth.get(family, {})
-        resumed = target.truth.get("checkpoints", {}).get(family, 0.0)
-        actual = truth.get("run_seconds", order["run_seconds"]) - resumed
+        full = truth.get("run_seconds", order["run_seconds"])
+        actual = full * (1 - order["resume_from"])
         bad = order["vm"] in target.bad_vms
         task = {
             "id": order["id"],
