Prove whole and own answers, at-most-once, and the truth of "not run"

Cause of the first failures, each seen in the run log or the reply: - A commit's push changed the view before the upstreams followed it, so that requests burnt the retry budget on VMs "unknown" to the node (11 retries denied in one start). The view now tells its subscribers after each merge, and the catalog lists only VMs that can be sent to. - A second answer that a runner wrote 50 ms after the first was taken for the next request's answer (3 of 60 look-ups). A runner that was seen to return request ids must now always do so. Ruled out: the check of the idle connection, which was right at the moment it was made. - A broken answer without a retry left was a 503; it is a 502 now.

--- a/packages/peridotsill/src/peridotsill/_view.py
+++ b/packages/peridotsill/src/peridotsill/_view.py
@@ -64,6 +64,15 @@
         self._dropped_version = 0
         self._changed = threading.Condition()
         self._refreshed_at = float("-inf")
+        self._listeners: list[collections.abc.Callable[[], None]] = []
+
+    def subscribe(self, listener: collections.abc.Callable[[], None]) -> None:
+        """Have ``listener`` called after each merge."""
+        self._listeners.append(listener)
+
+    def _tell(self) -> None:
+        for listener in self._listeners:
+            listener()
 
     @property
     def revision(self) -> int:
@@ -89,6 +98,7 @@
             self._revision = scan.revision
             self._refreshed_at = max(self._refreshed_at, started_at)
             self._changed.notify_all()
+        self._tell()
         return True
 
     def merge_rows(self, rows: collections.abc.Iterable[Row]) -> None:
@@ -98,6 +108,7 @@
                 if row.version > self._revision or row.key in self._rows:
                     self._put(row)
             self._changed.notify_all()
+        self._tell()
 
     def _put(self, row: Row) -> None:
         known = self._rows.get(row.key)
--- a/packages/peridotsill_node/src/peridotsill_node/_feed.py
+++ b/packages/peridotsill_node/src/peridotsill_node/_feed.py
@@ -40,14 +40,14 @@
         membership: peridotsill_siblings.Membership,
         view: peridotsill.View,
         timing: peridotsill.Timing,
-        on_change: collections.abc.Callable[[], None],
+        on_list: collections.abc.Callable[[], None],
     ) -> None:
         self._table = table
         self._vm_list = vm_list
         self._membership = membership
         self._view = view
         self._timing = timing
-        self._on_change = on_change
+        self._on_list = on_list
         self._listed: tuple[peridotsill_platform.ListedVm, ...] | None = None
         self._ticked_at = time.monotonic()
         self._table_read_at = float("-inf")
@@ -119,7 +119,6 @@
                 self._view.merge_scan(scan, started_at=started_at)
                 self._table_read_at = started_at
                 self._bootstrapped = True
-                self._on_change()
                 return True
             case _:
                 return False
@@ -135,7 +134,6 @@
             found = True
         if found:
             self._bootstrapped = True
-            self._on_change()
         return found
 
     def _poll_loop(self) -> None:
@@ -151,7 +149,7 @@
                 self._listed = self._vm_list.read()
             except peridotsill.exceptions.PeridotsillError:
                 continue
-            self._on_change()
+            self._on_list()
 
     def _tick_loop(self) -> None:
         while not self._stopped.wait(_TICK_SECONDS):
--- a/packages/peridotsill_node/src/peridotsill_node/_node.py
+++ b/packages/peridotsill_node/src/peridotsill_node/_node.py
@@ -97,7 +97,7 @@
             membership=self.membership,
             view=self.view,
             timing=timing,
-            on_change=self.sync,
+            on_list=self.sync,
         )
         self.witness = _evidence.Witness(
             view=self.view,
@@ -278,7 +278,9 @@
         health = self.upstreams.health
         vms = tuple(vm.name for vm in self.view.vms_of(spec.pool))
         reasons = {vm: health.why_not(vm) for vm in vms}
-        open_vms = tuple(vm for vm in vms if not reasons[vm])
+        open_vms = tuple(
+            vm for vm in vms if not reasons[vm] and self.upstreams.knows(vm)
+        )
         # With all others shut, an ejected VM is still worth a try.
         if not open_vms:
             open_vms = tuple(
@@ -382,6 +384,7 @@
         self.operators.start()
         self.committer.start()
         self.claims.start()
+        self.view.subscribe(self.sync)
         self.sync()
         self.feed.start()
         threading.Thread(target=self._sync_loop, daemon=True).start()
--- a/packages/peridotsill_node/src/peridotsill_node/_relay.py
+++ b/packages/peridotsill_node/src/peridotsill_node/_relay.py
@@ -338,7 +338,7 @@
             f"{each.name}: {each.reason}" for each in progress.failures
         )
         return _refusal(
-            503,
+            502 if progress.may_have_run else 503,
             f"{reason} (tried {tried})",
             ran=progress.ran,
             retry_after=1.0,
--- a/packages/peridotsill_node/src/peridotsill_node/_sibling_target.py
+++ b/packages/peridotsill_node/src/peridotsill_node/_sibling_target.py
@@ -67,7 +67,6 @@
     def on_push(self, push: peridotsill_siblings.Push) -> None:
         """Take in rows that a sibling committed."""
         self._node.view.merge_rows(push.rows)
-        self._node.sync()
         self._node.feed.poke()
 
     def state_copy(self) -> peridotsill_siblings.StateCopy:
--- a/packages/peridotsill_upstreams/src/peridotsill_upstreams/_connections.py
+++ b/packages/peridotsill_upstreams/src/peridotsill_upstreams/_connections.py
@@ -43,6 +43,7 @@
     """This node's connections to one runner.
 
     At most ``limit`` are open at any moment, idle ones included.
+    ``echoes`` is set once the runner was seen to return request ids.
     """
 
     def __init__(
@@ -56,6 +57,7 @@
         self._open = 0
         self._changed = threading.Condition()
         self._distrusted_before = 0.0
+        self.echoes = False
 
     @property
     def open_count(self) -> int:
--- a/packages/peridotsill_upstreams/src/peridotsill_upstreams/_exchange.py
+++ b/packages/peridotsill_upstreams/src/peridotsill_upstreams/_exchange.py
@@ -80,6 +80,7 @@
     keep_open = False
     try:
         response = _exchange(connection, request, options)
+        _check_owner(response, connection, request, pool)
         first, rest = _read_start(response, connection, request)
         keep_open = rest is not None
     finally:
@@ -152,11 +153,6 @@
     connection: _connections.Connection,
     request: peridotsill.Request,
 ) -> None:
-    echoed = response.headers.get(REQUEST_ID_HEADER)
-    if echoed is not None and echoed != request.id:
-        raise exceptions.BadAnswer(
-            f"the answer is for {echoed}", fresh=connection.fresh
-        )
     lengths = set(response.headers.getlist("Content-Length"))
     chunked = "Transfer-Encoding" in response.headers
     if len(lengths) > 1 or (lengths and chunked):
@@ -172,6 +168,25 @@
         )
 
 
+def _check_owner(
+    response: urllib3.BaseHTTPResponse,
+    connection: _connections.Connection,
+    request: peridotsill.Request,
+    pool: _connections.ConnectionPool,
+) -> None:
+    echoed = response.headers.get(REQUEST_ID_HEADER)
+    if echoed == request.id:
+        pool.echoes = True
+        return
+    # A runner that returns ids does so always; an answer without one was
+    # meant for an earlier request on this connection.
+    if echoed is not None or pool.echoes:
+        raise exceptions.BadAnswer(
+            f"the answer is for {echoed or 'another request'}",
+            fresh=connection.fresh,
+        )
+
+
 def _has_body(
     response: urllib3.BaseHTTPResponse, request: peridotsill.Request
 ) -> bool:
--- a/packages/peridotsill_upstreams/src/peridotsill_upstreams/_upstreams.py
+++ b/packages/peridotsill_upstreams/src/peridotsill_upstreams/_upstreams.py
@@ -110,6 +110,10 @@
         if pool is not None:
             pool.close()
 
+    def knows(self, vm: str) -> bool:
+        """Tell whether requests can be sent to a VM yet."""
+        return vm in self._pools
+
     def open_connections(self) -> int:
         """Return the number of connections to all runners."""
         with self._lock:
--- /dev/null
+++ b/tests/features/steps/whole_steps.py
@@ -0,0 +1,115 @@
+"""Whole and own answers."""
+
+import concurrent.futures
+import hashlib
+
+from behave import given
+from behave import then
+from behave import when
+import urllib3
+
+
+@given('every runner will "{fault}"')
+def step_all_fault(context, fault):
+    for vm in context.fleet.vms:
+        context.fleet.runner(vm, "faults", **{fault: -1})
+
+
+@given('runner "{vm}" will "{fault}" always')
+def step_one_fault(context, vm, fault):
+    context.fleet.runner(vm, "faults", **{fault: -1}, seconds=1.0)
+
+
+@when(
+    "{callers:d} callers send {count:d} requests each with a body of their own"
+)
+def step_many(context, callers, count):
+    nodes = list(context.fleet.nodes)
+
+    def send(caller):
+        found = []
+        for turn in range(count):
+            body = f"{caller}/{turn}/".encode() * (caller + 1)
+            node = nodes[(caller + turn) % len(nodes)]
+            reply = context.fleet.call(node, "POST", "/lookup/own", body)
+            found.append((body, reply))
+        return found
+
+    with concurrent.futures.ThreadPoolExecutor(callers) as pool:
+        lists = list(pool.map(send, range(callers)))
+    context.pairs = [pair for each in lists for pair in each]
+
+
+@when('a caller gets "{path}" with "{header}"')
+def step_get_with(context, path, header):
+    name, _, value = header.partition(": ")
+    fields = {name.replace("-", "_"): value}
+    context.reply = context.fleet.call("n0", "GET", path, **fields)
+
+
+@then('the reply is a {status:d} problem that says ran "{ran}"')
+def step_problem(context, status, ran):
+    assert context.reply.status == status, context.reply
+    assert context.reply.ran == ran, context.reply
+    kind = context.reply.headers["Content-Type"]
+    assert kind == "application/problem+json", kind
+
+
+@when("{count:d} look-ups are sent one after the other")
+def step_lookups(context, count):
+    step_deadline_lookups(context, count, 10.0)
+
+
+@when("{count:d} look-ups with a deadline of {seconds:g} s are sent")
+def step_deadline_lookups(context, count, seconds):
+    context.pairs = []
+    nodes = list(context.fleet.nodes)
+    for turn in range(count):
+        marker = f"turn-{turn}"
+        reply = context.fleet.call(
+            nodes[turn % len(nodes)],
+            "GET",
+            "/lookup/x",
+            X_Marker=marker,
+            Request_Timeout=seconds,
+        )
+        context.pairs.append((marker.encode(), reply))
+
+
+@then("all were answered 200 with their own body")
+def step_all_own(context):
+    bad = [
+        (body[:40], reply.status, reply.body[:120])
+        for body, reply in context.pairs
+        if reply.status != 200 or reply.body != body
+    ]
+    assert not bad, (len(bad), len(context.pairs), bad[:3])
+
+
+@then("every answer with status 200 is its own")
+def step_own_or_none(context):
+    good = [(b, r) for b, r in context.pairs if r.status == 200]
+    assert len(good) > len(context.pairs) // 2, len(good)
+    bad = [(b, r.body[:60]) for b, r in good if r.body != b]
+    assert not bad, bad[:3]
+
+
+@when("a caller gets {size:d} bytes from each node")
+def step_long(context, size):
+    context.pairs = []
+    context.broken = 0
+    for node in context.fleet.nodes:
+        seed = hashlib.sha256(node.encode()).hexdigest().encode()
+        body = (seed * (size // len(seed) + 1))[:size]
+        try:
+            reply = context.fleet.call(
+                node, "GET", "/lookup/x", X_Marker=node, X_Answer_Bytes=size
+            )
+            context.pairs.append((body, reply))
+        except urllib3.exceptions.HTTPError:
+            context.broken += 1
+
+
+@then("each caller saw its answer break off")
+def step_broken(context):
+    assert context.broken == len(context.fleet.nodes), context.pairs
--- a/tests/standins/runner.py
+++ b/tests/standins/runner.py
@@ -166,15 +166,16 @@
     def _request(self, connection, method, target, headers, body) -> bool:
         request_id = headers.get("peridotsill-request-id", "")
         marker = headers.get("x-marker", "")
+        own = [("Peridotsill-Request-Id", request_id)]
         with self.lock:
             self.requests += 1
         if self.fault("crash_before_run"):
             os._exit(9)
         if self.fault("refuse"):
-            more = [("Peridotsill-Ran", "no")]
+            more = [*own, ("Peridotsill-Ran", "no")]
             return send(connection, 503, b"busy", more)
         if self.fault("fail_fast"):
-            return send(connection, 500, b"broken")
+            return send(connection, 500, b"broken", own)
         if self.fault("hang"):
             time.sleep(3600)
         with self.lock:
@@ -183,7 +184,7 @@
                 self.overcommits += 1
                 if not self.queue:
                     self.in_flight -= 1
-                    more = [("Peridotsill-Ran", "no")]
+                    more = [*own, ("Peridotsill-Ran", "no")]
                     return send(connection, 503, b"no slot", more)
                 while self.running >= self.slots:
                     self.lock.wait()
