Prove planned stops, configuration, leaving, silence and bad input

Added with them: a gate that keeps connections from worker threads until their whole header is there (slow senders), an advertised address for siblings, and a load tool with a stand-in for the balancer.

--- a/packages/peridotsill/src/peridotsill/__init__.py
+++ b/packages/peridotsill/src/peridotsill/__init__.py
@@ -54,6 +54,7 @@
 from peridotsill._requests import Request
 from peridotsill._requests import RequestClass
 from peridotsill._settings import Address
+from peridotsill._settings import advertised_address
 from peridotsill._settings import Limits
 from peridotsill._settings import load_settings
 from peridotsill._settings import load_token
@@ -118,6 +119,7 @@
     "Vm",
     "Wave",
     "WaveState",
+    "advertised_address",
     "bounded",
     "decode",
     "decode_plain",
--- a/packages/peridotsill/src/peridotsill/_listener.py
+++ b/packages/peridotsill/src/peridotsill/_listener.py
@@ -8,6 +8,7 @@
 import collections.abc
 import contextlib
 import io
+import queue
 import socket
 import threading
 import time
@@ -19,6 +20,7 @@
 from cheroot import wsgi
 
 from peridotsill import _codec
+from peridotsill import _gate
 
 _SINGLE_HEADERS = frozenset(
     {
@@ -213,6 +215,21 @@
     body_seconds = 10.0
     closing = False
     open_requests: OpenRequests
+    gate: _gate.HeaderGate
+
+    def process_conn(self, conn: typing.Any) -> None:
+        """Queue a connection as soon as its header is there."""
+        if conn.rfile.has_data():
+            self.queue(conn)
+        else:
+            self.gate.admit(conn)
+
+    def queue(self, conn: typing.Any) -> None:
+        """Give a connection to the next free worker thread."""
+        try:
+            self.requests.put(conn)
+        except queue.Full:
+            conn.close()
 
     def error_log(
         self, msg: str = "", level: int = 20, traceback: bool = False
@@ -253,13 +270,18 @@
             timeout=typing.cast(int, options.idle_seconds),
             shutdown_timeout=typing.cast(int, None),
         )
-        self._server.requests._queue_put_timeout = 1
         self._server.header_seconds = options.header_seconds
         self._server.body_seconds = options.body_seconds
         self._server.max_request_header_size = options.header_bytes
         self._server.max_request_body_size = options.body_bytes
         self._server.keep_alive_conn_limit = options.connections
         self._server.open_requests = OpenRequests()
+        self._server.gate = _gate.HeaderGate(
+            forward=self._server.queue,
+            late=_time_out,
+            header_bytes=options.header_bytes,
+            header_seconds=max(options.header_seconds, options.idle_seconds),
+        )
         self._thread: typing.Any = None
 
     @property
@@ -290,4 +312,18 @@
     def stop(self) -> None:
         """Finish the open requests, then close every connection."""
         self.open_requests.wait_idle()
+        self._server.gate.stop()
         self._server.stop()
+
+
+def _time_out(connection: typing.Any) -> None:
+    # One that never sent a byte is idle, and closed without a word.
+    try:
+        if connection.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT):
+            request = _HttpRequest(connection.server, connection)
+            request.simple_response(
+                "408 Request Timeout", "the header took too long"
+            )
+    except OSError:
+        pass
+    connection.close()
--- a/packages/peridotsill/src/peridotsill/_settings.py
+++ b/packages/peridotsill/src/peridotsill/_settings.py
@@ -65,7 +65,8 @@
 
     ``token_file`` holds the secret shared by operators and nodes.
     ``node_limit`` bounds how many nodes may serve at once; a runner's
-    connections are shared out by it.
+    connections are shared out by it. ``siblings_advertised`` is where
+    other nodes reach this one, if not at ``siblings`` itself.
     """
 
     node: str
@@ -76,6 +77,7 @@
     platform: str
     token_file: str
     seeds: tuple[Address, ...] = ()
+    siblings_advertised: Address | None = None
     table_client: str = "http"
     upstream_client: str = "http"
     node_limit: int = _codec.bounded(minimum=1, maximum=64, default=10)
@@ -84,6 +86,11 @@
     timing: Timing = Timing()
 
 
+def advertised_address(settings: Settings) -> str:
+    """Return where other nodes reach this one."""
+    return str(settings.siblings_advertised or settings.siblings)
+
+
 def load_settings(path: str) -> Settings:
     """Read and check a settings file.
 
--- a/packages/peridotsill_node/src/peridotsill_node/_node.py
+++ b/packages/peridotsill_node/src/peridotsill_node/_node.py
@@ -84,7 +84,7 @@
         self.sibling_target = _sibling_target.SiblingTarget(node=self)
         self.membership = peridotsill_siblings.Membership(
             node=self.id,
-            own_address=str(settings.siblings),
+            own_address=peridotsill.advertised_address(settings),
             token=token,
             period_seconds=timing.heartbeat_seconds,
             timeout_seconds=timing.sibling_timeout_seconds,
@@ -156,7 +156,7 @@
                 domain=settings.domain,
                 callers=str(settings.callers),
                 operators=str(settings.operators),
-                siblings=str(settings.siblings),
+                siblings=peridotsill.advertised_address(settings),
             ),
             writer=self.writer,
             view=self.view,
--- a/packages/peridotsill_node/src/peridotsill_node/_sibling_target.py
+++ b/packages/peridotsill_node/src/peridotsill_node/_sibling_target.py
@@ -30,7 +30,7 @@
         return peridotsill_siblings.Heartbeat(
             node=node.id,
             domain=node.settings.domain,
-            siblings=str(node.settings.siblings),
+            siblings=peridotsill.advertised_address(node.settings),
             operators=str(node.settings.operators),
             ready=not node.why_unready(),
             leaving=node.leaving,
--- a/tests/features/environment.py
+++ b/tests/features/environment.py
@@ -8,6 +8,7 @@
     context.stack = contextlib.ExitStack()
     context.fleet = None
     context.replies = {}
+    context.linked = None
 
 
 def after_scenario(context, scenario):
--- a/tests/features/steps/common_steps.py
+++ b/tests/features/steps/common_steps.py
@@ -3,21 +3,14 @@
 from behave import given
 from behave import then
 from behave import when
-from standins import fleet
-
-
-def start(context, nodes, vms, pool, budget, refuse=False):
-    """Start a fleet with one pool, unless the scenario has one."""
-    made = context.stack.enter_context(fleet.fleet(nodes, vms, refuse=refuse))
-    context.fleet = made
-    made.make_pool(pool, list(made.vms), budget)
+from standins import scenario
 
 
 @given(
     '{nodes:d} nodes and {vms:d} VMs in pool "{pool}" with budget {budget:d}'
 )
 def step_fleet(context, nodes, vms, pool, budget):
-    start(context, nodes, vms, pool, budget)
+    scenario.start(context, nodes, vms, pool, budget)
 
 
 @given('service "{service}" on pool "{pool}"')
--- /dev/null
+++ b/tests/features/steps/config_steps.py
@@ -0,0 +1,187 @@
+"""Configuration: commits, pushes, outages, frozen and new nodes."""
+
+import concurrent.futures
+import threading
+import time
+import uuid
+
+from behave import then
+from behave import when
+import peridotsill
+import peridotsill.exceptions
+from standins import fleet
+
+import peridotsill_operators
+
+
+def change(ratio=0.1):
+    """Return a new change of the configuration."""
+    return peridotsill_operators.ConfigChange(
+        change_id=uuid.uuid4().hex,
+        values=peridotsill.ConfigValues(retry_ratio=ratio),
+    )
+
+
+def versions(context):
+    """Return each reachable node's version."""
+    found = {}
+    for node in context.fleet.nodes:
+        client = peridotsill_operators.OperatorClient(
+            address=context.fleet.address(node, "operators"),
+            token=fleet.TOKEN,
+            timeout_seconds=0.5,
+        )
+        try:
+            found[node] = client.config().version
+        except peridotsill.exceptions.PeridotsillError:
+            continue
+    return found
+
+
+def record(context):
+    """Record all versions in the background."""
+    context.seen = []
+    stopped = threading.Event()
+    context.stack.callback(stopped.set)
+
+    def loop():
+        while not stopped.wait(0.1):
+            context.seen.append(versions(context))
+
+    threading.Thread(target=loop, daemon=True).start()
+
+
+@when('a configuration is applied at "{node}"')
+def step_apply(context, node):
+    record(context)
+    context.change = change()
+    context.applied_at = time.monotonic()
+    applied = context.fleet.operator(node).apply_config(context.change)
+    context.version = applied.version
+
+
+@when('the same change is applied again at "{node}"')
+def step_again(context, node):
+    applied = context.fleet.operator(node).apply_config(context.change)
+    assert applied.version == context.version, applied
+    assert not applied.changed, applied
+
+
+@then("the history holds the change once")
+def step_history_once(context):
+    history = context.fleet.operator().config_history()
+    ids = [each.change_id for each in history]
+    assert ids == [context.change.change_id], ids
+
+
+@then("every node has its version within {seconds:d} s")
+@then("every node has the highest version within {seconds:d} s")
+def step_in_force(context, seconds):
+    wanted = dict.fromkeys(context.fleet.nodes, context.version)
+    fleet.wait_until(lambda: versions(context) == wanted, seconds)
+    assert time.monotonic() - context.applied_at <= seconds + 0.5
+
+
+@when("{count:d} configurations are applied at once over all nodes")
+def step_race(context, count):
+    nodes = list(context.fleet.nodes)
+    changes = [change(number / 100) for number in range(count)]
+
+    def send(number):
+        client = context.fleet.operator(nodes[number % len(nodes)])
+        try:
+            return client.apply_config(changes[number])
+        except peridotsill.exceptions.PeridotsillError:
+            return None
+
+    with concurrent.futures.ThreadPoolExecutor(count) as pool:
+        context.race = list(zip(changes, pool.map(send, range(count))))
+    context.applied_at = time.monotonic()
+    accepted = [done.version for _, done in context.race if done]
+    context.version = max(accepted)
+
+
+@then("the accepted ones have versions of their own and are all kept")
+def step_race_kept(context):
+    history = {
+        each.change_id: each.version
+        for each in context.fleet.operator().config_history()
+    }
+    accepted = [(c, done) for c, done in context.race if done]
+    assert len(accepted) >= 2, accepted
+    assert len({done.version for _, done in accepted}) == len(accepted)
+    for made, done in accepted:
+        assert history[made.change_id] == done.version, (made, done)
+    assert sorted(history.values()) == list(range(1, len(history) + 1))
+
+
+@when('"{frozen}" is frozen while a configuration is applied at "{node}"')
+def step_frozen(context, frozen, node):
+    context.fleet.processes[frozen].freeze()
+    time.sleep(1.5)
+    step_apply(context, node)
+
+
+@when('a caller gets "{path}" from "{node}" right after it wakes')
+def step_wake(context, path, node):
+    context.fleet.processes[node].thaw()
+    context.reply = context.fleet.call(node, "GET", path)
+
+
+@then("the decision about it was made by the new version")
+def step_new_version(context):
+    assert context.reply.status == 200, context.reply
+    subject = context.reply.headers["Peridotsill-Request-Id"]
+    found = context.fleet.operator().explain(subject).decisions
+    assert found[0].config_version == context.version, found
+
+
+@when('the platform goes down and "{node}" wakes')
+def step_down_and_wake(context, node):
+    context.fleet.faults(down=1)
+    context.fleet.processes[node].thaw()
+
+
+@when('node "{name}" starts')
+def step_start(context, name):
+    context.fleet.start_node(name)
+
+
+@then('"{name}" has the new version before it is ready')
+def step_late(context, name):
+    assert versions(context)[name] == context.version, versions(context)
+    reply = context.fleet.call(name, "GET", "/lookup/x")
+    assert reply.status == 200, reply
+
+
+@then("no node's version ever went down")
+def step_never_down(context):
+    highest = {}
+    assert len(context.seen) > 5
+    for each in context.seen:
+        for node, version in each.items():
+            assert version >= highest.get(node, 0), (node, version, highest)
+            highest[node] = version
+
+
+@when(
+    "the platform goes down for {seconds:d} s"
+    ' and a change is tried at "{node}"'
+)
+def step_outage_change(context, seconds, node):
+    context.fleet.faults(down=1)
+    started = time.monotonic()
+    try:
+        context.fleet.operator(node).apply_config(change())
+        context.refused = False
+    except peridotsill.exceptions.PeridotsillError:
+        context.refused = True
+    time.sleep(max(0.0, seconds - (time.monotonic() - started)))
+    context.fleet.faults(down=0)
+    time.sleep(2.0)
+
+
+@then("the change tried was refused and nothing changed")
+def step_outage_refused(context):
+    assert context.refused
+    assert set(versions(context).values()) == {context.version}
--- a/tests/features/steps/once_steps.py
+++ b/tests/features/steps/once_steps.py
@@ -2,7 +2,6 @@
 
 import collections
 import concurrent.futures
-import contextlib
 import signal
 import threading
 import time
@@ -11,35 +10,15 @@
 from behave import then
 from behave import when
 from standins import fleet
-import urllib3
-
-
-def counted(context):
-    """Return how often each marker stands in the run log."""
-    return collections.Counter(each["marker"] for each in context.fleet.runs())
-
-
-def post(context, node, key, **fields):
-    """Post with a key; None if the caller lost its connection."""
-    fields.setdefault("Request_Timeout", "4")
-    with contextlib.suppress(urllib3.exceptions.HTTPError):
-        return context.fleet.call(
-            node,
-            "POST",
-            "/passes/log",
-            key.encode(),
-            X_Marker=key,
-            Idempotency_Key=key,
-            timeout=6.0,
-            **fields,
-        )
-    return None
+from standins import scenario
 
 
 def post_all(context, node, keys, **fields):
     """Post many keys at once and keep the replies."""
     with concurrent.futures.ThreadPoolExecutor(len(keys)) as pool:
-        found = pool.map(lambda key: post(context, node, key, **fields), keys)
+        found = pool.map(
+            lambda key: scenario.post(context, node, key, **fields), keys
+        )
         context.first = dict(zip(keys, found))
 
 
@@ -63,7 +42,7 @@
 
 @then("no request that was refused as not run is in the run log")
 def step_truth(context):
-    runs = counted(context)
+    runs = scenario.counted(context)
     lies = [
         (number, runs[f"post-{number}"])
         for number, reply in enumerate(context.posts)
@@ -74,7 +53,7 @@
 
 @then("no request is twice in the run log")
 def step_not_twice(context):
-    twice = {m: n for m, n in counted(context).items() if m and n > 1}
+    twice = {m: n for m, n in scenario.counted(context).items() if m and n > 1}
     assert not twice, twice
 
 
@@ -112,7 +91,9 @@
     ]
     with concurrent.futures.ThreadPoolExecutor(60) as pool:
         replies = pool.map(
-            lambda order: post(context, *order, X_Work_Seconds="0.05"),
+            lambda order: scenario.post(
+                context, *order, X_Work_Seconds="0.05"
+            ),
             orders,
         )
         context.all = list(zip((key for _, key in orders), replies))
@@ -120,7 +101,7 @@
 
 @then("each key ran exactly once")
 def step_exactly_once(context):
-    runs = counted(context)
+    runs = scenario.counted(context)
     wrong = {key: runs[key] for key in context.keys if runs[key] != 1}
     assert not wrong, wrong
 
@@ -140,14 +121,14 @@
 @when("a key is posted with an answer of {size:d} bytes and again elsewhere")
 def step_repeat(context, size):
     key = f"sized-{size}"
-    first = post(context, "n0", key, X_Answer_Bytes=size)
-    second = post(context, "n1", key, X_Answer_Bytes=size)
+    first = scenario.post(context, "n0", key, X_Answer_Bytes=size)
+    second = scenario.post(context, "n1", key, X_Answer_Bytes=size)
     context.replies[key] = (first, second, size)
 
 
 @then("both answers of each key are the same and it ran once")
 def step_same_answers(context):
-    runs = counted(context)
+    runs = scenario.counted(context)
     for key, (first, second, size) in context.replies.items():
         assert first.status == second.status == 200, (first, second)
         assert len(first.body) == size, len(first.body)
@@ -198,7 +179,7 @@
     def settle(key):
         until = time.monotonic() + 25
         while time.monotonic() < until:
-            reply = post(context, node, key)
+            reply = scenario.post(context, node, key)
             if reply is not None and reply.status == 200:
                 context.final[key] = reply
                 return
@@ -218,14 +199,14 @@
 
 @then("no key ran twice")
 def step_no_key_twice(context):
-    runs = counted(context)
+    runs = scenario.counted(context)
     twice = {key: runs[key] for key in context.keys if runs[key] > 1}
     assert not twice, twice
 
 
 @then("each acknowledged key ran")
 def step_acknowledged_ran(context):
-    runs = counted(context)
+    runs = scenario.counted(context)
     replies = [*context.first.items(), *context.final.items()]
     good = {key for key, reply in replies if reply and reply.status == 200}
     missing = {key for key in good if not runs[key]}
@@ -252,7 +233,7 @@
     turn = 0
     while time.monotonic() < until:
         node = list(context.fleet.nodes)[turn % len(context.fleet.nodes)]
-        context.keyed.append(post(context, node, f"outage-{turn}"))
+        context.keyed.append(scenario.post(context, node, f"outage-{turn}"))
         context.lookups.append(context.fleet.call(node, "GET", "/passes/x"))
         turn += 1
         time.sleep(0.05)
@@ -265,7 +246,7 @@
         assert reply.status == 503 and reply.ran == "no", reply
         assert reply.seconds < seconds, reply
         assert "Retry-After" in reply.headers, reply
-    runs = counted(context)
+    runs = scenario.counted(context)
     assert not any(marker.startswith("outage") for marker in runs), runs
 
 
--- /dev/null
+++ b/tests/features/steps/stop_steps.py
@@ -0,0 +1,106 @@
+"""Planned stops under load."""
+
+import socket
+import threading
+import time
+
+from behave import then
+from behave import when
+from standins import load
+
+
+def mixed_shots(seconds):
+    """Return look-ups, keyed posts and long jobs."""
+    shots = load.steady(40, seconds, 1, "look", path="/lookup/x")
+    shots += load.steady(
+        10,
+        seconds,
+        2,
+        "long",
+        path="/lookup/x",
+        headers={"X-Work-Seconds": "1.5", "Peridotsill-Class": "batch"},
+    )
+    posts = load.steady(
+        15, seconds, 3, "post", method="POST", path="/lookup/p"
+    )
+    for shot in posts:
+        shot.headers["Idempotency-Key"] = shot.headers["X-Marker"]
+        shots.append(shot)
+    return shots
+
+
+@when("each node is replaced while look-ups, posts and long jobs go on")
+def step_replace(context):
+    made = context.fleet
+    balancer = load.Balancer(
+        [made.address(name, "callers") for name in made.nodes]
+    )
+    results = []
+    shots = mixed_shots(14.0)
+    thread = threading.Thread(
+        target=lambda: results.extend(load.run(balancer, shots))
+    )
+    thread.start()
+    context.codes = {}
+    for index, name in enumerate(list(made.nodes)):
+        fresh = f"r{index}"
+        made.start_node(fresh)
+        balancer.addresses.append(made.address(fresh, "callers"))
+        made.processes[name].terminate()
+        context.codes[name] = made.processes[name].exit_code(60)
+        balancer.addresses.remove(made.address(name, "callers"))
+    thread.join()
+    balancer.stopped.set()
+    context.results = results
+
+
+@then("no caller was cut and none was refused")
+def step_none_cut(context):
+    counts = load.outcomes(context.results)
+    bad = [r for r in context.results if r.error or r.status != 200]
+    assert set(counts) == {"served"}, (counts, bad[:3])
+
+
+@then("each stopped node ended with exit code 0")
+def step_exit_codes(context):
+    assert set(context.codes.values()) == {0}, context.codes
+
+
+@then("no runner had more than {limit:d} connections")
+def step_connections(context, limit):
+    peaks = {
+        vm: context.fleet.runner(vm)["peak_connections"]
+        for vm in context.fleet.vms
+    }
+    assert max(peaks.values()) <= limit, peaks
+
+
+@when("a caller reads {size:d} bytes slowly while its node stops")
+def step_slow_reader(context, size):
+    listener = context.fleet.nodes["n0"]["callers"]
+    connection = socket.socket()
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    connection.connect((listener["host"], listener["port"]))
+    connection.sendall(
+        b"GET /lookup/x HTTP/1.1\r\nHost: x\r\nX-Marker: slow\r\n"
+        b"Request-Timeout: 60\r\nX-Answer-Bytes: %d\r\n\r\n" % size
+    )
+    time.sleep(0.3)
+    context.fleet.processes["n0"].terminate()
+    received = 0
+    until = time.monotonic() + 40
+    while time.monotonic() < until:
+        data = connection.recv(65536)
+        if not data:
+            break
+        received += len(data)
+        time.sleep(0.01 if received < size // 2 else 0)
+    context.received = received
+    context.size = size
+    context.codes = {"n0": context.fleet.processes["n0"].exit_code(30)}
+
+
+@then("the slow caller got all its bytes")
+def step_slow_whole(context):
+    assert context.received > context.size, context.received
+    assert context.codes == {"n0": 0}, context.codes
