--- a/packages/peridotsill/src/peridotsill/__init__.py
+++ b/packages/peridotsill/src/peridotsill/__init__.py
@@ -21,12 +21,15 @@
 from peridotsill._json_http import Routes
 from peridotsill._ledger import Hold
 from peridotsill._ledger import Ledger
+from peridotsill._ledger import LedgerKind
+from peridotsill._ledger import Mailbox
 from peridotsill._ledger import Release
 from peridotsill._ledger import SlotAsk
 from peridotsill._ledger import SlotGrant
 from peridotsill._ledger import SlotRefusal
 from peridotsill._ledger import SlotReply
 from peridotsill._ledger import SlotResult
+from peridotsill._ledger import VmUse
 from peridotsill._listener import Listener
 from peridotsill._listener import ListenerOptions
 from peridotsill._model import Config
@@ -92,9 +95,11 @@
     "JsonClient",
     "JsonRequest",
     "Ledger",
+    "LedgerKind",
     "Limits",
     "Listener",
     "ListenerOptions",
+    "Mailbox",
     "NodeRow",
     "Owner",
     "Pool",
@@ -117,6 +122,7 @@
     "Timing",
     "View",
     "Vm",
+    "VmUse",
     "Wave",
     "WaveState",
     "advertised_address",
--- a/packages/peridotsill/src/peridotsill/_model.py
+++ b/packages/peridotsill/src/peridotsill/_model.py
@@ -112,7 +112,7 @@
     connections_per_vm: int = _codec.bounded(minimum=1, default=64)
     expected_seconds: float = _codec.bounded(minimum=0, default=0.05)
     batch_share: float = _codec.bounded(minimum=0, maximum=1, default=0.75)
-    queue_limit: int = _codec.bounded(minimum=0, default=192)
+    queue_limit: int = _codec.bounded(minimum=0, default=1000)
 
 
 @attrs.frozen(kw_only=True)
@@ -159,7 +159,7 @@
 class ConfigValues:
     """The tunable values that are in force on every node."""
 
-    slot_policy: str = "permits"
+    slot_policy: str = "borrow"
     retry_ratio: float = _codec.bounded(minimum=0, maximum=1, default=0.2)
     silence_seconds: float = _codec.bounded(
         minimum=0.05, maximum=60, default=0.5
--- a/packages/peridotsill_node/src/peridotsill_node/_lending.py
+++ b/packages/peridotsill_node/src/peridotsill_node/_lending.py
@@ -6,8 +6,10 @@
 that of a decision made with foresight.
 """
 
+import collections
 import math
 import time
+import typing
 
 import attrs
 import peridotsill
@@ -221,7 +223,9 @@
         loads = list(self._parts.slots.loads())
         for beat in self._parts.membership.live():
             loads += beat.loads
-        by_service = {load.service: load for load in loads}
+        by_service: dict[str, float] = collections.defaultdict(float)
+        for load in loads:
+            by_service[load.service] += load.held + load.waiting + load.refused
         found = []
         for pool in self._parts.view.resources("pools"):
             if not pool.spare:
@@ -231,7 +235,7 @@
     def _demand(
         self,
         pool: peridotsill.Pool,
-        loads: dict[str, peridotsill_siblings.ServiceLoad],
+        demands: typing.Mapping[str, float],
         evidence: _availability.Evidence,
     ) -> PoolDemand:
         vms = self._parts.view.vms_of(pool.name)
@@ -242,11 +246,7 @@
             if service.pool == pool.name
         ]
         slots = max((each.slots_per_vm for each in services), default=8)
-        demand = 0.0
-        for service in services:
-            load = loads.get(service.name)
-            if load is not None:
-                demand += load.held + load.waiting + load.refused
+        demand = sum(demands.get(each.name, 0.0) for each in services)
         waves = [
             wave
             for wave in self._parts.view.resources("waves")
--- a/packages/peridotsill_node/src/peridotsill_node/_node.py
+++ b/packages/peridotsill_node/src/peridotsill_node/_node.py
@@ -29,7 +29,7 @@
 import peridotsill_siblings
 import peridotsill_upstreams
 
-_SIBLING_THREADS = 96
+_SIBLING_THREADS = 32
 _OPERATOR_THREADS = 24
 _SYNC_SECONDS = 0.25
 _SYNCS_PER_MEASURE = 4
@@ -90,6 +90,7 @@
             timeout_seconds=timing.sibling_timeout_seconds,
             heartbeat=self.sibling_target.heartbeat,
             on_heard=self.sibling_target.heard,
+            on_replies=self.sibling_target.on_replies,
         )
         self.feed = _feed.Feed(
             table=self.table,
@@ -355,6 +356,7 @@
             "slots_waiting": counts.waiting,
             "slot_messages": counts.messages,
             "slot_fallbacks": counts.fallbacks,
+            "slots_borrowed": counts.borrowed,
             "upstream_connections": self.upstreams.open_connections(),
             "config_version": self.view.config.version,
             "table_revision": self.view.revision,
--- a/packages/peridotsill_node/src/peridotsill_node/_relay.py
+++ b/packages/peridotsill_node/src/peridotsill_node/_relay.py
@@ -16,8 +16,8 @@
 from peridotsill_upstreams import exceptions as upstream_exceptions
 
 _MAX_ATTEMPTS = 6
-_SILENCE_FACTOR = 4.0
-_MEAN_WEIGHT = 0.1
+_SILENCE_FACTOR = 3.0
+_PEAK_DECAY = 0.05
 _KEPT_ANSWER_BYTES = 8 << 20
 
 Outcome = peridotsill.Answer | peridotsill.Problem
@@ -64,7 +64,7 @@
     def __init__(self, *, parts: RelayParts) -> None:
         self._parts = parts
         self._budget = _retry.RetryBudget()
-        self._means: dict[str, float] = {}
+        self._peaks: dict[tuple[str, peridotsill.RequestClass], float] = {}
 
     def handle(self, request: peridotsill.Request) -> Outcome:
         """Return the answer to a request, or why there is none."""
@@ -216,16 +216,22 @@
         left = request.remaining_seconds
         wait = left
         if not fresh:
-            wait = self._silence_seconds(request.service)
+            wait = self._silence_seconds(request)
         elif request.idempotent and interactive:
-            wait = max(left / 2, self._silence_seconds(request.service))
+            wait = max(left / 2, self._silence_seconds(request))
         return peridotsill_upstreams.SendOptions(
             fresh=fresh, first_byte_seconds=min(left, wait)
         )
 
-    def _silence_seconds(self, service: str) -> float:
+    def _silence_seconds(self, request: peridotsill.Request) -> float:
         least = self._parts.view.config.values.silence_seconds
-        return max(least, _SILENCE_FACTOR * self._means.get(service, 0.0))
+        return max(least, _SILENCE_FACTOR * self._peak_seconds(request))
+
+    def _peak_seconds(self, request: peridotsill.Request) -> float:
+        key = peridotsill.resource_key("services", request.service)
+        service = self._parts.view.resource(key, peridotsill.Service)
+        expected = service.expected_seconds if service else 0.0
+        return self._peaks.get((request.service, request.priority), expected)
 
     def _after_unrun(
         self,
@@ -285,16 +291,20 @@
                 self._exclude(progress, grant.vm, f"status {answer.status}")
                 return
         if answer.status < 500:
-            self._learn(request.service, exchange.seconds)
+            self._learn(request, exchange.seconds)
             scope.ran_seconds = exchange.seconds
         if answer.rest is not None:
             answer = attrs.evolve(answer, rest=scope.kept(answer.rest))
         progress.outcome = answer
         self._note(progress, grant, answer)
 
-    def _learn(self, service: str, seconds: float) -> None:
-        mean = self._means.get(service, seconds)
-        self._means[service] = mean + _MEAN_WEIGHT * (seconds - mean)
+    def _learn(self, request: peridotsill.Request, seconds: float) -> None:
+        # A slow answer counts at once: were it taken for silence again,
+        # the request would run twice for nothing.
+        peak = self._peak_seconds(request)
+        decayed = peak + _PEAK_DECAY * (seconds - peak)
+        key = (request.service, request.priority)
+        self._peaks[key] = max(seconds, decayed)
 
     def _note(
         self,
--- a/packages/peridotsill_node/src/peridotsill_node/_sibling_target.py
+++ b/packages/peridotsill_node/src/peridotsill_node/_sibling_target.py
@@ -41,6 +41,7 @@
             down_vms=health.down(),
             holds=node.slots.holds_for(receiver),
             loads=node.slots.loads(),
+            shares=node.slots.share_uses(),
         )
 
     def heard(self, beat: peridotsill_siblings.Heartbeat) -> None:
@@ -55,14 +56,15 @@
         self._node.membership.heard(beat)
         return self.heartbeat(beat.node)
 
-    def on_releases(self, message: peridotsill_siblings.Releases) -> None:
-        """Count slots that were given back."""
-        for release in message.releases:
-            self._node.slots.take_release(release)
+    def on_slots(
+        self, batch: peridotsill_siblings.SlotBatch
+    ) -> peridotsill_siblings.SlotReplies:
+        """Take in a sibling's asks, releases and replies."""
+        return self._node.slots.take_batch(batch)
 
-    def on_slot_ask(self, ask: peridotsill.SlotAsk) -> peridotsill.SlotReply:
-        """Decide about a slot as its home."""
-        return self._node.slots.answer(ask)
+    def on_replies(self, replies: tuple[peridotsill.SlotReply, ...]) -> None:
+        """Take in what a home said in answer to a batch."""
+        self._node.slots.take_replies(replies)
 
     def on_push(self, push: peridotsill_siblings.Push) -> None:
         """Take in rows that a sibling committed."""
--- a/packages/peridotsill_siblings/src/peridotsill_siblings/__init__.py
+++ b/packages/peridotsill_siblings/src/peridotsill_siblings/__init__.py
@@ -5,12 +5,15 @@
 from peridotsill_siblings._messages import DrainAck
 from peridotsill_siblings._messages import Heartbeat
 from peridotsill_siblings._messages import Push
-from peridotsill_siblings._messages import Releases
 from peridotsill_siblings._messages import ServiceLoad
+from peridotsill_siblings._messages import ShareUse
+from peridotsill_siblings._messages import SlotBatch
+from peridotsill_siblings._messages import SlotReplies
 from peridotsill_siblings._messages import StateCopy
 from peridotsill_siblings._routes import routes
 from peridotsill_siblings._routes import SiblingTarget
 from peridotsill_siblings._slots import Blind
+from peridotsill_siblings._slots import Borrow
 from peridotsill_siblings._slots import Catalog
 from peridotsill_siblings._slots import InFlight
 from peridotsill_siblings._slots import Permits
@@ -25,6 +28,7 @@
 
 __all__ = [
     "Blind",
+    "Borrow",
     "Catalog",
     "DrainAck",
     "Heartbeat",
@@ -33,13 +37,15 @@
     "Membership",
     "Permits",
     "Push",
-    "Releases",
     "ServiceLoad",
     "ServiceSlots",
     "Share",
+    "ShareUse",
     "SiblingTarget",
+    "SlotBatch",
     "SlotCounts",
     "SlotPolicy",
+    "SlotReplies",
     "Slots",
     "StateCopy",
     "policy_named",
--- a/packages/peridotsill_siblings/src/peridotsill_siblings/_membership.py
+++ b/packages/peridotsill_siblings/src/peridotsill_siblings/_membership.py
@@ -35,15 +35,28 @@
         self._client = peridotsill.JsonClient(
             base=f"http://{address}", token=token
         )
+        self._asks: list[peridotsill.SlotAsk] = []
         self._releases: list[peridotsill.Release] = []
+        self._replies: list[peridotsill.SlotReply] = []
         self._wake = threading.Condition()
         self._stopped = False
         threading.Thread(target=self._run, daemon=True).start()
 
-    def add_release(self, release: peridotsill.Release) -> None:
-        """Queue a slot to be given back."""
+    def add(
+        self,
+        *,
+        ask: peridotsill.SlotAsk | None = None,
+        release: peridotsill.Release | None = None,
+        reply: peridotsill.SlotReply | None = None,
+    ) -> None:
+        """Put something about a slot into the next batch."""
         with self._wake:
-            self._releases.append(release)
+            if ask is not None:
+                self._asks.append(ask)
+            if release is not None:
+                self._releases.append(release)
+            if reply is not None:
+                self._replies.append(reply)
             self._wake.notify()
 
     def call(self, path: str, body: object, timeout_seconds: float) -> object:
@@ -69,28 +82,48 @@
     def _run(self) -> None:
         due = 0.0
         while not self._stopped:
-            with self._wake:
-                left = due - time.monotonic()
-                if left > 0 and not self._releases:
-                    self._wake.wait(left)
-                releases, self._releases = self._releases, []
-            if releases:
-                self._send_releases(tuple(releases))
+            batch = self._next_batch(due)
+            if batch is not None:
+                self._send_batch(batch)
             if time.monotonic() >= due:
                 due = time.monotonic() + self._membership.period_seconds
                 self._beat()
 
-    def _send_releases(
-        self, releases: tuple[peridotsill.Release, ...]
-    ) -> None:
-        message = _messages.Releases(
-            node=self._membership.node, releases=releases
-        )
+    def _next_batch(self, due: float) -> _messages.SlotBatch | None:
+        """Wait for something to say, or for the next heartbeat."""
+        with self._wake:
+            left = due - time.monotonic()
+            if left > 0 and not self._has_words():
+                self._wake.wait(left)
+            if not self._has_words():
+                return None
+            batch = _messages.SlotBatch(
+                node=self._membership.node,
+                asks=tuple(self._asks),
+                releases=tuple(self._releases),
+                replies=tuple(self._replies),
+            )
+            self._asks, self._releases, self._replies = [], [], []
+            return batch
+
+    def _has_words(self) -> bool:
+        return bool(self._asks or self._releases or self._replies)
+
+    def _send_batch(self, batch: _messages.SlotBatch) -> None:
+        self._membership.batches += 1
         try:
-            self.call("/siblings/releases", message, _CALL_SECONDS)
-        except exceptions.SiblingUnavailable:
-            # The home ends the holds at their deadline.
+            data = self.call("/siblings/slots", batch, _CALL_SECONDS)
+            answer = peridotsill.from_plain(data, _messages.SlotReplies)
+        except peridotsill.exceptions.PeridotsillError:
+            # Holds end at their deadline; asks are told that nobody heard.
+            self._membership.on_replies(
+                tuple(
+                    peridotsill.SlotReply(ask=ask.id, warming=True)
+                    for ask in batch.asks
+                )
+            )
             return
+        self._membership.on_replies(answer.replies)
 
     def _beat(self) -> None:
         own = self._membership.own_heartbeat(self.node)
@@ -122,6 +155,9 @@
         timeout_seconds: float,
         heartbeat: collections.abc.Callable[[str | None], _messages.Heartbeat],
         on_heard: collections.abc.Callable[[_messages.Heartbeat], None],
+        on_replies: collections.abc.Callable[
+            [tuple[peridotsill.SlotReply, ...]], None
+        ],
     ) -> None:
         self._node = node
         self._own_address = own_address
@@ -130,6 +166,8 @@
         self._timeout_seconds = timeout_seconds
         self._heartbeat = heartbeat
         self._on_heard = on_heard
+        self.on_replies = on_replies
+        self.batches = 0
         self._peers: dict[str, _Peer] = {}
         self._members: dict[str, Member] = {}
         self._lock = threading.Lock()
@@ -205,6 +243,12 @@
                 if member.heard_at >= oldest
             )
 
+    def last_shares(self, node: str) -> tuple[_messages.ShareUse, ...]:
+        """Return the slot shares that a node last reported."""
+        with self._lock:
+            member = self._members.get(node)
+        return member.last.shares if member else ()
+
     def serving(self) -> tuple[str, ...]:
         """Return the ids of all live nodes that don't leave, sorted."""
         others = [beat.node for beat in self.live() if not beat.leaving]
@@ -233,20 +277,24 @@
             raise exceptions.SiblingUnavailable(f"{node} is not known")
         return peer.call(path, body, timeout_seconds)
 
-    def suspect(self, node: str) -> None:
-        """Take a sibling for dead until it is heard of again."""
-        with self._lock:
-            member = self._members.get(node)
-            if member is not None:
-                self._members[node] = attrs.evolve(
-                    member, heard_at=time.monotonic() - self._timeout_seconds
-                )
-
-    def release(self, node: str, release: peridotsill.Release) -> None:
-        """Give a slot back to its home, soon."""
+    def tell(
+        self,
+        node: str,
+        *,
+        ask: peridotsill.SlotAsk | None = None,
+        release: peridotsill.Release | None = None,
+        reply: peridotsill.SlotReply | None = None,
+    ) -> bool:
+        """Put something about a slot into the next batch for a node.
+
+        Returns:
+            Whether the node is known.
+        """
         peer = self._peer_of(node)
-        if peer is not None:
-            peer.add_release(release)
+        if peer is None:
+            return False
+        peer.add(ask=ask, release=release, reply=reply)
+        return True
 
     def broadcast(self, path: str, body: object) -> None:
         """Send a message to every known sibling, each by its own thread."""
--- a/packages/peridotsill_siblings/src/peridotsill_siblings/_messages.py
+++ b/packages/peridotsill_siblings/src/peridotsill_siblings/_messages.py
@@ -26,6 +26,18 @@
     refused: int
 
 
+@attrs.frozen(kw_only=True)
+class ShareUse:
+    """A node's own share of a service's slots, and what is granted of it.
+
+    ``free`` is what it would lend now.
+    """
+
+    service: str
+    free: int
+    vms: tuple[peridotsill.VmUse, ...]
+
+
 @attrs.frozen(kw_only=True)
 class Heartbeat:
     """A node's state, sent to each sibling and given in reply.
@@ -47,14 +59,27 @@
     down_vms: tuple[str, ...] = ()
     holds: tuple[peridotsill.Hold, ...] = ()
     loads: tuple[ServiceLoad, ...] = ()
+    shares: tuple[ShareUse, ...] = ()
 
 
 @attrs.frozen(kw_only=True)
-class Releases:
-    """Slots that a node gives back to their home."""
+class SlotBatch:
+    """What one node has to say to another about slots, all at once.
+
+    ``asks`` and ``releases`` go to the home, ``replies`` come from it.
+    """
 
     node: str
-    releases: tuple[peridotsill.Release, ...]
+    asks: tuple[peridotsill.SlotAsk, ...] = ()
+    releases: tuple[peridotsill.Release, ...] = ()
+    replies: tuple[peridotsill.SlotReply, ...] = ()
+
+
+@attrs.frozen(kw_only=True)
+class SlotReplies:
+    """What a home could say at once; it says ``queued`` of the others."""
+
+    replies: tuple[peridotsill.SlotReply, ...]
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/peridotsill_siblings/src/peridotsill_siblings/_routes.py
+++ b/packages/peridotsill_siblings/src/peridotsill_siblings/_routes.py
@@ -15,11 +15,8 @@
     def on_heartbeat(self, beat: _messages.Heartbeat) -> _messages.Heartbeat:
         """Take in a sibling's state and return this node's."""
 
-    def on_releases(self, message: _messages.Releases) -> None:
-        """Count slots that were given back."""
-
-    def on_slot_ask(self, ask: peridotsill.SlotAsk) -> peridotsill.SlotReply:
-        """Decide about a slot as its home."""
+    def on_slots(self, batch: _messages.SlotBatch) -> _messages.SlotReplies:
+        """Take in a sibling's asks, releases and replies."""
 
     def on_push(self, push: _messages.Push) -> None:
         """Take in rows that a sibling committed."""
@@ -39,18 +36,10 @@
     return target.on_heartbeat(beat)
 
 
-@routes.add("POST", "/siblings/releases")
-def _releases(
-    target: SiblingTarget, request: peridotsill.JsonRequest
-) -> object:
-    target.on_releases(peridotsill.decode(request.body, _messages.Releases))
-    return {}
-
-
 @routes.add("POST", "/siblings/slots")
 def _slots(target: SiblingTarget, request: peridotsill.JsonRequest) -> object:
-    ask = peridotsill.decode(request.body, peridotsill.SlotAsk)
-    return target.on_slot_ask(ask)
+    batch = peridotsill.decode(request.body, _messages.SlotBatch)
+    return target.on_slots(batch)
 
 
 @routes.add("POST", "/siblings/push")
--- /dev/null
+++ b/tests/benches/__init__.py
@@ -0,0 +1,1 @@
+"""Benches; `make bench` runs them all."""
