--- a/packages/peridotsill_node/src/peridotsill_node/_jobs.py
+++ b/packages/peridotsill_node/src/peridotsill_node/_jobs.py
@@ -5,6 +5,7 @@
 when the worker confirms that the last one ended.
 """
 
+import collections
 import time
 
 import attrs
@@ -22,6 +23,7 @@
 _BATCH_SIZE = 200
 _MAX_ATTEMPTS = 8
 _PLACEMENTS_PER_STEP = 100
+_STARTS_PER_VM_AND_STEP = 4
 _URGENT_SHARE = 0.5
 
 _HOLDING = frozenset(
@@ -284,6 +286,7 @@
         )
         loads = self._loads(pool, jobs, needs)
         why_not = self._closed_vms(pool)
+        started: collections.Counter[str] = collections.Counter()
         changes = []
         for job in queued[:_PLACEMENTS_PER_STEP]:
             need = needs[job.name]
@@ -302,7 +305,11 @@
             self._note_choice(job, choice)
             changes.append((job, placed))
             self._quarantine.started(choice.vm, job.name)
+            started[choice.vm] += 1
             why = self._quarantine.why_not(choice.vm)
+            # A VM that fails everything must show it on a few first.
+            if started[choice.vm] >= _STARTS_PER_VM_AND_STEP:
+                why = why or "has just been given several jobs"
             if why:
                 why_not[choice.vm] = why
         for job in self._write(changes, tenure):
--- a/packages/peridotsill_node/src/peridotsill_node/_relay.py
+++ b/packages/peridotsill_node/src/peridotsill_node/_relay.py
@@ -214,13 +214,12 @@
             not request.idempotent or not interactive or progress.force_fresh
         )
         left = request.remaining_seconds
-        wait = left
-        if not fresh:
-            wait = self._silence_seconds(request)
-        elif request.idempotent and interactive:
-            wait = max(left / 2, self._silence_seconds(request))
+        silence = self._silence_seconds(request)
+        longest = left
+        if request.idempotent and interactive:
+            longest = max(left / 2, silence)
         return peridotsill_upstreams.SendOptions(
-            fresh=fresh, first_byte_seconds=min(left, wait)
+            fresh=fresh, used_seconds=silence, fresh_seconds=longest
         )
 
     def _silence_seconds(self, request: peridotsill.Request) -> float:
--- a/packages/peridotsill_node/src/peridotsill_node/_waves.py
+++ b/packages/peridotsill_node/src/peridotsill_node/_waves.py
@@ -46,6 +46,17 @@
     if len(failed) >= _MAX_FAILED:
         return WavePlan(wave=_halted(wave, failed))
     left = [vm for vm in vms if vm.name not in wave.done]
+    # A VM that failed by itself is no work for a wave: whether its
+    # maintenance went well could not be told.
+    down = [
+        vm
+        for vm in left
+        if vm.disruption is None and condition.reason_of(vm.name)
+    ]
+    if down and len(down) == len(left):
+        names = ", ".join(vm.name for vm in down)
+        return WavePlan(wave=wave, waits_for=f"out of service: {names}")
+    left = [vm for vm in left if vm not in down]
     if not left:
         return WavePlan(wave=_finished(wave))
     return _next_vms(wave, condition, left)
--- a/packages/peridotsill_upstreams/src/peridotsill_upstreams/_exchange.py
+++ b/packages/peridotsill_upstreams/src/peridotsill_upstreams/_exchange.py
@@ -39,11 +39,13 @@
 class SendOptions:
     """How long to wait, and whether a used connection may serve.
 
-    ``first_byte_seconds`` bounds the wait for the answer's start.
+    ``used_seconds`` bounds the wait for the answer's start on a used
+    connection, ``fresh_seconds`` on a new one.
     """
 
     fresh: bool
-    first_byte_seconds: float
+    used_seconds: float
+    fresh_seconds: float
 
 
 @attrs.frozen(kw_only=True)
@@ -102,7 +104,10 @@
     request: peridotsill.Request,
     options: SendOptions,
 ) -> urllib3.BaseHTTPResponse:
-    wait = min(options.first_byte_seconds, request.remaining_seconds)
+    limit = options.used_seconds
+    if connection.fresh:
+        limit = options.fresh_seconds
+    wait = min(limit, request.remaining_seconds)
     if wait <= 0:
         raise exceptions.NotSent(
             "the deadline has passed", fresh=connection.fresh
