--- /dev/null
+++ b/tests/features/steps/chaos_steps.py
@@ -0,0 +1,228 @@
+"""Faults drawn by hypothesis, derandomized, two at a time."""
+
+import contextlib
+import itertools
+import os
+import threading
+import time
+
+from behave import then
+from behave import when
+import hypothesis
+from hypothesis import strategies
+import peridotsill.exceptions
+from standins import checker
+from standins import fleet
+from standins import scenario
+
+import peridotsill_operators
+
+_NODES = ("n0", "n1", "n2")
+_VMS = ("vm0", "vm1", "vm2", "vm3", "vm4", "vm5")
+# More are drawn by hand: the first ones stay the same.
+_EXAMPLES = int(os.environ.get("CHAOS_EXAMPLES", "3"))
+
+_actions = strategies.one_of(
+    strategies.tuples(
+        strategies.sampled_from(["kill node", "freeze node"]),
+        strategies.sampled_from(_NODES),
+    ),
+    strategies.tuples(
+        strategies.sampled_from(
+            ["kill runner", "silence runner", "crash after run", "reboot"]
+        ),
+        strategies.sampled_from(_VMS),
+    ),
+    strategies.tuples(
+        strategies.just("platform"),
+        strategies.sampled_from(
+            ["down", "lost_answers", "late_commits", "table_slow"]
+        ),
+    ),
+    strategies.tuples(
+        strategies.sampled_from(["drain", "move"]),
+        strategies.sampled_from(_VMS),
+    ),
+)
+_plans = strategies.lists(
+    strategies.tuples(_actions, _actions), min_size=2, max_size=3
+)
+
+
+class Chaos:
+    """A fleet under posts, jobs and waves, to which faults happen."""
+
+    def __init__(self, context) -> None:
+        self.context = context
+        self.fleet = context.fleet
+        self.numbers = itertools.count()
+        self.stopped = threading.Event()
+        self.replies: dict[str, list] = {}
+        self.lock = threading.Lock()
+        self.threads = [
+            threading.Thread(target=self.post_loop, args=(index,), daemon=True)
+            for index in range(4)
+        ]
+
+    def client(self):
+        """Return an operators' client of a node that answers."""
+        for node in self.fleet.nodes:
+            client = peridotsill_operators.OperatorClient(
+                address=self.fleet.address(node, "operators"),
+                token=fleet.TOKEN,
+                timeout_seconds=1.5,
+            )
+            with contextlib.suppress(peridotsill.exceptions.PeridotsillError):
+                client.nodes()
+                return client
+        return None
+
+    def post_loop(self, index: int) -> None:
+        """Post keys; repeat each elsewhere a few times."""
+        while not self.stopped.is_set():
+            key = f"chaos-{index}-{next(self.numbers)}"
+            for turn in range(3):
+                node = _NODES[(index + turn) % len(_NODES)]
+                reply = scenario.post(
+                    self.context, node, key, Request_Timeout="2"
+                )
+                with self.lock:
+                    self.replies.setdefault(key, []).append(reply)
+                if reply is not None and reply.status == 200:
+                    break
+            time.sleep(0.05)
+
+    def operate(self) -> None:
+        """Start a wave and declare a job; refusals are fine."""
+        number = next(self.numbers)
+        client = self.client()
+        if client is None:
+            return
+        with contextlib.suppress(peridotsill.exceptions.PeridotsillError):
+            client.apply("waves", f"w{number}", {"pool": "trails"})
+        for job in range(3):
+            document = {
+                "pool": "trails",
+                "run_seconds": 1.0,
+                "idempotent": False,
+            }
+            with contextlib.suppress(peridotsill.exceptions.PeridotsillError):
+                client.apply("jobs", f"once{number}-{job}", document)
+
+    def happen(self, action) -> None:
+        """Let one fault happen."""
+        kind, subject = action
+        processes = self.fleet.processes
+        if kind == "kill node":
+            processes[subject].kill()
+        elif kind == "freeze node":
+            processes[subject].freeze()
+        elif kind == "kill runner":
+            processes[f"runner-{subject}"].kill()
+        elif kind == "platform":
+            self.fleet.faults(**{subject: 1.0 if subject != "down" else 1})
+        elif kind in ("drain", "move"):
+            self.order(kind, subject)
+        else:
+            faults = {
+                "silence runner": {"silence": True},
+                "crash after run": {"crash_after_run": 1},
+                "reboot": {"hang": 2},
+            }[kind]
+            with contextlib.suppress(peridotsill.exceptions.PeridotsillError):
+                self.fleet.runner(subject, "faults", **faults)
+
+    def order(self, kind: str, vm: str) -> None:
+        """Order a drain or a move; a refusal is fine."""
+        client = self.client()
+        if client is None:
+            return
+        operation = f"{kind}-{next(self.numbers)}"
+        with contextlib.suppress(peridotsill.exceptions.PeridotsillError):
+            if kind == "drain":
+                order = peridotsill_operators.DrainOrder(operation=operation)
+                client.drain_vm(vm, order)
+            else:
+                order = peridotsill_operators.MoveOrder(
+                    target_pool="spare", operation=operation
+                )
+                client.move_vm(vm, order)
+
+    def heal(self) -> None:
+        """End all faults and bring everything back."""
+        self.fleet.faults(down=0, lost_answers=0, late_commits=0, table_slow=0)
+        for name, process in self.fleet.processes.items():
+            process.thaw()
+            if process.child.poll() is None:
+                continue
+            if name.startswith("runner-"):
+                process.start()
+            else:
+                self.fleet.start_node(name, wait=False)
+        for name in _NODES:
+            self.fleet.wait_ready(name, 40)
+
+    def end_drains(self) -> None:
+        """Put back what operators drained."""
+        rows = self.fleet.platform(rows=True)["rows"]
+        for key, row in rows.items():
+            held = row.get("disruption") if key.startswith("vms/") else None
+            if held and held["kind"] == "drain":
+                order = peridotsill_operators.DrainOrder(
+                    operation=held["id"], drained=False
+                )
+                with contextlib.suppress(
+                    peridotsill.exceptions.PeridotsillError
+                ):
+                    self.client().drain_vm(row["name"], order)
+
+
+@when("sequences of faults are drawn while posts, jobs and waves go on")
+def step_chaos(context):
+    chaos = Chaos(context)
+    context.chaos = chaos
+    for thread in chaos.threads:
+        thread.start()
+
+    @hypothesis.settings(
+        derandomize=True,
+        database=None,
+        deadline=None,
+        max_examples=_EXAMPLES,
+        phases=[hypothesis.Phase.generate],
+        suppress_health_check=list(hypothesis.HealthCheck),
+    )
+    @hypothesis.given(_plans)
+    def run(plan):
+        for first, second in plan:
+            chaos.operate()
+            chaos.happen(first)
+            chaos.happen(second)
+            time.sleep(2.5)
+            checker.check(context.fleet)
+        chaos.heal()
+        chaos.end_drains()
+
+    run()
+    chaos.stopped.set()
+    for thread in chaos.threads:
+        thread.join()
+    context.keys = list(chaos.replies)
+    context.first = {
+        key: next((r for r in found if r and r.status == 200), found[0])
+        for key, found in chaos.replies.items()
+    }
+    context.final = {}
+    time.sleep(2.0)
+
+
+@then("everything is served again at the end")
+def step_served_again(context):
+    for node in _NODES:
+        fleet.wait_until(
+            lambda: context.fleet.call(node, "GET", "/passes/x").status == 200,
+            15,
+            f"{node} serves",
+        )
+    acknowledged = [r for r in context.first.values() if r and r.status == 200]
+    assert len(acknowledged) > 50, len(acknowledged)
--- a/tests/standins/fleet.py
+++ b/tests/standins/fleet.py
@@ -50,7 +50,11 @@
     child: subprocess.Popen | None = None
 
     def start(self) -> None:
-        environment = {**os.environ, "PYTHONPATH": str(TESTS)}
+        # Mutated packages, if there are any, go before the installed ones.
+        mutated = os.environ.get("MUTANT_PATH")
+        paths = [mutated, str(TESTS)] if mutated else [str(TESTS)]
+        path = os.pathsep.join(paths)
+        environment = {**os.environ, "PYTHONPATH": path}
         with self.log.open("ab") as output:
             self.child = subprocess.Popen(
                 self.command,
