Make the scenario on a job after its VMs fail on the old code

As committed it passed on the code before too: pushes were quicker than the job. It now asks a node that gets no pushes: 10 of 10 jobs refused by the code before, none now.

--- a/tests/features/api.feature
+++ b/tests/features/api.feature
@@ -20,7 +20,8 @@
     Then only the first changed anything
 
   Scenario: A job is taken at any node right after its VMs were made
-    When 10 pools get a VM at "n0" and at once a job at "n1"
+    Given a node "cut" that shares no token with its siblings
+    When 10 pools get a VM at "n0" and at once a job at "cut"
     Then no job was refused
 
   Scenario: Decisions outlive the node that made them
