--- a/tests/standins/fleet.py
+++ b/tests/standins/fleet.py
@@ -240,8 +240,9 @@
 
     def operator(self, node: str = "") -> peridotsill_operators.OperatorClient:
         node = node or next(iter(self.nodes))
+        token = pathlib.Path(self.nodes[node]["token_file"]).read_text()
         return peridotsill_operators.OperatorClient(
-            address=self.address(node, "operators"), token=TOKEN
+            address=self.address(node, "operators"), token=token
         )
 
     def call(
