--- a/packages/peridotsill_node/src/peridotsill_node/_counters.py
+++ b/packages/peridotsill_node/src/peridotsill_node/_counters.py
@@ -10,7 +10,8 @@
 _HELP = {
     "requests": "Callers' requests by outcome.",
     "retries": "Retries by whether the budget allowed them.",
-    "platform_calls": "Calls to the platform by kind and outcome.",
+    "platform_calls": "Calls to the table by kind and outcome.",
+    "platform_microseconds": "Time spent in calls to the table, by kind.",
 }
 
 _Labels = tuple[tuple[str, str], ...]
--- a/packages/peridotsill_node/src/peridotsill_node/_node.py
+++ b/packages/peridotsill_node/src/peridotsill_node/_node.py
@@ -27,6 +27,7 @@
 from peridotsill_node import _relay
 from peridotsill_node import _resources
 from peridotsill_node import _sibling_target
+from peridotsill_node import _timed_table
 from peridotsill_node import _writer
 import peridotsill_operators
 import peridotsill_platform
@@ -62,8 +63,11 @@
         settings = self.settings
         timeout = settings.timing.platform_timeout_seconds
         client = peridotsill.JsonClient(base=settings.platform)
-        self.table = peridotsill_platform.make_table(
-            settings.table_client, settings.platform, timeout
+        self.table = _timed_table.TimedTable(
+            table=peridotsill_platform.make_table(
+                settings.table_client, settings.platform, timeout
+            ),
+            counters=self.counters,
         )
         self.objects = peridotsill_platform.ObjectStore(
             client=client, timeout_seconds=timeout
--- /dev/null
+++ b/packages/peridotsill_node/src/peridotsill_node/_timed_table.py
@@ -0,0 +1,63 @@
+"""The table's client with a count, a time and an outcome for each call."""
+
+import collections.abc
+import time
+import typing
+
+from returns import result
+
+from peridotsill_node import _counters
+import peridotsill_platform
+from peridotsill_platform import exceptions as platform_exceptions
+
+_T = typing.TypeVar("_T", bound=result.Result[typing.Any, typing.Any])
+
+
+class TimedTable:
+    """Passes each call on and counts it."""
+
+    def __init__(
+        self,
+        *,
+        table: peridotsill_platform.Table,
+        counters: _counters.Counters,
+    ) -> None:
+        self._table = table
+        self._counters = counters
+
+    def read(self, keys: tuple[str, ...]) -> peridotsill_platform.ReadResult:
+        """Return the rows that exist at ``keys``."""
+        return self._timed("read", lambda: self._table.read(keys))
+
+    def scan(
+        self, prefixes: tuple[str, ...]
+    ) -> peridotsill_platform.ScanResult:
+        """Return all rows below ``prefixes``, as of one revision."""
+        return self._timed("scan", lambda: self._table.scan(prefixes))
+
+    def commit(
+        self, transaction: peridotsill_platform.Transaction
+    ) -> peridotsill_platform.CommitResult:
+        """Apply a transaction and return its revision."""
+        return self._timed("commit", lambda: self._table.commit(transaction))
+
+    def _timed(self, call: str, work: collections.abc.Callable[[], _T]) -> _T:
+        started = time.monotonic()
+        outcome = work()
+        spent = int(1e6 * (time.monotonic() - started))
+        self._counters.add("platform_microseconds", spent, call=call)
+        label = _label(outcome)
+        self._counters.add("platform_calls", call=call, outcome=label)
+        return outcome
+
+
+def _label(outcome: result.Result[typing.Any, typing.Any]) -> str:
+    match outcome:
+        case result.Success(_):
+            return "answered"
+        case result.Failure(platform_exceptions.Conflict()):
+            return "conflict"
+        case result.Failure(platform_exceptions.OutcomeUnknown()):
+            return "unknown"
+        case _:
+            return "unavailable"
--- a/tests/features/api.feature
+++ b/tests/features/api.feature
@@ -34,3 +34,4 @@
     Given service "lookup" on pool "trails"
     When nothing happens for 10 s
     Then each node wrote at most 1 time and read at most 12 rows a second
+    And its metrics tell the calls to the table and their time
--- a/tests/features/steps/api_steps.py
+++ b/tests/features/steps/api_steps.py
@@ -6,6 +6,8 @@
 from behave import then
 from behave import when
 import peridotsill
+from standins import fleet
+import urllib3
 
 from peridotsill_operators import exceptions as operator_exceptions
 
@@ -163,3 +165,21 @@
 @then("no job was refused")
 def step_no_job_refused(context):
     assert not context.refused, context.refused
+
+
+@then("its metrics tell the calls to the table and their time")
+def step_metrics(context):
+    answer = urllib3.request(
+        "GET",
+        f"http://{context.fleet.address('n0', 'operators')}/metrics",
+        headers={"Authorization": f"Bearer {fleet.TOKEN}"},
+    )
+    text = answer.data.decode()
+    for name in (
+        'platform_calls_total{call="scan",outcome="answered"}',
+        'platform_microseconds_total{call="commit"}',
+        'requests_total{outcome="served",service="lookup"}',
+        "budget_slack_trails",
+        "config_version",
+    ):
+        assert f"peridotsill_{name} " in text, (name, text)
