--- a/packages/peridotsill_node/src/peridotsill_node/_jobs.py
+++ b/packages/peridotsill_node/src/peridotsill_node/_jobs.py
@@ -271,19 +271,10 @@
         jobs: tuple[peridotsill.Job, ...],
         tenure: _ownership.Tenure,
     ) -> None:
-        queued = [
-            job for job in jobs if job.state is peridotsill.JobState.QUEUED
-        ]
+        needs = {job.name: self._usage.need_of(job) for job in jobs}
+        queued = _by_slack(jobs, needs)
         if not queued:
             return
-        now = time.time()
-        needs = {job.name: self._usage.need_of(job) for job in jobs}
-        queued.sort(
-            key=lambda job: (
-                _placement.slack_seconds(job, needs[job.name], now),
-                job.name,
-            )
-        )
         loads = self._loads(pool, jobs, needs)
         why_not = self._closed_vms(pool)
         started: collections.Counter[str] = collections.Counter()
@@ -306,15 +297,20 @@
             changes.append((job, placed))
             self._quarantine.started(choice.vm, job.name)
             started[choice.vm] += 1
-            why = self._quarantine.why_not(choice.vm)
-            # A VM that fails everything must show it on a few first.
-            if started[choice.vm] >= _STARTS_PER_VM_AND_STEP:
-                why = why or "has just been given several jobs"
+            why = self._why_full(choice.vm, started[choice.vm])
             if why:
                 why_not[choice.vm] = why
         for job in self._write(changes, tenure):
             self._start(job)
 
+    def _why_full(self, vm: str, started: int) -> str:
+        """Return why a VM should get no more jobs in this step."""
+        why = self._quarantine.why_not(vm)
+        # A VM that fails everything must show it on a few first.
+        if not why and started >= _STARTS_PER_VM_AND_STEP:
+            why = "has just been given several jobs"
+        return why
+
     def _loads(
         self,
         pool: peridotsill.Pool,
@@ -428,6 +424,21 @@
         self._parts.journal.note("placement", subject, choice, reason=reason)
 
 
+def _by_slack(
+    jobs: tuple[peridotsill.Job, ...], needs: dict[str, _placement.Need]
+) -> list[peridotsill.Job]:
+    """Return the queued jobs, the one with the least slack first."""
+    now = time.time()
+    queued = [job for job in jobs if job.state is peridotsill.JobState.QUEUED]
+    return sorted(
+        queued,
+        key=lambda job: (
+            _placement.slack_seconds(job, needs[job.name], now),
+            job.name,
+        ),
+    )
+
+
 def _load_of(loads: tuple[_placement.Load, ...], vm: str) -> _placement.Load:
     return next(load for load in loads if load.vm.name == vm)
 
--- a/packages/peridotsill_node/src/peridotsill_node/_node.py
+++ b/packages/peridotsill_node/src/peridotsill_node/_node.py
@@ -56,7 +56,8 @@
         self._make_platform()
         self._make_peers(token)
         self._make_request_side()
-        self._make_fleet_side()
+        self._make_writers()
+        self._make_reconciler()
         self._make_listeners(token)
 
     def _make_platform(self) -> None:
@@ -148,8 +149,7 @@
             )
         )
 
-    def _make_fleet_side(self) -> None:
-        settings = self.settings
+    def _make_writers(self) -> None:
         self.writer = _writer.Writer(
             parts=_writer.WriterParts(
                 table=self.table,
@@ -168,6 +168,9 @@
         self.configuration = _configuration.Configuration(
             writer=self.writer, table=self.table
         )
+
+    def _make_reconciler(self) -> None:
+        settings = self.settings
         self.registration = _ownership.Registration(
             row=peridotsill.NodeRow(
                 id=self.id,
