Look again for a decision that is nowhere yet

Seen once, with four fleets starting at once: a node that did not know the deciding node yet explained nothing, within the second before that node's flush. Not found is now said only after two flush periods more.

--- a/packages/peridotsill_node/src/peridotsill_node/_flush.py
+++ b/packages/peridotsill_node/src/peridotsill_node/_flush.py
@@ -1,6 +1,7 @@
 """Keeps decisions in the object store, and finds them again."""
 
 import threading
+import time
 
 import peridotsill
 import peridotsill.exceptions
@@ -9,6 +10,7 @@
 import peridotsill_siblings
 
 _SEGMENT_SIZE = 1000
+_FLUSHES_TO_WAIT = 2
 
 
 class DecisionStore:
@@ -66,7 +68,18 @@
             return True
 
     def explain(self, subject: str) -> peridotsill.Explanation:
-        """Look for decisions by id or subject: here, at siblings, stored."""
+        """Look for decisions by id or subject: here, at siblings, stored.
+
+        What is nowhere yet may be with a node that this one has not heard
+        of; it is looked for again once that node has flushed it.
+        """
+        explanation = self._look(subject)
+        if not explanation.decisions:
+            time.sleep(_FLUSHES_TO_WAIT * self._period_seconds)
+            explanation = self._look(subject)
+        return explanation
+
+    def _look(self, subject: str) -> peridotsill.Explanation:
         found = {each.id: each for each in self._journal.find(subject)}
         path = f"/siblings/decisions/{subject.replace('/', '%2F')}"
         for data in self._membership.ask_all(path, {}):
