--- a/packages/peridotsill_upstreams/src/peridotsill_upstreams/_health.py
+++ b/packages/peridotsill_upstreams/src/peridotsill_upstreams/_health.py
@@ -35,7 +35,6 @@
     boot: int = -1
     leaving_in_list: bool = False
     draining: str | None = None
-    probe: Probe | None = None
     probe_failures: int = 0
 
 
@@ -114,21 +113,11 @@
                 return "ejected after failures"
             return ""
 
-    def is_down(self, vm: str) -> bool:
-        """Tell whether probes over new connections fail."""
-        with self._lock:
-            return self._state(vm).probe_failures >= 2
-
     def in_flight(self, vm: str) -> int:
         """Return the number of this node's requests at ``vm``."""
         with self._lock:
             return self._state(vm).in_flight
 
-    def probe_of(self, vm: str) -> Probe | None:
-        """Return the last probe of ``vm``."""
-        with self._lock:
-            return self._state(vm).probe
-
     def succeeded(self, vm: str, *, leaving: bool) -> None:
         """Count an answer that is no server error."""
         with self._lock:
@@ -164,7 +153,6 @@
         """Take the result of a probe over a new connection."""
         with self._lock:
             state = self._state(vm)
-            state.probe = probe
             if probe.healthy:
                 state.probe_failures = 0
                 # A health endpoint that says nothing of it does not take
--- a/tests/features/steps/fleet_steps.py
+++ b/tests/features/steps/fleet_steps.py
@@ -28,20 +28,6 @@
     return context.fleet.platform(rows=True)["rows"]
 
 
-def live_operator(context):
-    """Return a client of a node that answers."""
-    for node in context.fleet.nodes:
-        client = peridotsill_operators.OperatorClient(
-            address=context.fleet.address(node, "operators"),
-            token=fleet.TOKEN,
-            timeout_seconds=1.0,
-        )
-        with contextlib.suppress(peridotsill.exceptions.PeridotsillError):
-            client.nodes()
-            return client
-    raise AssertionError("no node answers")
-
-
 def disrupted(context):
     """Return the VMs that a disruption holds."""
     return {
