--- a/Makefile
+++ b/Makefile
@@ -1,29 +1,30 @@
 PYTHON ?= python3
 VENV ?= .venv
 BIN = $(VENV)/bin
-PACKAGES = $(wildcard packages/*)
+PACKAGES = $(wildcard packages/*) platform
+CODE = packages platform tests
 SCENARIOS ?=
 
 .PHONY: setup demo test lint bench capacity mutants clean
 
 setup: $(VENV)/.done
 
-$(VENV)/.done: requirements.txt $(wildcard packages/*/pyproject.toml)
+$(VENV)/.done: requirements.txt $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install --quiet --disable-pip-version-check \
 	    --requirement requirements.txt
 	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps \
-	    --no-build-isolation $(foreach p,$(PACKAGES),--editable $(p))
+	    --no-build-isolation $(foreach p,$(PACKAGES),--editable ./$(p))
 	touch $@
 
 demo: setup
 	PYTHONPATH=tests $(BIN)/python -m standins.demo
 
 lint: setup
-	$(BIN)/ruff format --check --quiet packages tests
-	$(BIN)/ruff check --quiet packages tests
-	$(BIN)/flake8 packages tests
-	$(BIN)/mypy packages/*/src
+	$(BIN)/ruff format --check --quiet $(CODE)
+	$(BIN)/ruff check --quiet $(CODE)
+	$(BIN)/flake8 $(CODE)
+	$(BIN)/mypy packages/*/src platform/src
 
 test: setup lint
 	PYTHONPATH=tests $(BIN)/python -m benches.run --stable
--- a/packages/peridotsill/src/peridotsill/__init__.py
+++ b/packages/peridotsill/src/peridotsill/__init__.py
@@ -7,6 +7,7 @@
 from peridotsill._codec import from_plain
 from peridotsill._codec import TextEnum
 from peridotsill._codec import to_plain
+from peridotsill._counters import Counters
 from peridotsill._decisions import Candidate
 from peridotsill._decisions import Decision
 from peridotsill._decisions import Explanation
@@ -80,6 +81,7 @@
     "ChangeType",
     "Config",
     "ConfigValues",
+    "Counters",
     "Decision",
     "Disruption",
     "DisruptionKind",
--- /dev/null
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_app.py
@@ -0,0 +1,232 @@
+"""The callers' job interface as a WSGI application.
+
+``POST PREFIX/ID`` submits, ``GET PREFIX/ID`` shows, ``DELETE PREFIX/ID``
+cancels and ``GET PREFIX/`` counts. The queue is the one whose host and
+longest prefix match.
+"""
+
+import collections.abc
+import http
+import re
+import time
+import typing
+
+import peridotsill
+import peridotsill.exceptions
+
+from peridotsill_jobs import _catalog
+from peridotsill_jobs import _logs
+from peridotsill_jobs import _ports
+from peridotsill_jobs import _submissions
+import peridotsill_scheduler
+
+StartResponse = collections.abc.Callable[..., typing.Any]
+_Outcome = _submissions.Outcome
+_ID = re.compile(r"[0-9a-fA-F]{1,64}")
+# What callers wait for if they don't say.
+_DEFAULT_SECONDS = 3.0
+# When a caller may come back after a refusal because of the table. The
+# balancer leaves a node that can't reach it within about two seconds.
+_RETRY_AFTER_SECONDS = 1
+
+
+class JobApp:
+    """Answers callers' job calls.
+
+    Args:
+        deadline_header: Name of the header with a caller's time in
+            milliseconds.
+    """
+
+    def __init__(
+        self,
+        *,
+        catalog: _catalog.Catalog,
+        documents: _ports.Documents,
+        submissions: _submissions.Submissions,
+        counters: peridotsill.Counters,
+        deadline_header: str,
+    ) -> None:
+        self._catalog = catalog
+        self._documents = documents
+        self._submissions = submissions
+        self._counters = counters
+        name = deadline_header.upper().replace("-", "_")
+        self._deadline_field = f"HTTP_{name}"
+
+    def __call__(
+        self, environ: dict[str, typing.Any], start_response: StartResponse
+    ) -> list[bytes]:
+        began = time.monotonic()
+        kind, status, body, retry = self._serve(environ)
+        content = peridotsill.encode(body)
+        fields = [
+            ("Content-Type", "application/json"),
+            ("Content-Length", str(len(content))),
+        ]
+        if retry:
+            fields.append(("Retry-After", str(_RETRY_AFTER_SECONDS)))
+        start_response(f"{status} {http.HTTPStatus(status).phrase}", fields)
+        self._counters.add("job_calls", kind=kind, status=str(status))
+        spent = time.monotonic() - began
+        self._counters.observe("job_call_seconds", spent, kind=kind)
+        return [content]
+
+    def _serve(
+        self, environ: dict[str, typing.Any]
+    ) -> tuple[str, int, object, bool]:
+        config = self._catalog.config
+        if config is None:
+            return "any", 503, {"error": "no configuration yet"}, True
+        host = environ.get("HTTP_HOST", "").partition(":")[0].lower()
+        path = environ["PATH_INFO"]
+        queue = self._catalog.route(host, path)
+        if queue is None:
+            _logs.log(
+                "call:no_queue", host=host, path=path, config=config.version
+            )
+            return "any", 404, {"error": "no such queue"}, False
+        rest = path[len(queue.prefix) :]
+        method = environ["REQUEST_METHOD"]
+        if not rest:
+            if method != "GET":
+                return "any", 405, {"error": "only GET is served"}, False
+            return self._count(queue)
+        if not _ID.fullmatch(rest):
+            return "any", 404, {"error": "not a job's id"}, False
+        handler = {
+            "POST": self._submit,
+            "GET": self._show,
+            "DELETE": self._cancel,
+        }.get(method)
+        if handler is None:
+            return "any", 405, {"error": "not served"}, False
+        return handler(queue, rest, environ)
+
+    def _seconds(
+        self,
+        queue: peridotsill_scheduler.Queue,
+        environ: dict[str, typing.Any],
+    ) -> float:
+        given = environ.get(self._deadline_field, "")
+        try:
+            seconds = float(given) / 1000.0
+        except ValueError:
+            seconds = _DEFAULT_SECONDS
+        return max(0.0, min(seconds, queue.timeout_seconds))
+
+    def _submit(
+        self,
+        queue: peridotsill_scheduler.Queue,
+        job_id: str,
+        environ: dict[str, typing.Any],
+    ) -> tuple[str, int, object, bool]:
+        try:
+            body = peridotsill.read_body(environ)
+            spec = self._documents.job(queue.name, job_id, body)
+        except peridotsill.exceptions.InvalidResource as error:
+            _logs.log("job:invalid", job=job_id, problems=error.problems)
+            return "submit", 400, {"error": str(error)}, False
+        except peridotsill.HttpProblem as error:
+            return "submit", error.status, {"error": error.detail}, False
+        if not self._catalog.reachable:
+            self._log("job:refused", queue, job_id, "the table is away")
+            return "submit", 503, {"error": "the store is away"}, True
+        seconds = self._seconds(queue, environ)
+        shown = self._submissions.submit(queue, spec, seconds)
+        if shown.outcome is _Outcome.DONE:
+            self._log("job:accepted", queue, job_id, shown.reason)
+            return "submit", 200, {}, False
+        if shown.outcome is _Outcome.NOT_DONE:
+            self._log("job:refused", queue, job_id, shown.reason)
+            return "submit", 503, {"error": "not accepted"}, True
+        self._log("job:unknown", queue, job_id, shown.reason)
+        return "submit", 504, {"error": "the outcome is not known"}, True
+
+    def _log(
+        self,
+        event: str,
+        queue: peridotsill_scheduler.Queue,
+        job_id: str,
+        reason: str,
+    ) -> None:
+        config = self._catalog.config
+        _logs.log(
+            event,
+            job=job_id,
+            queue=queue.name,
+            config=config.version if config else 0,
+            reason=reason,
+        )
+
+    def _show(
+        self,
+        queue: peridotsill_scheduler.Queue,
+        job_id: str,
+        environ: dict[str, typing.Any],
+    ) -> tuple[str, int, object, bool]:
+        shown = self._submissions.show(queue.name, job_id)
+        if shown.outcome is _Outcome.ABSENT:
+            return "show", 410, {"error": "no such job"}, False
+        if shown.state is None:
+            self._log("job:state_unknown", queue, job_id, shown.reason)
+            return "show", 503, {"error": "the state can't be read"}, True
+        return "show", 200, {"state": str(shown.state)}, False
+
+    def _cancel(
+        self,
+        queue: peridotsill_scheduler.Queue,
+        job_id: str,
+        environ: dict[str, typing.Any],
+    ) -> tuple[str, int, object, bool]:
+        seconds = self._seconds(queue, environ)
+        shown = self._submissions.cancel(queue.name, job_id, seconds)
+        if shown.outcome is _Outcome.DONE:
+            self._log("job:cancelled", queue, job_id, shown.reason)
+            return "cancel", 200, {}, False
+        if shown.outcome is _Outcome.ABSENT:
+            return "cancel", 410, {"error": "no such job"}, False
+        self._log("job:cancel_unknown", queue, job_id, shown.reason)
+        return "cancel", 504, {"error": "the outcome is not known"}, True
+
+    def _count(
+        self, queue: peridotsill_scheduler.Queue
+    ) -> tuple[str, int, object, bool]:
+        pending = self._submissions.count(queue.name).pending
+        if pending is None:
+            return "count", 503, {"error": "can't be counted now"}, True
+        return "count", 200, {"pending": pending}, False
+
+
+class ReadinessApp:
+    """Tells the balancer whether to send callers here, and the metrics.
+
+    Any path but ``/metrics`` asks for readiness.
+    """
+
+    def __init__(
+        self,
+        *,
+        why_unready: collections.abc.Callable[[], str],
+        metrics: collections.abc.Callable[[], bytes],
+    ) -> None:
+        self._why_unready = why_unready
+        self._metrics = metrics
+
+    def __call__(
+        self, environ: dict[str, typing.Any], start_response: StartResponse
+    ) -> list[bytes]:
+        if environ["PATH_INFO"] == "/metrics":
+            status, body = "200 OK", self._metrics()
+        else:
+            reason = self._why_unready()
+            status = "503 Service Unavailable" if reason else "200 OK"
+            body = (reason or "ready").encode() + b"\n"
+        start_response(
+            status,
+            [
+                ("Content-Type", "text/plain"),
+                ("Content-Length", str(len(body))),
+            ],
+        )
+        return [body]
--- /dev/null
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_lease.py
@@ -0,0 +1,211 @@
+"""Which node schedules: one row, taken over when it stops changing."""
+
+import collections.abc
+import threading
+
+import attrs
+from returns import result
+
+from peridotsill_jobs import _clock
+from peridotsill_jobs import _logs
+from peridotsill_jobs import _records
+import peridotsill_platform
+import peridotsill_platform.exceptions
+
+# A row that didn't change for this long is free to take. Long enough for
+# two renewals to fail, short enough that runs outlive a takeover.
+LEASE_SECONDS = 2.0
+# The holder renews four times within its lease.
+_RENEW_SECONDS = 0.5
+# What the holder leaves of its lease unused, against the renewal's own way.
+_MARGIN_SECONDS = 0.2
+# Pause of a node that watches another's lease.
+_WATCH_SECONDS = 0.4
+
+
+@attrs.frozen(kw_only=True)
+class _Seen:
+    version: int
+    holder: str
+    epoch: int
+    since: float
+
+
+class Lease:
+    """The scheduler's lease as one node sees it.
+
+    A holder's orders carry the epoch, which rises with each takeover. A
+    node takes over when the row's version stood still for the lease's
+    time on its own clock, so that no two clocks are compared.
+    """
+
+    def __init__(
+        self, *, node: str, table: peridotsill_platform.Table
+    ) -> None:
+        self._node = node
+        self._table = table
+        self._seen: _Seen | None = None
+        self._epoch = 0
+        self._valid_until = float("-inf")
+        self._lock = threading.Lock()
+        self._released = False
+        self._lost = True
+
+    @property
+    def epoch(self) -> int:
+        """The epoch under which this node holds the lease, or last did."""
+        return self._epoch
+
+    @property
+    def held(self) -> bool:
+        """Whether this node may give orders at this moment."""
+        return not self.lost and self.lapsed_seconds < 0
+
+    @property
+    def lost(self) -> bool:
+        """Whether another node certainly is, or may become, the holder."""
+        return self._lost or self._released
+
+    @property
+    def lapsed_seconds(self) -> float:
+        """How long ago the lease ran out; negative while it lasts."""
+        return _clock.real_seconds() - self._valid_until
+
+    def lose(self, reason: str) -> None:
+        """Stop being the holder at once, as a newer one was met."""
+        with self._lock:
+            lost, self._lost = self._lost, True
+        if not lost:
+            _logs.log("lease:lost", epoch=self._epoch, reason=reason)
+
+    def try_acquire(self) -> bool:
+        """Take the lease if it is free; true if this node now holds it."""
+        if self._released:
+            return False
+        found = self._read()
+        if found is None:
+            return False
+        # A row in this node's own name is that of its last process.
+        taken = found.holder not in ("", self._node)
+        if taken and self._fresh(found):
+            return False
+        return self._write(found.version, found.epoch + 1)
+
+    def renew(self) -> None:
+        """Extend the lease, or learn that it was lost.
+
+        Without an answer from the table nothing is learned, and the lease
+        runs out by itself.
+        """
+        if self._seen is not None and not self.lost:
+            self._write(self._seen.version, self._epoch)
+
+    def release(self) -> None:
+        """Give the lease back, so that another node need not wait."""
+        with self._lock:
+            held = not self._lost and self._epoch > 0
+            self._released = True
+            seen = self._seen
+        if held and seen is not None:
+            self._commit(seen.version, "", self._epoch)
+            _logs.log("lease:released", epoch=self._epoch)
+
+    def _fresh(self, found: _Seen) -> bool:
+        seen = self._seen
+        if seen is None or seen.version != found.version:
+            self._seen = found
+            return True
+        age = _clock.awake_seconds() - seen.since
+        return age < LEASE_SECONDS
+
+    def _read(self) -> _Seen | None:
+        match self._table.read((_records.LEASE_KEY,)):
+            case result.Success(rows):
+                since = _clock.awake_seconds()
+                if not rows:
+                    return _Seen(version=0, holder="", epoch=0, since=since)
+                value = rows[0].value
+                return _Seen(
+                    version=rows[0].version,
+                    holder=str(value.get("holder", "")),
+                    epoch=int(value.get("epoch", 0)),
+                    since=since,
+                )
+        return None
+
+    def _write(self, version: int, epoch: int) -> bool:
+        asked_at = _clock.real_seconds()
+        match self._commit(version, self._node, epoch):
+            case result.Success(revision):
+                self._hold(int(revision), epoch, asked_at)
+                return True
+            case result.Failure(peridotsill_platform.exceptions.Conflict()):
+                return self._resolve(epoch, asked_at)
+        return False
+
+    def _resolve(self, epoch: int, asked_at: float) -> bool:
+        # An earlier renewal whose answer was lost may have been done.
+        found = self._read()
+        if found is None:
+            return False
+        if found.holder == self._node and found.epoch == epoch:
+            self._hold(found.version, epoch, asked_at)
+            return True
+        self.lose(f"epoch {found.epoch} is held by {found.holder!r}")
+        return False
+
+    def _hold(self, version: int, epoch: int, asked_at: float) -> None:
+        with self._lock:
+            self._seen = _Seen(
+                version=version,
+                holder=self._node,
+                epoch=epoch,
+                since=_clock.awake_seconds(),
+            )
+            self._epoch = epoch
+            self._lost = False
+            until = asked_at + LEASE_SECONDS - _MARGIN_SECONDS
+            self._valid_until = max(self._valid_until, until)
+
+    def _commit(
+        self, version: int, holder: str, epoch: int
+    ) -> peridotsill_platform.CommitResult:
+        check = peridotsill_platform.Check(
+            key=_records.LEASE_KEY, version=version
+        )
+        write = peridotsill_platform.Write(
+            key=_records.LEASE_KEY, value={"holder": holder, "epoch": epoch}
+        )
+        return self._table.commit(
+            peridotsill_platform.Transaction(checks=(check,), writes=(write,))
+        )
+
+
+def compete(
+    lease: Lease,
+    stopped: threading.Event,
+    schedule: collections.abc.Callable[[], None],
+) -> None:
+    """Take the lease whenever it is free and schedule while it is held.
+
+    Args:
+        lease: This node's view of the lease.
+        stopped: Set when the node leaves.
+        schedule: Runs until the lease is lost or the node leaves.
+    """
+    while not stopped.is_set():
+        if not lease.try_acquire():
+            stopped.wait(_WATCH_SECONDS)
+            continue
+        _logs.log("lease:acquired", epoch=lease.epoch)
+        renewal = threading.Thread(
+            target=_keep, args=(lease, stopped), daemon=True, name="lease"
+        )
+        renewal.start()
+        schedule()
+        renewal.join()
+
+
+def _keep(lease: Lease, stopped: threading.Event) -> None:
+    while not stopped.wait(_RENEW_SECONDS) and not lease.lost:
+        lease.renew()
--- /dev/null
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_records.py
@@ -0,0 +1,148 @@
+"""Rows of the job tables, and their keys.
+
+Three tables, each partitioned by queue: ``jobs`` holds what the caller
+submitted and whether it was cancelled, ``progress`` what the scheduler has
+decided and learned, and ``pending`` a row for each job that has not begun.
+"""
+
+import typing
+import urllib.parse
+
+import attrs
+import peridotsill
+import peridotsill.exceptions
+
+import peridotsill_scheduler
+
+JOBS = "jobs"
+PROGRESS = "progress"
+PENDING = "pending"
+LEASE_KEY = "control//scheduler"
+
+_Phase = peridotsill_scheduler.TaskPhase
+
+
+def queue_prefix(table: str, queue: str) -> str:
+    """Return the prefix of a queue's rows in one of the tables."""
+    return f"{table}/{urllib.parse.quote(queue, safe='')}/"
+
+
+def row_key(table: str, queue: str, job_id: str) -> str:
+    """Return the key of a job's row in one of the tables."""
+    return queue_prefix(table, queue) + job_id
+
+
+@attrs.frozen(kw_only=True)
+class Submission:
+    """What a ``jobs`` row holds; ``arrived_ms`` is in Unix milliseconds.
+
+    ``queue`` is the queue as it was then, for when operators remove it.
+    """
+
+    spec: peridotsill_scheduler.JobSpec
+    queue: peridotsill_scheduler.Queue
+    arrived_ms: float
+    cancelled: bool = False
+
+
+def submission_value(submission: Submission) -> dict[str, typing.Any]:
+    """Return the row's value for a submission."""
+    return typing.cast(dict[str, typing.Any], peridotsill.to_plain(submission))
+
+
+def parse_submission(row: peridotsill.Row) -> Submission:
+    """Read a ``jobs`` row.
+
+    Raises:
+        InvalidResource: If it has another shape.
+    """
+    return peridotsill.from_plain(row.value, Submission, strict=False)
+
+
+def progress_value(
+    job: peridotsill_scheduler.Job, epoch: int
+) -> dict[str, typing.Any]:
+    """Return the value of a job's ``progress`` row.
+
+    A task is a list in the order phase, run, runner, lifetime, failures,
+    checkpoint; tasks that never started are left out. ``epoch`` is the
+    scheduler's that writes.
+    """
+    return {
+        "state": str(job.state),
+        "epoch": epoch,
+        "opened": job.opened,
+        "tasks": {
+            task.key: [
+                str(task.phase),
+                task.run,
+                task.runner,
+                task.lifetime,
+                task.failures,
+                task.checkpoint,
+            ]
+            for task in job.tasks
+            if task.run
+        },
+    }
+
+
+def parse_state(
+    value: dict[str, typing.Any],
+) -> peridotsill_scheduler.JobState:
+    """Return the state that a ``progress`` row shows.
+
+    Raises:
+        InvalidResource: If it names none.
+    """
+    try:
+        return peridotsill_scheduler.JobState(value["state"])
+    except (KeyError, ValueError) as error:
+        raise peridotsill.exceptions.InvalidResource(
+            (f"state: {error!r}",)
+        ) from error
+
+
+def restore_progress(
+    job: peridotsill_scheduler.Job, row: peridotsill.Row
+) -> None:
+    """Set a job's state and tasks from its ``progress`` row.
+
+    Raises:
+        InvalidResource: If the row has another shape.
+    """
+    value = row.value
+    job.state = parse_state(value)
+    job.row_version = row.version
+    try:
+        job.opened = 0
+        job.tasks = []
+        _reopen(job, int(value["opened"]))
+        tasks = {task.key: task for task in job.tasks}
+        for key, fields in value["tasks"].items():
+            _restore_task(tasks[key], fields)
+    except (KeyError, TypeError, ValueError) as error:
+        raise peridotsill.exceptions.InvalidResource(
+            (f"tasks: {error!r}",)
+        ) from error
+
+
+def _reopen(job: peridotsill_scheduler.Job, opened: int) -> None:
+    if not job.spec.occurrences:
+        peridotsill_scheduler.open_occurrences(job, 0.0)
+        return
+    if opened:
+        due = job.spec.first_due_ms + (opened - 1) * job.spec.period_ms
+        peridotsill_scheduler.open_occurrences(job, due)
+
+
+def _restore_task(
+    task: peridotsill_scheduler.Task, fields: list[typing.Any]
+) -> None:
+    phase, run, runner, lifetime, failures, checkpoint = fields
+    task.phase = _Phase(phase)
+    task.run = int(run)
+    task.runner = str(runner)
+    task.lifetime = int(lifetime)
+    task.failures = int(failures)
+    task.checkpoint = str(checkpoint)
--- /dev/null
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_settings.py
@@ -0,0 +1,119 @@
+"""Settings of a job node: a JSON file, checked before anything starts."""
+
+import collections.abc
+import pathlib
+
+import attrs
+import peridotsill
+import peridotsill.exceptions
+
+from peridotsill_jobs import _ports
+
+
+@attrs.frozen(kw_only=True)
+class Bounds:
+    """What the platform promises and demands, in milliseconds.
+
+    ``max_lease_ms`` is the longest lease of a run; ``stop_grace_ms`` the
+    time a stop may take; ``away_notice_ms`` after that time a long-lived
+    task that is not at work counts as away; ``handover_ms`` has to pass
+    between VM commands of two nodes; ``move_ms`` and ``maintenance_ms``
+    are how long a VM is gone; ``exit_grace_ms`` is the time from SIGTERM
+    to SIGKILL; ``pace_target_ms`` the longest time that a serving task's
+    tail may stay above its target.
+    """
+
+    max_lease_ms: float = peridotsill.bounded(minimum=500, default=10000.0)
+    stop_grace_ms: float = peridotsill.bounded(minimum=0, default=900.0)
+    away_notice_ms: float = peridotsill.bounded(minimum=0, default=4500.0)
+    handover_ms: float = peridotsill.bounded(minimum=0, default=3000.0)
+    move_ms: float = peridotsill.bounded(minimum=0, default=1500.0)
+    maintenance_ms: float = peridotsill.bounded(minimum=0, default=2000.0)
+    exit_grace_ms: float = peridotsill.bounded(minimum=0, default=6000.0)
+    pace_target_ms: float = peridotsill.bounded(minimum=0, default=4000.0)
+    remote_factor: float = peridotsill.bounded(minimum=1, default=1.5)
+
+
+@attrs.frozen(kw_only=True)
+class JobNodeSettings:
+    """Everything that a job node has to know before it starts.
+
+    ``platform`` names the adapter; ``table``, ``vm_service`` and
+    ``advisor`` are base addresses, the last one may be empty.
+    """
+
+    node: str
+    domain: str
+    callers: str
+    readiness: str
+    metrics: str
+    platform: str
+    table: str
+    vm_service: str
+    advisor: str = ""
+    threads: int = peridotsill.bounded(minimum=2, maximum=500, default=24)
+    order_policy: str = "payoff_density"
+    bounds: Bounds = Bounds()
+
+
+def load_job_settings(path: str) -> JobNodeSettings:
+    """Read and check a settings file.
+
+    Raises:
+        SettingsError: With every problem, each named by its path.
+    """
+    try:
+        text = pathlib.Path(path).read_bytes()
+        return peridotsill.decode(text, JobNodeSettings, strict=False)
+    except OSError as error:
+        raise peridotsill.exceptions.SettingsError(
+            (f"{path}: {error.strerror}",)
+        ) from error
+    except peridotsill.exceptions.InvalidResource as error:
+        raise peridotsill.exceptions.SettingsError(error.problems) from error
+
+
+PortsFactory = collections.abc.Callable[
+    [JobNodeSettings], _ports.PlatformPorts
+]
+_platforms: dict[str, PortsFactory] = {}
+
+
+def job_platform(
+    name: str,
+) -> collections.abc.Callable[[PortsFactory], PortsFactory]:
+    """Return a decorator that registers a platform's ports."""
+
+    def register(factory: PortsFactory) -> PortsFactory:
+        _platforms[name] = factory
+        return factory
+
+    return register
+
+
+def make_ports(settings: JobNodeSettings) -> _ports.PlatformPorts:
+    """Build the ports of the platform that the settings name.
+
+    Raises:
+        SettingsError: If no adapter has this name.
+    """
+    if settings.platform not in _platforms:
+        known = ", ".join(sorted(_platforms))
+        raise peridotsill.exceptions.SettingsError(
+            (f"platform: {settings.platform!r} is none of {known}",)
+        )
+    return _platforms[settings.platform](settings)
+
+
+def split_address(address: str) -> peridotsill.Address:
+    """Parse ``host:port``.
+
+    Raises:
+        SettingsError: If it is no such address.
+    """
+    host, _, port = address.rpartition(":")
+    if not host or not port.isdigit():
+        raise peridotsill.exceptions.SettingsError(
+            (f"{address!r}: expected host:port",)
+        )
+    return peridotsill.Address(host=host, port=int(port))
--- /dev/null
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_workers.py
@@ -0,0 +1,277 @@
+"""The scheduler's picture of the runners and what it has put on them."""
+
+import collections
+import collections.abc
+
+import attrs
+
+from peridotsill_jobs import _clock
+from peridotsill_jobs import _links
+from peridotsill_jobs import _logs
+from peridotsill_jobs import _ports
+import peridotsill_scheduler
+
+# A runner that failed this many tasks in a row, of two jobs or more, is
+# given none for a while, and then one.
+_SUSPECT_FAILURES = 3
+_SUSPECT_SECONDS = 4.0
+# A runner that has not answered for this long gets no starts: one look
+# and its repeat have failed.
+_SILENT_SECONDS = 2.5
+# A runner whose refusal said nothing useful is left alone for this long.
+_REFUSED_SECONDS = 1.0
+
+JobTask = tuple[peridotsill_scheduler.Job, peridotsill_scheduler.Task]
+
+
+@attrs.define(kw_only=True, eq=False)
+class Placed:
+    """A task on a runner.
+
+    ``confirmed_at`` is when the last order about it was answered, in
+    steady seconds; infinite while an order may still be carried out.
+    """
+
+    job: peridotsill_scheduler.Job
+    task: peridotsill_scheduler.Task
+    confirmed_at: float
+    speed_percent: int = 100
+    gauge: float = 0.0
+    at_work_since: float = 0.0
+
+
+@attrs.define(kw_only=True, eq=False)
+class Worker:
+    """A runner, its link and its tasks by job id, task and run."""
+
+    entry: _ports.RunnerEntry
+    link: _links.RunnerLink
+    placed: dict[tuple[str, str], Placed] = attrs.field(factory=dict)
+    applied: int = 0
+    listed: bool = True
+    strangers: int = 0
+    closed_until: float = 0.0
+    suspect_until: float = 0.0
+    recent: collections.deque[tuple[str, bool]] = attrs.field(
+        factory=lambda: collections.deque(maxlen=_SUSPECT_FAILURES)
+    )
+    vm: str = ""
+    avoided: bool = False
+    held_back: str = ""
+
+    @property
+    def lifetime(self) -> int:
+        """The lifetime that the link talks to."""
+        return self.entry.lifetime
+
+    def note_end(self, job_id: str, good: bool) -> None:
+        """Note how a task ended, and suspect the runner if all fail."""
+        self.recent.append((job_id, good))
+        jobs = {each for each, fine in self.recent if not fine}
+        bad = sum(not fine for _, fine in self.recent)
+        if bad == _SUSPECT_FAILURES and len(jobs) > 1:
+            self.suspect_until = _clock.awake_seconds() + _SUSPECT_SECONDS
+            _logs.log("runner:suspected", runner=self.entry.id, failures=bad)
+
+    def hold_off(self) -> None:
+        """Start nothing here for a moment."""
+        self.closed_until = _clock.awake_seconds() + _REFUSED_SECONDS
+
+    def why_closed(self, now: float) -> str:
+        """Return why nothing may be started here, or nothing."""
+        if self.held_back:
+            return self.held_back
+        if not self.listed:
+            return "not in the registry"
+        if self.entry.state is _ports.RunnerState.DRAINING:
+            return "draining"
+        if not self.link.reached:
+            return "not reached yet"
+        if self.link.silent_seconds > _SILENT_SECONDS:
+            return "silent"
+        if self.strangers:
+            return "holds runs of an older order"
+        if now < self.closed_until:
+            return "refused lately"
+        if now < self.suspect_until:
+            return "fails everything"
+        if self.suspect_until and self.placed:
+            return "on probation"
+        return ""
+
+    def view(self, now: float) -> peridotsill_scheduler.VmView:
+        """Return the scheduler's view with what is placed reserved."""
+        entry = self.entry
+        view = peridotsill_scheduler.VmView(
+            runner=entry.id,
+            lifetime=entry.lifetime,
+            vm=self.vm,
+            pool=entry.pool,
+            domain=entry.domain,
+            rack=entry.rack,
+            labels=entry.labels,
+            capacity=entry.capacity,
+            free=entry.capacity,
+            closed=self.why_closed(now),
+            avoided=self.avoided,
+        )
+        for placed in self.placed.values():
+            view.reserve(placed.job.spec.id, placed.task)
+        return view
+
+
+class Workers:
+    """All runners that are listed or still hold tasks."""
+
+    def __init__(
+        self,
+        *,
+        connect: collections.abc.Callable[
+            [_ports.RunnerEntry], _links.RunnerLink
+        ],
+    ) -> None:
+        self._connect = connect
+        self._workers: dict[str, Worker] = {}
+        self._missing: dict[str, list[JobTask]] = {}
+        self._began_at = _clock.awake_seconds()
+
+    def __iter__(self) -> collections.abc.Iterator[Worker]:
+        return iter(tuple(self._workers.values()))
+
+    def get(self, runner: str, lifetime: int) -> Worker | None:
+        """Return a runner if it is still in this lifetime."""
+        worker = self._workers.get(runner)
+        if worker is None or worker.lifetime != lifetime:
+            return None
+        return worker
+
+    def adopt(
+        self,
+        job: peridotsill_scheduler.Job,
+        task: peridotsill_scheduler.Task,
+    ) -> None:
+        """Place a task that the rows say is on a runner.
+
+        Before the runner has answered this scheduler nothing is known of
+        it; afterwards no order of an earlier scheduler takes effect.
+        """
+        worker = self.get(task.runner, task.lifetime)
+        if worker is None:
+            self._missing.setdefault(task.runner, []).append((job, task))
+            return
+        self.place(worker, job, task, confirmed_at=0.0)
+
+    def place(
+        self,
+        worker: Worker,
+        job: peridotsill_scheduler.Job,
+        task: peridotsill_scheduler.Task,
+        *,
+        confirmed_at: float,
+    ) -> None:
+        """Note that a task is, or may be, on a runner."""
+        worker.placed[(job.spec.id, task.key)] = Placed(
+            job=job, task=task, confirmed_at=confirmed_at
+        )
+
+    def forget_job(self, job: peridotsill_scheduler.Job) -> None:
+        """Forget where the tasks of a job are; its row was read again."""
+        for worker in self._workers.values():
+            for key, placed in tuple(worker.placed.items()):
+                if placed.job is job:
+                    del worker.placed[key]
+        for tasks in self._missing.values():
+            tasks[:] = [each for each in tasks if each[0] is not job]
+
+    def update(self, entries: tuple[_ports.RunnerEntry, ...]) -> list[JobTask]:
+        """Follow the registry; return the tasks that ended with a runner."""
+        ended: list[JobTask] = []
+        listed = {entry.id for entry in entries}
+        for entry in entries:
+            worker = self._workers.get(entry.id)
+            if worker is None or entry.lifetime > worker.lifetime:
+                ended += self._open(entry)
+                continue
+            if entry.lifetime == worker.lifetime:
+                self._refresh(worker, entry)
+        for runner, worker in tuple(self._workers.items()):
+            if runner in listed:
+                continue
+            if worker.listed:
+                worker.listed = False
+                _logs.log("runner:unlisted", runner=runner)
+            if not worker.placed:
+                worker.link.stop()
+                del self._workers[runner]
+        return ended
+
+    def _refresh(self, worker: Worker, entry: _ports.RunnerEntry) -> None:
+        if worker.entry.state is not entry.state:
+            _logs.log("runner:state", runner=entry.id, state=str(entry.state))
+        worker.entry = entry
+        worker.listed = True
+
+    def _open(self, entry: _ports.RunnerEntry) -> list[JobTask]:
+        ended = self.close(entry.id)
+        link = self._connect(entry)
+        worker = Worker(entry=entry, link=link)
+        self._workers[entry.id] = worker
+        _logs.log(
+            "runner:listed",
+            runner=entry.id,
+            lifetime=entry.lifetime,
+            pool=entry.pool,
+        )
+        for job, task in self._missing.pop(entry.id, ()):
+            if task.lifetime == entry.lifetime:
+                self.place(worker, job, task, confirmed_at=0.0)
+            else:
+                ended.append((job, task))
+        return ended
+
+    def restarted(self, runner: str, lifetime: int) -> list[JobTask]:
+        """Close a runner that answered in another lifetime."""
+        _logs.log("runner:restarted", runner=runner, lifetime=lifetime)
+        return self.close(runner)
+
+    def close(self, runner: str) -> list[JobTask]:
+        """Drop a runner; return the tasks that it had."""
+        worker = self._workers.pop(runner, None)
+        if worker is None:
+            return []
+        worker.link.stop()
+        return [(each.job, each.task) for each in worker.placed.values()]
+
+    def lapsed(self, max_lease_seconds: float) -> list[JobTask]:
+        """Return the tasks on silent runners whose leases have run out.
+
+        What an earlier scheduler granted is bounded by the time for which
+        it may have gone on without its lease, and the longest lease.
+        """
+        ended: list[JobTask] = []
+        now = _clock.awake_seconds()
+        unknown_until = (
+            self._began_at
+            + _links.LOOK_WITHOUT_LEASE_SECONDS
+            + max_lease_seconds / _links.CLOCK_FACTOR
+        )
+        for worker in self._workers.values():
+            if not worker.placed:
+                continue
+            if worker.link.reached:
+                over = worker.link.leases_lapsed
+            else:
+                over = now > unknown_until
+            if over:
+                ended += [(p.job, p.task) for p in worker.placed.values()]
+                worker.placed.clear()
+        if now > unknown_until:
+            for tasks in self._missing.values():
+                ended += tasks
+            self._missing.clear()
+        return ended
+
+    def stop(self) -> None:
+        """Stop all links."""
+        for worker in self._workers.values():
+            worker.link.stop()
--- a/packages/peridotsill_node/src/peridotsill_node/_node.py
+++ b/packages/peridotsill_node/src/peridotsill_node/_node.py
@@ -13,7 +13,6 @@
 from peridotsill_node import _claims
 from peridotsill_node import _cleanup
 from peridotsill_node import _configuration
-from peridotsill_node import _counters
 from peridotsill_node import _disruptions
 from peridotsill_node import _evidence
 from peridotsill_node import _feed
@@ -49,7 +48,7 @@
         self.id = f"{settings.node}-{uuid.uuid4().hex[:6]}"
         self.leaving = False
         self.journal = peridotsill.Journal(node=self.id)
-        self.counters = _counters.Counters()
+        self.counters = peridotsill.Counters()
         self.view = peridotsill.View()
         self._started = False
         self._stopped = threading.Event()
--- a/packages/peridotsill_node/src/peridotsill_node/_relay.py
+++ b/packages/peridotsill_node/src/peridotsill_node/_relay.py
@@ -8,7 +8,6 @@
 from returns import result
 
 from peridotsill_node import _claims
-from peridotsill_node import _counters
 from peridotsill_node import _feed
 from peridotsill_node import _retry
 import peridotsill_siblings
@@ -34,7 +33,7 @@
     upstreams: peridotsill_upstreams.Upstreams
     claims: _claims.Claims
     journal: peridotsill.Journal
-    counters: _counters.Counters
+    counters: peridotsill.Counters
 
 
 @attrs.define(kw_only=True, eq=False)
--- a/packages/peridotsill_node/src/peridotsill_node/_timed_table.py
+++ b/packages/peridotsill_node/src/peridotsill_node/_timed_table.py
@@ -6,7 +6,7 @@
 
 from returns import result
 
-from peridotsill_node import _counters
+import peridotsill
 import peridotsill_platform
 from peridotsill_platform import exceptions as platform_exceptions
 
@@ -20,7 +20,7 @@
         self,
         *,
         table: peridotsill_platform.Table,
-        counters: _counters.Counters,
+        counters: peridotsill.Counters,
     ) -> None:
         self._table = table
         self._counters = counters
--- a/packages/peridotsill_platform/src/peridotsill_platform/__init__.py
+++ b/packages/peridotsill_platform/src/peridotsill_platform/__init__.py
@@ -19,8 +19,11 @@
 from peridotsill_platform._table import ScanResult
 from peridotsill_platform._table import Table
 from peridotsill_platform._table import table_client
+from peridotsill_platform._table import TableChanges
 from peridotsill_platform._table import TableFactory
 from peridotsill_platform._table import Transaction
+from peridotsill_platform._table import WatchedTable
+from peridotsill_platform._table import WatchResult
 from peridotsill_platform._table import Write
 
 __all__ = [
@@ -34,6 +37,7 @@
     "ReadResult",
     "ScanResult",
     "Table",
+    "TableChanges",
     "TableFactory",
     "TaskOrder",
     "TaskPhase",
@@ -41,6 +45,8 @@
     "Transaction",
     "VmList",
     "VmPhase",
+    "WatchResult",
+    "WatchedTable",
     "Workers",
     "Write",
     "commit_marked",
--- a/packages/peridotsill_platform/src/peridotsill_platform/_group_commit.py
+++ b/packages/peridotsill_platform/src/peridotsill_platform/_group_commit.py
@@ -28,8 +28,11 @@
     sent again, so that no transaction suffers for another.
     """
 
-    def __init__(self, *, table: _table.Table) -> None:
+    def __init__(
+        self, *, table: _table.Table, batch_size: int = _BATCH_SIZE
+    ) -> None:
         self._table = table
+        self._batch_size = batch_size
         self._queue: queue.SimpleQueue[_Pending | None] = queue.SimpleQueue()
         self._commits = 0
         self._threads = [
@@ -79,7 +82,7 @@
                 return
 
     def _gather(self, batch: list[_Pending]) -> bool:
-        while len(batch) < _BATCH_SIZE:
+        while len(batch) < self._batch_size:
             try:
                 item = self._queue.get_nowait()
             except queue.Empty:
--- a/packages/peridotsill_platform/src/peridotsill_platform/_table.py
+++ b/packages/peridotsill_platform/src/peridotsill_platform/_table.py
@@ -46,6 +46,19 @@
 ScanResult = result.Result[peridotsill.Scan, exceptions.TableUnavailable]
 
 
+@attrs.frozen(kw_only=True)
+class TableChanges:
+    """Rows written and keys deleted after some revision, to ``revision``."""
+
+    rows: tuple[peridotsill.Row, ...]
+    deleted: tuple[str, ...]
+    revision: int
+
+
+WatchFailure = exceptions.HistoryGone | exceptions.TableUnavailable
+WatchResult = result.Result[TableChanges, WatchFailure]
+
+
 class Table(typing.Protocol):
     """A transactional table; a row's version is the commit's revision."""
 
@@ -59,6 +72,23 @@
         """Apply a transaction and return its revision."""
 
 
+class WatchedTable(Table, typing.Protocol):
+    """A table whose changes can be followed.
+
+    The first segment of a key names the table within the store and the
+    second its partition, which may be empty: ``jobs/checks/5c0e`` is the
+    key ``5c0e`` of partition ``checks`` of ``jobs``.
+    """
+
+    def watch(self, name: str, after: int, wait_seconds: float) -> WatchResult:
+        """Return the changes of one table after a revision.
+
+        Waits up to ``wait_seconds`` until there is at least one. Fails
+        with `HistoryGone` if the changes since ``after`` are not kept
+        any more; the table has to be scanned again then.
+        """
+
+
 TableFactory = collections.abc.Callable[[str, float], Table]
 _clients: dict[str, TableFactory] = {}
 
--- a/packages/peridotsill_platform/src/peridotsill_platform/exceptions.py
+++ b/packages/peridotsill_platform/src/peridotsill_platform/exceptions.py
@@ -11,6 +11,10 @@
     """The table did not answer; what was asked has certainly not run."""
 
 
+class HistoryGone(PlatformError):
+    """The changes since the wanted revision are not kept any more."""
+
+
 class OutcomeUnknown(PlatformError):
     """A commit may have taken effect, or may still do so."""
 
--- /dev/null
+++ b/packages/peridotsill_scheduler/src/peridotsill_scheduler/__init__.py
@@ -0,0 +1,65 @@
+"""Decisions about jobs and VMs, without network, clock or thread."""
+
+from peridotsill_scheduler._estimates import chain_seconds
+from peridotsill_scheduler._estimates import Estimator
+from peridotsill_scheduler._estimates import job_work
+from peridotsill_scheduler._estimates import objective_seconds
+from peridotsill_scheduler._estimates import remaining_work
+from peridotsill_scheduler._model import AdviceTiming
+from peridotsill_scheduler._model import JobSpec
+from peridotsill_scheduler._model import PoolSettings
+from peridotsill_scheduler._model import Queue
+from peridotsill_scheduler._model import Resources
+from peridotsill_scheduler._model import Step
+from peridotsill_scheduler._order import order_jobs
+from peridotsill_scheduler._order import order_policies
+from peridotsill_scheduler._order import order_policy
+from peridotsill_scheduler._order import OrderInput
+from peridotsill_scheduler._placement import place_job
+from peridotsill_scheduler._placement import Start
+from peridotsill_scheduler._progress import ACTIVE_PHASES
+from peridotsill_scheduler._progress import FINAL_STATES
+from peridotsill_scheduler._progress import Job
+from peridotsill_scheduler._progress import JobState
+from peridotsill_scheduler._progress import LATE_FACTOR
+from peridotsill_scheduler._progress import open_occurrences
+from peridotsill_scheduler._progress import ready_tasks
+from peridotsill_scheduler._progress import refresh_state
+from peridotsill_scheduler._progress import Task
+from peridotsill_scheduler._progress import TaskPhase
+from peridotsill_scheduler._progress import tasks_of
+from peridotsill_scheduler._round import plan_starts
+from peridotsill_scheduler._vms import VmView
+
+__all__ = [
+    "ACTIVE_PHASES",
+    "FINAL_STATES",
+    "LATE_FACTOR",
+    "AdviceTiming",
+    "Estimator",
+    "Job",
+    "JobSpec",
+    "JobState",
+    "OrderInput",
+    "PoolSettings",
+    "Queue",
+    "Resources",
+    "Start",
+    "Step",
+    "Task",
+    "TaskPhase",
+    "VmView",
+    "chain_seconds",
+    "job_work",
+    "objective_seconds",
+    "open_occurrences",
+    "order_jobs",
+    "order_policies",
+    "order_policy",
+    "place_job",
+    "plan_starts",
+    "ready_tasks",
+    "refresh_state",
+    "remaining_work",
+    "tasks_of",
+]
--- /dev/null
+++ b/packages/peridotsill_scheduler/src/peridotsill_scheduler/_round.py
@@ -0,0 +1,45 @@
+"""One round of scheduling for a pool."""
+
+import collections.abc
+import typing
+
+from peridotsill_scheduler import _estimates
+from peridotsill_scheduler import _order
+from peridotsill_scheduler import _placement
+from peridotsill_scheduler import _progress
+from peridotsill_scheduler import _vms
+
+
+def plan_starts(
+    *,
+    policy: str,
+    jobs: typing.Iterable[_progress.Job],
+    vms: collections.abc.Sequence[_vms.VmView],
+    now: float,
+    estimator: _estimates.Estimator,
+) -> list[_placement.Start]:
+    """Return what to start now on one pool's VMs, best jobs first.
+
+    Args:
+        policy: Name of the order policy.
+        jobs: The jobs whose queue the pool serves.
+        vms: The pool's VMs; their free amounts are reduced.
+        now: Steady seconds.
+        estimator: What was learned about run times.
+    """
+    if not any(not vm.closed for vm in vms):
+        return []
+    ready = {}
+    for job in jobs:
+        tasks = _progress.ready_tasks(job, now)
+        if tasks:
+            ready[job.key] = (job, tasks)
+    given = _order.OrderInput(now=now, estimator=estimator)
+    ordered = _order.order_jobs(
+        policy, [job for job, _ in ready.values()], given
+    )
+    starts: list[_placement.Start] = []
+    for job in ordered:
+        _, tasks = ready[job.key]
+        starts += _placement.place_job(job, tasks, vms)
+    return starts
