Move VMs to where the work is, and maintain them in waves

Fleet operations clear a VM, command it and wait until the list shows it back; long-lived tasks are taken one at a time within their step's allowance. VMs go to the pool that lacks most, standby first.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_controller.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_controller.py
@@ -11,7 +11,9 @@
 from peridotsill_jobs import _book
 from peridotsill_jobs import _catalog
 from peridotsill_jobs import _clock
+from peridotsill_jobs import _commands
 from peridotsill_jobs import _feeds
+from peridotsill_jobs import _fleet
 from peridotsill_jobs import _lease
 from peridotsill_jobs import _links
 from peridotsill_jobs import _logs
@@ -40,6 +42,7 @@
     | _feeds.VmsSeen
     | _links.Looked
     | _links.OrderOutcome
+    | _commands.CommandOutcome
 )
 
 
@@ -71,6 +74,13 @@
         self._feeds = _feeds.Feeds(ports=parts.ports, post=self._inbox.put)
         self._estimator = peridotsill_scheduler.Estimator()
         self._registry_seen = False
+        self._commander = _commands.Commander(
+            node=parts.settings.node,
+            vms=parts.ports.vms,
+            lease=parts.lease,
+            post=self._inbox.put,
+        )
+        self._fleet = self._make_fleet()
         self._max_lease_seconds = parts.settings.bounds.max_lease_ms / 1000.0
 
     def _connect(self, entry: _ports.RunnerEntry) -> _links.RunnerLink:
@@ -86,6 +96,26 @@
         link.start()
         return link
 
+    def _make_fleet(self) -> _fleet.Fleet:
+        parts = self._parts
+        # The commands of the last holder and ours must not alternate.
+        handover = parts.settings.bounds.handover_ms / 1000.0
+        wait = handover if parts.lease.epoch > 1 else 0.0
+        return _fleet.Fleet(
+            parts=_fleet.FleetParts(
+                settings=parts.settings,
+                catalog=parts.catalog,
+                table=parts.ports.table,
+                keys=parts.ports.keys,
+                documents=parts.ports.documents,
+                workers=self._workers,
+                commander=self._commander,
+                evict=self._stop,
+                release=self._release,
+            ),
+            may_command_from=_clock.awake_seconds() + wait,
+        )
+
     @property
     def _ended(self) -> bool:
         return self._parts.stopped.is_set() or self._parts.lease.lost
@@ -102,6 +132,7 @@
                 self._round()
         finally:
             self._feeds.stop()
+            self._commander.stop()
             self._workers.stop()
 
     def _load(self) -> int | None:
@@ -134,27 +165,33 @@
         match event:
             case _feeds.JobRows():
                 for row in event.rows:
-                    job, cancelled = self._book.take(row)
-                    if job is not None and cancelled:
-                        self._cancel(job)
+                    self._take_job(row)
             case _feeds.RegistrySeen():
                 self._registry_seen = True
                 self._release(
                     self._workers.update(event.entries), "runner restarted"
                 )
             case _feeds.VmsSeen():
-                self._take_vms(event)
+                self._fleet.take_vms(event)
+            case _commands.CommandOutcome():
+                self._fleet.take_outcome(event)
             case _links.Looked():
                 self._take_look(event)
             case _links.OrderOutcome():
                 self._take_outcome(event)
 
-    def _take_vms(self, event: _feeds.VmsSeen) -> None:
-        by_runner = {vm.runner: vm for vm in event.vms if vm.runner}
-        for worker in self._workers:
-            record = by_runner.get(worker.entry.id)
-            if record is not None:
-                worker.vm = record.name
+    def _take_job(self, row: peridotsill.Row) -> None:
+        known = len(self._book.open_jobs)
+        job, cancelled = self._book.take(row)
+        if job is None:
+            return
+        if cancelled:
+            self._cancel(job)
+        elif len(self._book.open_jobs) > known and not job.long_lived:
+            work = peridotsill_scheduler.job_work(job, self._estimator)
+            self._fleet.note_arrival(
+                job.queue.pool, work, _clock.awake_seconds()
+            )
 
     # Ends of runs.
 
@@ -332,6 +369,7 @@
             task.started_at = _clock.awake_seconds()
         if found.checkpoint:
             task.checkpoint = found.checkpoint
+        placed.seen = True
         placed.speed_percent = found.speed_percent
         placed.gauge = found.gauge
 
@@ -436,9 +474,11 @@
             self._workers.lapsed(self._max_lease_seconds), "lease ran out"
         )
         self._open_due()
+        jobs = self._jobs_by_pool()
         starts: list[peridotsill_scheduler.Start] = []
         if self._parts.lease.held and self._registry_seen:
-            starts = self._plan(now)
+            self._fleet.step(jobs, self._estimator)
+            starts = self._plan(jobs, now)
         orders = [self._assign(start, now) for start in starts]
         reloaded = self._book.commit()
         if reloaded is None:
@@ -469,17 +509,24 @@
                 if peridotsill_scheduler.open_occurrences(job, unix_ms):
                     self._book.mark(job)
 
-    def _plan(self, now: float) -> list[peridotsill_scheduler.Start]:
-        views: dict[str, list[peridotsill_scheduler.VmView]] = {}
-        for worker in self._workers:
-            view = worker.view(now)
-            views.setdefault(view.pool, []).append(view)
+    def _jobs_by_pool(self) -> dict[str, list[peridotsill_scheduler.Job]]:
         jobs: dict[str, list[peridotsill_scheduler.Job]] = {}
         for job in self._book.open_jobs:
             queue_now = self._parts.catalog.queue(job.spec.queue)
             if queue_now is not None:
                 job.queue = queue_now
             jobs.setdefault(job.queue.pool, []).append(job)
+        return jobs
+
+    def _plan(
+        self,
+        jobs: dict[str, list[peridotsill_scheduler.Job]],
+        now: float,
+    ) -> list[peridotsill_scheduler.Start]:
+        views: dict[str, list[peridotsill_scheduler.VmView]] = {}
+        for worker in self._workers:
+            view = worker.view(now)
+            views.setdefault(view.pool, []).append(view)
         starts: list[peridotsill_scheduler.Start] = []
         for pool, members in jobs.items():
             starts += peridotsill_scheduler.plan_starts(
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_workers.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_workers.py
@@ -20,6 +20,7 @@
 _SILENT_SECONDS = 2.5
 # A runner whose refusal said nothing useful is left alone for this long.
 _REFUSED_SECONDS = 1.0
+_FULL_PERCENT = 100
 
 JobTask = tuple[peridotsill_scheduler.Job, peridotsill_scheduler.Task]
 
@@ -30,14 +31,15 @@
 
     ``confirmed_at`` is when the last order about it was answered, in
     steady seconds; infinite while an order may still be carried out.
+    ``seen`` tells that the runner has listed the run.
     """
 
     job: peridotsill_scheduler.Job
     task: peridotsill_scheduler.Task
     confirmed_at: float
+    seen: bool = False
     speed_percent: int = 100
     gauge: float = 0.0
-    at_work_since: float = 0.0
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -174,6 +176,18 @@
             job=job, task=task, confirmed_at=confirmed_at
         )
 
+    def at_work(self, job: peridotsill_scheduler.Job) -> frozenset[str]:
+        """Return the keys of a job's tasks that are seen at full work."""
+        return frozenset(
+            placed.task.key
+            for worker in self._workers.values()
+            for placed in worker.placed.values()
+            if placed.job is job
+            and placed.task.phase is peridotsill_scheduler.TaskPhase.RUNNING
+            and placed.seen
+            and placed.speed_percent == _FULL_PERCENT
+        )
+
     def forget_job(self, job: peridotsill_scheduler.Job) -> None:
         """Forget where the tasks of a job are; its row was read again."""
         for worker in self._workers.values():
--- a/packages/peridotsill_node/src/peridotsill_node/_timed_table.py
+++ b/packages/peridotsill_node/src/peridotsill_node/_timed_table.py
@@ -4,9 +4,9 @@
 import time
 import typing
 
+import peridotsill
 from returns import result
 
-import peridotsill
 import peridotsill_platform
 from peridotsill_platform import exceptions as platform_exceptions
 
--- a/packages/peridotsill_scheduler/src/peridotsill_scheduler/__init__.py
+++ b/packages/peridotsill_scheduler/src/peridotsill_scheduler/__init__.py
@@ -1,10 +1,21 @@
 """Decisions about jobs and VMs, without network, clock or thread."""
 
+from peridotsill_scheduler._availability import may_end
 from peridotsill_scheduler._estimates import chain_seconds
 from peridotsill_scheduler._estimates import Estimator
 from peridotsill_scheduler._estimates import job_work
 from peridotsill_scheduler._estimates import objective_seconds
 from peridotsill_scheduler._estimates import remaining_work
+from peridotsill_scheduler._lending import Arrival
+from peridotsill_scheduler._lending import Move
+from peridotsill_scheduler._lending import plan_moves
+from peridotsill_scheduler._lending import pool_need
+from peridotsill_scheduler._lending import PoolNeed
+from peridotsill_scheduler._lending import PoolSupply
+from peridotsill_scheduler._lending import wanted_vms
+from peridotsill_scheduler._maintenance import DueVm
+from peridotsill_scheduler._maintenance import MaintenanceStep
+from peridotsill_scheduler._maintenance import plan_maintenance
 from peridotsill_scheduler._model import AdviceTiming
 from peridotsill_scheduler._model import JobSpec
 from peridotsill_scheduler._model import PoolSettings
@@ -36,12 +47,18 @@
     "FINAL_STATES",
     "LATE_FACTOR",
     "AdviceTiming",
+    "Arrival",
+    "DueVm",
     "Estimator",
     "Job",
     "JobSpec",
     "JobState",
+    "MaintenanceStep",
+    "Move",
     "OrderInput",
+    "PoolNeed",
     "PoolSettings",
+    "PoolSupply",
     "Queue",
     "Resources",
     "Start",
@@ -51,15 +68,20 @@
     "VmView",
     "chain_seconds",
     "job_work",
+    "may_end",
     "objective_seconds",
     "open_occurrences",
     "order_jobs",
     "order_policies",
     "order_policy",
     "place_job",
+    "plan_maintenance",
+    "plan_moves",
     "plan_starts",
+    "pool_need",
     "ready_tasks",
     "refresh_state",
     "remaining_work",
     "tasks_of",
+    "wanted_vms",
 ]
