Count a runner's leases as run out only after the longest earlier grant

Log lines are written in pieces that a pipe takes whole: of longer ones parts were lost, which had hidden the cause. Ruled out: the commit of starts, which the rows showed in order.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_links.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_links.py
@@ -233,6 +233,10 @@
         now = _clock.awake_seconds()
         if self.silent_seconds > _WAIT_SECONDS * 3:
             _logs.log("runner:reached", runner=self.entry.id)
+        if not self.reached:
+            # Earlier schedulers may have granted the longest lease.
+            longest = self._parts.max_lease_seconds * 1000.0
+            self._lease_until_ms = report.clock_ms + longest
         self._answered_at = now
         self._clock_ms = report.clock_ms
         self._clock_at = now
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_logs.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_logs.py
@@ -13,6 +13,8 @@
 # Lines that wait to be written; beyond that they are counted and dropped.
 # At 300 bytes a line this bounds the backlog to about 2 MB.
 _BACKLOG_LINES = 8000
+# Largest write: a pipe takes as much in one piece and mixes it with nothing.
+_WRITE_BYTES = 4096
 # Period of writing; longer saves wake-ups, shorter loses less on a kill.
 _FLUSH_SECONDS = 0.1
 
@@ -53,22 +55,30 @@
         self._flush()
 
     def _flush(self) -> None:
-        lines = []
-        while self._lines:
-            lines.append(orjson.dumps(self._lines.popleft(), default=str))
         if self._dropped:
             dropped, self._dropped = self._dropped, 0
-            lines.append(
-                orjson.dumps({"message_type": "log:dropped", "lines": dropped})
+            self._lines.appendleft(
+                {"message_type": "log:dropped", "lines": dropped}
             )
-        if not lines:
+        chunk = b""
+        while self._lines:
+            message = self._lines.popleft()
+            line = orjson.dumps(message, default=str) + b"\n"
+            if len(chunk) + len(line) > _WRITE_BYTES:
+                self._write(chunk)
+                chunk = b""
+            chunk += line
+        self._write(chunk)
+
+    def _write(self, chunk: bytes) -> None:
+        if not chunk:
             return
         try:
-            self._stream.write(b"\n".join(lines) + b"\n")
+            self._stream.write(chunk)
             self._stream.flush()
         except OSError:
             # Nobody reads the log; the count is told with the next line.
-            self._dropped += len(lines)
+            self._dropped += chunk.count(b"\n")
 
 
 @contextlib.contextmanager
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_workers.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_workers.py
@@ -18,6 +18,9 @@
 # A runner that has not answered for this long gets no starts: one look
 # and its repeat have failed.
 _SILENT_SECONDS = 2.5
+# A report says that a task is at work for this long: one wait for the next
+# report, and its way.
+_FRESH_SECONDS = 1.4
 # A runner whose refusal said nothing useful is left alone for this long.
 _REFUSED_SECONDS = 1.0
 _FULL_PERCENT = 100
@@ -183,6 +186,7 @@
             for worker in self._workers.values()
             for placed in worker.placed.values()
             if placed.job is job
+            and worker.link.silent_seconds < _FRESH_SECONDS
             and placed.task.phase is peridotsill_scheduler.TaskPhase.RUNNING
             and placed.seen
             and placed.speed_percent == _FULL_PERCENT
