Keep waves across schedulers, let leases of silent runners end, and honour cancels at a takeover

Causes: each look at a silent runner asked for a longer lease, so that the lease of what it lost never ran out (LOST); a new scheduler did not know which VMs the last one had commanded (LIMIT); and it started what callers had cancelled before (UNASKED). VMs of a wave are recorded before the command; only a runner that answered lately gets new leases; the cancelled rows are acted on at load.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_book.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_book.py
@@ -47,6 +47,7 @@
         self._jobs: dict[_JobKey, peridotsill_scheduler.Job] = {}
         self._dirty: dict[_JobKey, peridotsill_scheduler.Job] = {}
         self._begun: set[_JobKey] = set()
+        self._cancelled: list[peridotsill_scheduler.Job] = []
         self._open: dict[_JobKey, peridotsill_scheduler.Job] = {}
 
     @property
@@ -56,14 +57,10 @@
         """The jobs that are not in a final state."""
         return self._open.values()
 
-    def find(
-        self, job_id: str
-    ) -> collections.abc.Iterator[peridotsill_scheduler.Job]:
-        """Return the jobs of all queues with this id."""
-        for queue in {queue for queue, _ in self._jobs}:
-            job = self._jobs.get((queue, job_id))
-            if job is not None:
-                yield job
+    @property
+    def cancelled(self) -> tuple[peridotsill_scheduler.Job, ...]:
+        """The jobs that callers had cancelled when they were loaded."""
+        return tuple(self._cancelled)
 
     def get(self, key: _JobKey) -> peridotsill_scheduler.Job | None:
         """Return a job by queue and id."""
@@ -99,6 +96,8 @@
         )
         if made is not None:
             self._restore_progress(job, made)
+        if row.value.get("cancelled"):
+            self._cancelled.append(job)
         self._index(job)
 
     def _restore_progress(
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_controller.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_controller.py
@@ -150,6 +150,8 @@
             for task in job.tasks:
                 if task.active:
                     self._workers.adopt(job, task)
+        for job in self._book.cancelled:
+            self._cancel(job)
         _logs.log(
             "scheduler:began", epoch=self._parts.lease.epoch, jobs=len(jobs)
         )
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_fleet.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_fleet.py
@@ -14,6 +14,7 @@
 from peridotsill_jobs import _logs
 from peridotsill_jobs import _ports
 from peridotsill_jobs import _settings
+from peridotsill_jobs import _waves
 from peridotsill_jobs import _workers
 import peridotsill_platform
 import peridotsill_scheduler
@@ -48,15 +49,6 @@
     runner: str = ""
 
 
-@attrs.define(kw_only=True, eq=False)
-class _Wave:
-    order: _ports.WaveOrder
-    seen_at: float
-    done: set[str] = attrs.field(factory=set)
-    begun: set[str] = attrs.field(factory=set)
-    state: str = ""
-
-
 @attrs.frozen(kw_only=True)
 class FleetParts:
     """What the fleet's side of the scheduler works with.
@@ -85,7 +77,8 @@
         self._vms: dict[str, _ports.VmRecord] = {}
         self._listed_at = float("-inf")
         self._operations: dict[str, _Operation] = {}
-        self._waves: dict[str, _Wave] = {}
+        self._wave_rows = _waves.WaveRows(table=parts.table)
+        self._waves: dict[str, _waves.Wave] = {}
         self._arrivals: dict[
             str, collections.deque[peridotsill_scheduler.Arrival]
         ] = {}
@@ -143,9 +136,10 @@
         refused = outcome.result is _commands.CommandResult.REFUSED
         wave = self._waves.get(operation.wave)
         if wave is not None:
-            wave.begun.discard(outcome.command.vm)
             if refused:
                 wave.done.add(outcome.command.vm)
+            else:
+                wave.begun.discard(outcome.command.vm)
         self._not_before[outcome.command.vm] = outcome.at + _BUSY_SECONDS
         self._end(outcome.command.vm)
 
@@ -227,15 +221,25 @@
                 self._parts.evict(worker, placed)
 
     def _call(self, operation: _Operation, now: float) -> None:
+        if not self._record(operation):
+            return
         operation.phase = _Phase.CALLING
         operation.since = now
         record = self._vms.get(operation.command.vm)
         operation.runner = record.runner if record else ""
-        wave = self._waves.get(operation.wave)
-        if wave is not None:
-            wave.begun.add(operation.command.vm)
         self._parts.commander.send(operation.command)
 
+    def _record(self, operation: _Operation) -> bool:
+        """Record a VM of a wave as begun; true if it may be commanded."""
+        wave = self._waves.get(operation.wave)
+        if wave is None or operation.command.vm in wave.begun:
+            return True
+        wave.begun.add(operation.command.vm)
+        if self._wave_rows.save(wave):
+            return True
+        wave.begun.discard(operation.command.vm)
+        return False
+
     def _begin(
         self, command: _commands.Command, now: float, wave: str = ""
     ) -> None:
@@ -346,19 +350,26 @@
         for order in self._parts.catalog.waves:
             wave = self._waves.get(order.name)
             if wave is None:
-                wave = _Wave(order=order, seen_at=now)
+                wave = _waves.Wave(order=order, seen_at=now)
+                if not self._wave_rows.load(wave):
+                    continue
                 self._waves[order.name] = wave
-                _logs.log("wave:seen", wave=order.name, vms=len(order.vms))
+                _logs.log(
+                    "wave:seen",
+                    wave=order.name,
+                    vms=len(order.vms),
+                    unfinished=sorted(wave.unfinished),
+                )
             wave.order = order
             self._show_wave(wave)
 
-    def _show_wave(self, wave: _Wave) -> None:
+    def _show_wave(self, wave: _waves.Wave) -> None:
         back = {vm for vm in wave.done if vm not in self._operations}
         left = [
             vm for vm in wave.order.vms if vm not in back and vm in self._vms
         ]
         state = "running" if left else "completed"
-        if state == wave.state:
+        if state == wave.shown:
             return
         key = self._parts.keys.wave_status_prefix + wave.order.name
         value = self._parts.documents.wave_status(state)
@@ -370,7 +381,7 @@
         )
         match written:
             case result.Success():
-                wave.state = state
+                wave.shown = state
                 _logs.log("wave:state", wave=wave.order.name, state=state)
             case result.Failure(error):
                 _logs.log(
@@ -381,11 +392,11 @@
 
     def _plan_wave(
         self,
-        wave: _Wave,
+        wave: _waves.Wave,
         supplies: list[peridotsill_scheduler.PoolSupply],
         now: float,
     ) -> None:
-        if wave.state == "completed":
+        if wave.shown == "completed":
             return
         by_pool = {each.name: each for each in supplies}
         views = []
@@ -394,6 +405,11 @@
             if record is not None:
                 views.append(self._due_vm(wave, record, by_pool))
         self._avoid(views)
+        for name in wave.unfinished - set(self._operations):
+            # An earlier scheduler's command may still be carried out, and
+            # is safe to repeat.
+            if name in self._vms:
+                self._begin_maintenance(wave, name, now)
         ready = {view.name for view in views if self._can_begin(view, now)}
         chosen = peridotsill_scheduler.plan_maintenance(
             [
@@ -415,12 +431,17 @@
                 pool=view.pool,
                 tasks=view.task_count,
             )
-            command = _commands.Command(
-                kind=_Kind.MAINTAIN, vm=view.name, wave=wave.order.number
-            )
-            self._begin(command, now, wave.order.name)
+            self._begin_maintenance(wave, view.name, now)
         self._advance(now)
 
+    def _begin_maintenance(
+        self, wave: _waves.Wave, vm: str, now: float
+    ) -> None:
+        command = _commands.Command(
+            kind=_Kind.MAINTAIN, vm=vm, wave=wave.order.number
+        )
+        self._begin(command, now, wave.order.name)
+
     def _avoid(self, views: list[peridotsill_scheduler.DueVm]) -> None:
         due = {view.name for view in views if view.step is _Step.DUE}
         for worker in self._parts.workers:
@@ -433,7 +454,7 @@
 
     def _due_vm(
         self,
-        wave: _Wave,
+        wave: _waves.Wave,
         record: _ports.VmRecord,
         pools: dict[str, peridotsill_scheduler.PoolSupply],
     ) -> peridotsill_scheduler.DueVm:
@@ -452,14 +473,14 @@
         )
 
     def _step_of(
-        self, wave: _Wave, vm: str
+        self, wave: _waves.Wave, vm: str
     ) -> peridotsill_scheduler.MaintenanceStep:
         operation = self._operations.get(vm)
         mine = operation is not None and operation.wave == wave.order.name
         if vm in wave.done and not mine:
             return _Step.DONE
         if not mine:
-            return _Step.DUE
+            return _Step.BEGUN if vm in wave.unfinished else _Step.DUE
         if operation is not None and operation.phase is _Phase.CLEARING:
             return _Step.CLEARING
         return _Step.BEGUN
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_links.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_links.py
@@ -20,6 +20,9 @@
 # Time for the answer to an order, before it is sent once more.
 _ORDER_TIMEOUT_SECONDS = 0.6
 _START_TRIES = 2
+# A runner gets new leases for this long after its last answer: one wait
+# for an end, and the way.
+_TRUSTED_SECONDS = 1.6
 # Pause after a failed look or stop.
 _RETRY_SECONDS = 0.3
 # After this time without the lease no leases of runs are extended any
@@ -188,8 +191,12 @@
         self._orders.put(_Pace(name=name, run=run, percent=percent))
 
     def _until_ms(self) -> float | None:
-        """Return a new lease's end on the runner's clock."""
-        if not self.reached:
+        """Return a new lease's end on the runner's clock.
+
+        None if the runner has not answered lately: what is sent to it may
+        still arrive, and the leases of what it lost would never run out.
+        """
+        if not self.reached or self.silent_seconds > _TRUSTED_SECONDS:
             return None
         passed = (_clock.awake_seconds() - self._clock_at) * 1000.0
         until = self._clock_ms + passed + self._lease_seconds * 1000.0
@@ -208,15 +215,15 @@
 
     def _look(self) -> bool:
         self._await_commit()
-        wait = _WAIT_SECONDS if self.reached else 0.0
-        if self._reported > self._last_seen:
-            wait = 0.0
+        until = self._until_ms()
+        trusted = until is not None and self._reported <= self._last_seen
+        wait = _WAIT_SECONDS if trusted else 0.0
         asked_at = _clock.awake_seconds()
         try:
             report = self._lookout.look(
                 fence=self._parts.lease.epoch,
                 last_seen=self._last_seen,
-                lease_until_ms=self._until_ms(),
+                lease_until_ms=until,
                 wait_seconds=wait,
                 timeout_seconds=wait + _LOOK_TIMEOUT_SECONDS,
             )
