Stop what a former scheduler left behind, and free its runners sooner

A job cancelled while no runner was known yet was never stopped on the runners that came up later (UNASKED), as was a stop that died with its scheduler; both are repeated from what a runner lists.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_controller.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_controller.py
@@ -35,6 +35,9 @@
 # each failure, up to the second figure.
 _BACKOFF_SECONDS = 0.05
 _MAX_BACKOFF_SECONDS = 1.0
+# A stop that was answered is ordered again if the run is still listed after
+# this time; longer than a stop may take.
+_STOP_AGAIN_SECONDS = 1.5
 
 Event = (
     _feeds.JobRows
@@ -353,6 +356,7 @@
             found = running.pop((*key, placed.task.run), None)
             if found is not None:
                 self._seen_running(placed, found)
+                self._stop_again(worker, placed, looked.asked_at)
             elif placed.confirmed_at < looked.asked_at:
                 del worker.placed[key]
                 self._release([(placed.job, placed.task)], "not there")
@@ -375,6 +379,21 @@
         placed.speed_percent = found.speed_percent
         placed.gauge = found.gauge
 
+    def _stop_again(
+        self,
+        worker: _workers.Worker,
+        placed: _workers.Placed,
+        asked_at: float,
+    ) -> None:
+        """Stop what should not run, also if an earlier scheduler tried."""
+        if placed.task.phase is not _Phase.STOPPING:
+            if placed.job.final:
+                self._stop(worker, placed)
+            return
+        if placed.confirmed_at < asked_at - _STOP_AGAIN_SECONDS:
+            placed.task.phase = _Phase.RUNNING
+            self._stop(worker, placed)
+
     def _stop_stranger(
         self, worker: _workers.Worker, found: _ports.ReportedRun
     ) -> None:
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_links.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_links.py
@@ -26,8 +26,10 @@
 # Pause after a failed look or stop.
 _RETRY_SECONDS = 0.3
 # After this time without the lease no leases of runs are extended any
-# more, so that a new scheduler knows when they have run out.
-LOOK_WITHOUT_LEASE_SECONDS = 10.0
+# more, so that a new scheduler knows when they have run out. With the
+# lease's own time and the last grant, runs outlive 13 seconds without the
+# table.
+LOOK_WITHOUT_LEASE_SECONDS = 6.0
 # How long the committed ends may lag behind before a runner is looked at
 # again all the same.
 _COMMIT_WAIT_SECONDS = 0.5
@@ -39,6 +41,11 @@
 CLOCK_FACTOR = 0.98
 
 
+def run_lease_seconds(longest: float) -> float:
+    """Return the lease that a look grants, given the platform's longest."""
+    return min(_LEASE_SECONDS, longest * _LEASE_PART)
+
+
 class OrderResult(peridotsill.TextEnum):
     """What came of an order."""
 
@@ -124,9 +131,7 @@
         self._clock_at = 0.0
         self._lease_until_ms = 0.0
         self._answered_at = float("-inf")
-        self._lease_seconds = min(
-            _LEASE_SECONDS, parts.max_lease_seconds * _LEASE_PART
-        )
+        self._lease_seconds = run_lease_seconds(parts.max_lease_seconds)
 
     @property
     def entry(self) -> _ports.RunnerEntry:
@@ -241,9 +246,9 @@
         if self.silent_seconds > _WAIT_SECONDS * 3:
             _logs.log("runner:reached", runner=self.entry.id)
         if not self.reached:
-            # Earlier schedulers may have granted the longest lease.
-            longest = self._parts.max_lease_seconds * 1000.0
-            self._lease_until_ms = report.clock_ms + longest
+            # An earlier scheduler granted what runs there its lease.
+            granted = self._lease_seconds * 1000.0 if report.running else 0.0
+            self._lease_until_ms = report.clock_ms + granted
         self._answered_at = now
         self._clock_ms = report.clock_ms
         self._clock_at = now
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_workers.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_workers.py
@@ -264,14 +264,14 @@
         """Return the tasks on silent runners whose leases have run out.
 
         What an earlier scheduler granted is bounded by the time for which
-        it may have gone on without its lease, and the longest lease.
+        it may have gone on without its lease, and the last grant.
         """
         ended: list[JobTask] = []
         now = _clock.awake_seconds()
         unknown_until = (
             self._began_at
             + _links.LOOK_WITHOUT_LEASE_SECONDS
-            + max_lease_seconds / _links.CLOCK_FACTOR
+            + _links.run_lease_seconds(max_lease_seconds) / _links.CLOCK_FACTOR
         )
         for worker in self._workers.values():
             if not worker.placed:
