--- a/packages/peridotsill/src/peridotsill/_listener.py
+++ b/packages/peridotsill/src/peridotsill/_listener.py
@@ -239,7 +239,11 @@
 
 @attrs.frozen(kw_only=True)
 class ListenerOptions:
-    """Where and how a listener serves."""
+    """Where and how a listener serves.
+
+    ``shutdown_seconds`` is how long a stop waits for worker threads that
+    are stuck in a connection; None waits for as long as it takes.
+    """
 
     host: str
     port: int
@@ -250,6 +254,7 @@
     header_bytes: int = 16384
     body_bytes: int = 1 << 20
     connections: int = 2000
+    shutdown_seconds: float | None = None
 
 
 class Listener:
@@ -268,7 +273,7 @@
             max=options.threads,
             request_queue_size=512,
             timeout=typing.cast(int, options.idle_seconds),
-            shutdown_timeout=typing.cast(int, None),
+            shutdown_timeout=typing.cast(int, options.shutdown_seconds),
         )
         self._server.header_seconds = options.header_seconds
         self._server.body_seconds = options.body_seconds
@@ -309,9 +314,14 @@
         """Say on each further answer that its connection ends."""
         self._server.closing = True
 
-    def stop(self) -> None:
-        """Finish the open requests, then close every connection."""
-        self.open_requests.wait_idle()
+    def stop(self, wait_seconds: float | None = None) -> None:
+        """Finish the open requests, then close every connection.
+
+        Args:
+            wait_seconds: How long to wait for the open requests; None
+                waits for as long as it takes.
+        """
+        self.open_requests.wait_idle(wait_seconds)
         self._server.gate.stop()
         self._server.stop()
 
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_node.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_node.py
@@ -24,8 +24,10 @@
 # After SIGTERM the balancer needs two missed checks, a second apart, to
 # take the node out; callers are served meanwhile.
 _NOTICE_SECONDS = 2.5
-# What is left of the exit grace for closing connections.
-_EXIT_MARGIN_SECONDS = 0.8
+# How long a listener waits for connections that don't end.
+_CLOSE_SECONDS = 0.3
+# What is left of the exit grace for closing the listeners.
+_EXIT_MARGIN_SECONDS = 1.5
 
 
 class JobNode:
@@ -132,8 +134,11 @@
         grace = self._settings.bounds.exit_grace_ms / 1000.0
         time.sleep(min(_NOTICE_SECONDS, grace / 2))
         left = grace - _EXIT_MARGIN_SECONDS - (time.monotonic() - began)
-        self._callers.open_requests.wait_idle(max(0.0, left))
+        self._callers.stop(max(0.0, left))
+        for listener in self._inner:
+            listener.stop(0.0)
         self._catalog.stop()
+        self._committer.stop()
         _logs.log("node:stopped", node=self._settings.node)
 
 
@@ -143,7 +148,10 @@
     where = _settings.split_address(address)
     return peridotsill.Listener(
         options=peridotsill.ListenerOptions(
-            host=where.host, port=where.port, threads=threads
+            host=where.host,
+            port=where.port,
+            threads=threads,
+            shutdown_seconds=_CLOSE_SECONDS,
         ),
         app=app,
     )
--- /dev/null
+++ b/tests/features/platform_jobs.feature
@@ -0,0 +1,79 @@
+Feature: Jobs on the users' platform, by real nodes against the stand-in
+
+  Background:
+    Given 3 job nodes with 4 VMs in "trails" and 2 in standby
+
+  Scenario: A job is one job however often and wherever it arrives
+    When job "a1" of 3 tasks is submitted 4 times at every node
+    Then job "a1" is completed within 10 s
+    And each task of job "a1" was started once
+    And every node shows job "a1" as completed
+
+  Scenario: Steps wait for the steps before them
+    When 12 jobs of two steps are submitted
+    Then all jobs are completed within 20 s
+    And no rule is broken
+
+  Scenario: Counts, unknown jobs, unknown queues and bad input are answered
+    When job "b1" of 1 task that fits nowhere is submitted
+    Then the count of "trails" is 1 at every node within 3 s
+    And a call of an unknown queue is answered 404
+    And a call of an unknown job is answered 410
+    And a submission without steps is answered 400
+
+  Scenario: A cancelled job stops and stays cancelled
+    When job "c1" of 2 long-lived tasks is submitted
+    And job "c1" runs
+    And job "c1" is cancelled
+    Then nothing of job "c1" runs within 4 s
+    And every node shows job "c1" as cancelled
+
+  Scenario: A job that always fails ends as failed after its attempts
+    When job "d1" of 1 task that always fails is submitted
+    Then job "d1" is failed within 10 s
+    And each task of job "d1" was started 2 times
+
+  Scenario Outline: Jobs complete once while <fault>
+    When 30 jobs of two steps are submitted
+    And the fault is that <fault>
+    Then all jobs are completed within 40 s
+    And no rule is broken
+
+    Examples:
+      | fault                                          |
+      | the scheduler is killed                        |
+      | the scheduler is frozen for 4 s                |
+      | the scheduler is stopped by SIGTERM            |
+      | the store is down for 3 s                      |
+      | the store refuses the scheduler for 5 s        |
+      | the store is silent to the scheduler for 5 s   |
+      | the store loses answers of transactions        |
+      | the store does transactions 2 s late           |
+      | the store takes 0.2 s for each answer          |
+      | the store forgets its history                  |
+      | a runner leaves orders unanswered and late     |
+      | a runner answers orders with 500 and late      |
+      | a runner goes silent for 3 s                   |
+      | a VM crashes and comes back                    |
+      | a VM crashes for good                          |
+      | all nodes are killed and started again         |
+
+  Scenario: A runner that is draining gets no new task
+    Given the runner of one VM drains
+    When 12 jobs of two steps are submitted
+    Then all jobs are completed within 20 s
+    And nothing was started on the draining runner
+
+  Scenario: Rows that another writer left are passed over
+    Given the registry holds rows that can't be used
+    When 12 jobs of two steps are submitted
+    Then all jobs are completed within 20 s
+    And a log line names each such row
+
+  Scenario: A planned stop cuts no call
+    When calls go on while every node is stopped in turn
+    Then no call was cut
+
+  Scenario: An older configuration never comes back
+    When the queue of "trails" is removed by a newer configuration
+    Then every node answers 404 for it within 2 s
--- /dev/null
+++ b/tests/features/steps/platform_steps.py
@@ -0,0 +1,535 @@
+"""Steps on real nodes against the stand-in of the users' platform."""
+
+import base64
+import contextlib
+import json
+import signal
+import threading
+import time
+
+from behave import given
+from behave import then
+from behave import when
+from emulator import nodes
+from emulator import rules
+from emulator import store
+
+_POOL = "trails"
+# The platform kills a process this long after SIGTERM.
+_EXIT_SECONDS = 6
+_TWO_STEPS = [
+    {"count": 4, "cpu": 4000, "estimated_ms": 300},
+    {"count": 2, "cpu": 8000, "estimated_ms": 300, "after": [0]},
+]
+
+
+def _id(name):
+    return name.encode().hex().rjust(16, "0")
+
+
+def _intervals(context, name):
+    return context.cluster.world.log.starts_of(_id(name))
+
+
+def _running(context, name):
+    return [each for each in _intervals(context, name) if not each.ended]
+
+
+def _after(seconds, action):
+    timer = threading.Timer(seconds, action)
+    timer.daemon = True
+    timer.start()
+
+
+@given(
+    '{count:d} job nodes with {vms:d} VMs in "trails" and {spare:d} in standby'
+)
+def _cluster(context, count, vms, spare):
+    context.cluster = context.stack.enter_context(
+        nodes.cluster(
+            nodes=count,
+            pools={_POOL: vms, "spare": spare},
+            standby=("spare",),
+        )
+    )
+    context.jobs = []
+
+
+@given("the runner of one VM drains")
+def _drain(context):
+    world = context.cluster.world
+    vm = next(n for n, each in world.vms.items() if each["pool"] == _POOL)
+    context.draining = world.runner_of(vm)
+    context.draining.state = "draining"
+    time.sleep(1.2)
+
+
+@given("the registry holds rows that can't be used")
+def _bad_rows(context):
+    world = context.cluster.world
+    world.write("servers", "i-none", {"service": 7, "state": "ready"})
+    world.write("servers", "i-odd", {"state": "asleep", "address": "x"})
+    world.write("servers", "i-list", {"capacity": [1], "service": "trails"})
+
+
+@when(
+    'job "{name}" of {count:d} tasks is submitted {times:d} '
+    "times at every node"
+)
+def _submit_often(context, name, count, times):
+    steps = [{"count": count, "cpu": 1000}]
+    for _ in range(times):
+        for node in context.cluster.nodes:
+            reply = context.cluster.submit(node, _POOL, _id(name), steps)
+            assert reply.status == 200, reply.status
+
+
+def _submit(context, name, steps, **options):
+    reply = context.cluster.submit(
+        context.cluster.nodes[0], _POOL, _id(name), steps, **options
+    )
+    assert reply.status == 200, reply.status
+
+
+@when('job "{name}" of 1 task that fits nowhere is submitted')
+def _submit_large(context, name):
+    _submit(context, name, [{"count": 1, "cpu": 900000}])
+
+
+@when('job "{name}" of 1 task that always fails is submitted')
+def _submit_poison(context, name):
+    _submit(context, name, [{"count": 1, "cpu": 1000}], poison=True)
+
+
+@when('job "{name}" of {count:d} long-lived tasks is submitted')
+def _submit_lasting(context, name, count):
+    steps = [{"count": count, "cpu": 3000, "long_lived": True, "may_miss": 1}]
+    _submit(context, name, steps, seconds=1e6)
+    context.lasting = count
+
+
+@when("{count:d} jobs of two steps are submitted")
+def _submit_many(context, count):
+    context.jobs = [f"j{number}" for number in range(count)]
+    for number, name in enumerate(context.jobs):
+        node = context.cluster.nodes[number % len(context.cluster.nodes)]
+        reply = context.cluster.submit(
+            node, _POOL, _id(name), _TWO_STEPS, seconds=0.3
+        )
+        assert reply is not None and reply.status == 200, reply
+
+
+@when('job "{name}" runs')
+def _runs(context, name):
+    _has_tasks(context, name, context.lasting, 8)
+
+
+@when('job "{name}" is cancelled')
+def _cancel(context, name):
+    path = f"/{_POOL}/{_id(name)}"
+    reply = context.cluster.call(context.cluster.nodes[1], "DELETE", path)
+    assert reply.status == 200, reply.status
+
+
+@when('job "{name}" is cancelled in the rows')
+def _cancel_row(context, name):
+    # What a node does for a caller while no scheduler is there.
+    world = context.cluster.world
+    row = world.read("jobs", _id(name), f"q-{_POOL}")
+    world_row = {"table": "jobs", "part": f"q-{_POOL}", "key": _id(name)}
+    row["cancelled"] = True
+    text = json.dumps(row).encode()
+    world_row["value"] = base64.b64encode(text).decode()
+    world.store._apply(
+        {"precondition": [], "upserts": [world_row], "remove": []}
+    )
+
+
+@when("the scheduler is killed")
+def _kill_scheduler(context):
+    context.killed = context.cluster.scheduler()
+    context.epoch = context.cluster.world.read("control", "scheduler")["epoch"]
+    context.killed.kill()
+
+
+@when("another scheduler has begun")
+def _other_scheduler(context):
+    def begun():
+        row = context.cluster.world.read("control", "scheduler")
+        return row["epoch"] > context.epoch
+
+    nodes.wait_for(begun, 8, "another epoch")
+
+
+@when("all nodes are killed")
+def _kill_all(context):
+    for node in context.cluster.nodes:
+        node.kill()
+
+
+@when("the nodes are started again")
+def _start_all(context):
+    context.cluster.start()
+
+
+@when('a VM that runs job "{name}" crashes for good')
+def _crash_with(context, name):
+    world = context.cluster.world
+    interval = _running(context, name)[0]
+    interval.runner.die()
+    world.vms.pop(interval.runner.vm)
+
+
+@when(
+    'a wave over all VMs in "trails" with {count:d} at once is '
+    "ordered for {seconds:d} s"
+)
+def _wave(context, count, seconds):
+    world = context.cluster.world
+    vms = [n for n, each in world.vms.items() if each["pool"] == _POOL]
+    world.order_wave(1, vms, seconds, count)
+    time.sleep(1.5)
+
+
+_FAULTS = {}
+
+
+def _fault(text):
+    def register(function):
+        _FAULTS[text] = function
+        return function
+
+    return register
+
+
+@when("the fault is that {fault}")
+def _make_fault(context, fault):
+    _FAULTS[fault](context)
+
+
+@_fault("nothing fails")
+def _nothing(context):
+    return None
+
+
+_fault("the scheduler is killed")(_kill_scheduler)
+
+
+@_fault("the scheduler is frozen for 4 s")
+def _freeze(context):
+    node = context.cluster.scheduler()
+    node.send(signal.SIGSTOP)
+    _after(4, lambda: node.send(signal.SIGCONT))
+
+
+@_fault("the scheduler is stopped by SIGTERM")
+def _term(context):
+    context.cluster.scheduler().send(signal.SIGTERM)
+
+
+def _refuse(context, who, seconds, kind):
+    faults = context.cluster.world.store.faults
+    callers = getattr(faults, kind)
+    callers.add(who)
+    _after(seconds, lambda: callers.discard(who))
+
+
+@_fault("the store is down for 3 s")
+def _store_down(context):
+    _refuse(context, store.EVERYONE, 3, "refused")
+
+
+@_fault("the store refuses the scheduler for 5 s")
+def _store_refuses(context):
+    host = context.cluster.scheduler().store_host
+    _refuse(context, host, 5, "refused")
+
+
+@_fault("the store is silent to the scheduler for 5 s")
+def _store_silent(context):
+    host = context.cluster.scheduler().store_host
+    _refuse(context, host, 5, "silent")
+
+
+@_fault("the store loses answers of transactions")
+def _store_loses(context):
+    context.cluster.world.store.faults.lose = 8
+
+
+@_fault("the store does transactions 2 s late")
+def _store_late(context):
+    faults = context.cluster.world.store.faults
+    faults.late_seconds = 2.0
+    faults.lose = 5
+
+
+@_fault("the store takes 0.2 s for each answer")
+def _store_slow(context):
+    context.cluster.world.store.faults.slow_seconds = 0.2
+
+
+@_fault("the store forgets its history")
+def _store_compacts(context):
+    for delay in (0.1, 0.3, 0.6, 1.0):
+        _after(delay, context.cluster.world.store.compact)
+
+
+def _busy_vm(context):
+    world = context.cluster.world
+    return max(
+        (
+            name
+            for name, each in tuple(world.vms.items())
+            if each["pool"] == _POOL and each["state"] == "up"
+        ),
+        key=lambda vm: len(world.on(vm)),
+    )
+
+
+@_fault("a runner leaves orders unanswered and late")
+def _late_orders(context):
+    world = context.cluster.world
+    runner = world.runner_of(_busy_vm(context))
+    runner.faults.late_seconds = 2.0
+
+    def well():
+        runner.faults.late_seconds = 0.0
+
+    _after(3, well)
+
+
+@_fault("a runner answers orders with 500 and late")
+def _odd_orders(context):
+    context.cluster.world.runner_of(_busy_vm(context)).faults.odd = True
+    _late_orders(context)
+
+
+@_fault("a runner goes silent for 3 s")
+def _silent_runner(context):
+    runner = context.cluster.world.runner_of(_busy_vm(context))
+    runner.faults.silent = True
+
+    def well():
+        runner.faults.silent = False
+
+    _after(3, well)
+
+
+@_fault("a VM crashes and comes back")
+def _crash_and_back(context):
+    context.cluster.world.crash(_busy_vm(context), back_after=2.0)
+
+
+@_fault("a VM crashes for good")
+def _crash(context):
+    vm = _busy_vm(context)
+    context.cluster.world.crash(vm)
+    context.cluster.world.vms.pop(vm)
+
+
+@_fault("all nodes are killed and started again")
+def _restart_all(context):
+    time.sleep(0.3)
+    _kill_all(context)
+    _start_all(context)
+
+
+@when("calls go on while every node is stopped in turn")
+def _stop_in_turn(context):
+    cluster = context.cluster
+    context.cut = []
+    ended = threading.Event()
+
+    def calls(node):
+        number = 0
+        while not ended.is_set():
+            # A balancer sends to ready nodes only.
+            if not cluster.ready(node):
+                time.sleep(0.05)
+                continue
+            number += 1
+            job_id = f"{node.number:08x}{number:08x}"
+            body = [{"count": 1, "cpu": 1000}]
+            if cluster.submit(node, _POOL, job_id, body) is None:
+                context.cut.append(job_id)
+
+    threads = [
+        threading.Thread(target=calls, args=(node,), daemon=True)
+        for node in cluster.nodes
+    ]
+    for thread in threads:
+        thread.start()
+    try:
+        for node in cluster.nodes:
+            node.send(signal.SIGTERM)
+            node.process.wait(_EXIT_SECONDS)
+            node.start()
+            cluster.wait_ready(node)
+    finally:
+        ended.set()
+    for thread in threads:
+        thread.join()
+
+
+@when('the queue of "trails" is removed by a newer configuration')
+def _remove_queue(context):
+    context.cluster.world.configure(5, ["other"], ("spare",))
+
+
+@then("every node answers 404 for it within {seconds:d} s")
+def _gone_everywhere(context, seconds):
+    for node in context.cluster.nodes:
+
+        def gone(node=node):
+            reply = context.cluster.call(node, "GET", f"/{_POOL}/")
+            return reply is not None and reply.status == 404
+
+        nodes.wait_for(gone, seconds, f"404 at node {node.number}")
+
+
+@then("no call was cut")
+def _none_cut(context):
+    assert not context.cut, context.cut
+
+
+@then('job "{name}" is {state} within {seconds:d} s')
+def _job_state(context, name, state, seconds):
+    context.cluster.wait_state(_POOL, _id(name), state, seconds)
+
+
+@then("all jobs are completed within {seconds:d} s")
+def _all_completed(context, seconds):
+    deadline = time.monotonic() + seconds
+    for name in context.jobs:
+        left = max(0.1, deadline - time.monotonic())
+        context.cluster.wait_state(_POOL, _id(name), "completed", left)
+
+
+@then('every node shows job "{name}" as {state}')
+def _everywhere(context, name, state):
+    for node in context.cluster.nodes:
+        shown = context.cluster.state(_POOL, _id(name), node)
+        assert shown == state, (node.number, shown)
+
+
+@then('each task of job "{name}" was started once')
+def _started_once(context, name):
+    _started(context, name, 1)
+
+
+@then('each task of job "{name}" was started {times:d} times')
+def _started(context, name, times):
+    by_task = {}
+    for each in _intervals(context, name):
+        by_task.setdefault(each.task, []).append(each)
+    counts = {task: len(runs) for task, runs in by_task.items()}
+    assert counts and set(counts.values()) == {times}, counts
+
+
+@then("no rule is broken")
+def _no_rule_broken(context):
+    broken = rules.broken_rules(context.cluster.world)
+    assert not broken, broken[:10]
+
+
+@then('the count of "trails" is {count:d} at every node within {seconds:d} s')
+def _count(context, count, seconds):
+    for node in context.cluster.nodes:
+
+        def counted(node=node):
+            reply = context.cluster.call(node, "GET", f"/{_POOL}/")
+            return json.loads(reply.data) == {"pending": count}
+
+        nodes.wait_for(counted, seconds, f"count {count}")
+
+
+def _answered(context, method, path, status, body=None):
+    reply = context.cluster.call(context.cluster.nodes[0], method, path, body)
+    assert reply.status == status, reply.status
+
+
+@then("a call of an unknown queue is answered 404")
+def _unknown_queue(context):
+    _answered(context, "GET", f"/nowhere/{_id('x')}", 404)
+
+
+@then("a call of an unknown job is answered 410")
+def _unknown_job(context):
+    _answered(context, "GET", f"/{_POOL}/{_id('x')}", 410)
+    _answered(context, "DELETE", f"/{_POOL}/{_id('x')}", 410)
+
+
+@then("a submission without steps is answered 400")
+def _no_steps(context):
+    path = f"/{_POOL}/{_id('y')}"
+    for body in (b"{}", b"[1]", b"\xff", b'{"steps":[{"count":0}]}'):
+        _answered(context, "POST", path, 400, body)
+
+
+@then('nothing of job "{name}" runs within {seconds:d} s')
+def _nothing_runs(context, name, seconds):
+    nodes.wait_for(
+        lambda: not _running(context, name), seconds, f"{name} to stop"
+    )
+    time.sleep(1.0)
+    assert not _running(context, name)
+
+
+@then('job "{name}" has {count:d} tasks running within {seconds:d} s')
+def _has_tasks(context, name, count, seconds):
+    nodes.wait_for(
+        lambda: len(_running(context, name)) == count,
+        seconds,
+        f"{count} tasks of {name}",
+    )
+
+
+@then('job "{name}" runs on with the same runs for {seconds:d} s')
+def _same_runs(context, name, seconds):
+    before = {(each.task, each.run) for each in _running(context, name)}
+    time.sleep(seconds)
+    now = {(each.task, each.run) for each in _running(context, name)}
+    assert before == now and len(now) == context.lasting, (before, now)
+
+
+@then("the wave is shown as completed within {seconds:d} s")
+def _wave_done(context, seconds):
+    world = context.cluster.world
+
+    def done():
+        row = world.read("status", "wave/1")
+        return row == {"state": "completed"}
+
+    nodes.wait_for(done, seconds, "the wave's end")
+    left = (
+        set(world.vms)
+        & set(world.read("op", "wave/1")["machines"]) - world.waves[1]["done"]
+    )
+    assert not left, left
+
+
+@then("nothing was started on the draining runner")
+def _none_on_draining(context):
+    with context.cluster.world.log.lock:
+        found = [
+            each.task
+            for each in context.cluster.world.log.intervals
+            if each.runner is context.draining
+        ]
+    assert not found, found
+
+
+@then("a log line names each such row")
+def _rows_named(context):
+    keys = {line["key"] for line in context.cluster.events("row:unreadable")}
+    wanted = {f"servers//{name}" for name in ("i-none", "i-odd", "i-list")}
+    assert wanted <= keys, keys
+
+
+@then('a VM is moved to "trails" within {seconds:d} s')
+def _vm_moved(context, seconds):
+    world = context.cluster.world
+    nodes.wait_for(lambda: world.commands, seconds, "a move")
+    with contextlib.suppress(StopIteration):
+        _, vm, _, _ = next(iter(world.commands))
+        assert world.vms[vm]["pool"] == _POOL, world.vms[vm]
