Keep a task done when its copy's start has no known outcome

A task that is over stays over; only its needless run is stopped. Ruled out: an end acknowledged before its commit (the loop settles ends only after it).

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_controller.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_controller.py
@@ -523,9 +523,11 @@
         """Order a stop; the capacity is free when the end is listed."""
         if placed.task.phase is _Phase.STOPPING:
             return
-        placed.task.phase = _Phase.STOPPING
         placed.confirmed_at = float("inf")
-        self._book.mark(placed.job)
+        # A task that is over stays so; only its needless run is stopped.
+        if placed.task.phase not in _OVER:
+            placed.task.phase = _Phase.STOPPING
+            self._book.mark(placed.job)
         name = _ports.TaskName(job=placed.job.spec.id, task=placed.task.key)
         worker.link.order_stop(name, placed.task.run)
 
--- /dev/null
+++ b/tests/features/controller.feature
@@ -0,0 +1,34 @@
+Feature: What the scheduler makes of events, in one process
+
+  Scenario: A task that is done stays done when a copy's start is unknown
+    Given a scheduler with a task of run 1 on runner "i-1"
+    When run 1 is given up and run 2 is assigned to runner "i-2"
+    And runner "i-1" lists run 1 as done
+    And the start of run 2 has no known outcome
+    And runner "i-2" lists nothing
+    Then the task is done and the job completed
+
+  Scenario: A failure that is listed twice is one attempt
+    Given a scheduler with a task of run 1 on runner "i-1"
+    When runner "i-1" lists run 1 as failed
+    And the scheduler reads the job's row again
+    And runner "i-1" lists run 1 as failed once more
+    Then the task has failed once and waits
+
+  Scenario: Capacity of a run that is being stopped stays reserved
+    Given a scheduler with a task of run 1 on runner "i-1"
+    When the job is cancelled
+    Then runner "i-1" has the task's cores reserved
+    When runner "i-1" lists run 1 as stopped
+    Then runner "i-1" has all its cores free
+
+  Scenario: A run that nobody recorded is stopped, and nothing starts beside it
+    Given a scheduler with a task of run 1 on runner "i-1"
+    When runner "i-1" lists a run that nobody recorded
+    Then runner "i-1" is ordered to stop it
+    And runner "i-1" is closed for starts
+
+  Scenario: A runner's leases that another scheduler granted are waited for
+    Given a link to a runner that answers its first look with a run
+    Then its leases have not run out yet
+    And they have once the longest grant has passed in silence
--- a/tests/features/platform_jobs.feature
+++ b/tests/features/platform_jobs.feature
@@ -77,3 +77,14 @@
   Scenario: An older configuration never comes back
     When the queue of "trails" is removed by a newer configuration
     Then every node answers 404 for it within 2 s
+
+  Scenario Outline: What a runner did that was silent for <seconds> s counts
+    Given job "s1" of 2 tasks that may be copied runs on one VM
+    When that VM's runner is silent for <seconds> s and all others take orders late
+    Then job "s1" is completed within 10 s
+    And no task of job "s1" is started later than 1 s after that
+    And no rule is broken
+
+    Examples:
+      | seconds |
+      | 1.9     |
--- /dev/null
+++ b/tests/features/steps/controller_steps.py
@@ -0,0 +1,322 @@
+"""Steps on the scheduler's loop, with stubs for everything outside it."""
+
+import threading
+import time
+import unittest.mock
+
+from behave import given
+from behave import then
+from behave import when
+import peridotsill
+from returns import result
+
+from peridotsill_jobs import _controller
+from peridotsill_jobs import _lease
+from peridotsill_jobs import _links
+from peridotsill_jobs import _ports
+from peridotsill_jobs import _records
+from peridotsill_jobs import _settings
+import peridotsill_scheduler as scheduler
+
+_JOB = "00000000000000aa"
+_TASK = _ports.TaskName(job=_JOB, task="0.0.0")
+_QUEUE = scheduler.Queue(
+    name="q", host="h", prefix="/q/", pool="p", max_attempts=2
+)
+
+
+class _Table:
+    """A table in memory that takes every commit."""
+
+    def __init__(self):
+        self.rows = {}
+        self.version = 0
+
+    def commit(self, transaction):
+        self.version += 1
+        for write in transaction.writes:
+            self.rows[write.key] = (write.value, self.version)
+        return result.Success(self.version)
+
+    def read(self, keys):
+        return result.Success(
+            tuple(
+                peridotsill.Row(key=k, value=v[0], version=v[1])
+                for k, v in self.rows.items()
+                if k in keys and v[0] is not None
+            )
+        )
+
+
+def _entry(runner):
+    return _ports.RunnerEntry(
+        id=runner,
+        lifetime=1,
+        pool="p",
+        address="127.0.0.1:1",
+        domain="z",
+        rack="r",
+        labels=frozenset(),
+        capacity=scheduler.Resources(cores=32, memory_mib=65536),
+    )
+
+
+class _Link:
+    """Records orders in place of a runner's connections."""
+
+    reached = True
+    silent_seconds = 0.0
+    leases_lapsed = False
+    last_seen = 0
+
+    def __init__(self):
+        self.stops = []
+        self.starts = []
+
+    def order_stop(self, name, run):
+        self.stops.append((name, run))
+
+    def order_start(self, order):
+        self.starts.append(order)
+
+    def commit_ends(self, last_seen):
+        self.last_seen = last_seen
+
+    def stop(self):
+        return None
+
+
+def _settings_of():
+    return _settings.JobNodeSettings(
+        node="n",
+        domain="z",
+        callers="127.0.0.1:1",
+        readiness="127.0.0.1:2",
+        metrics="127.0.0.1:2",
+        platform="none",
+        table="",
+        vm_service="",
+    )
+
+
+@given('a scheduler with a task of run 1 on runner "i-1"')
+def _scheduler(context):
+    catalog = unittest.mock.Mock()
+    catalog.queue.return_value = _QUEUE
+    catalog.config = None
+    catalog.waves = ()
+    context.store = _Table()
+    ports = unittest.mock.Mock(table=context.store)
+    lease = _lease.Lease(node="n", table=context.store)
+    lease.try_acquire()
+    made = _controller.Controller(
+        parts=_controller.ControllerParts(
+            settings=_settings_of(),
+            ports=ports,
+            catalog=catalog,
+            lease=lease,
+            counters=peridotsill.Counters(),
+            stopped=threading.Event(),
+        )
+    )
+    context.controller = made
+    context.links = {}
+
+    def connect(entry):
+        context.links[entry.id] = _Link()
+        return context.links[entry.id]
+
+    made._workers._connect = connect
+    made._workers.update((_entry("i-1"), _entry("i-2")))
+    _add_job(context)
+
+
+def _add_job(context):
+    step = scheduler.Step(
+        index=0,
+        task_count=1,
+        demand=scheduler.Resources(cores=8),
+        speculative=True,
+    )
+    submission = _records.Submission(
+        spec=scheduler.JobSpec(id=_JOB, queue="q", payload="", steps=(step,)),
+        queue=_QUEUE,
+        arrived_ms=time.time() * 1000,
+    )
+    row = peridotsill.Row(
+        key=_records.row_key(_records.JOBS, "q", _JOB),
+        value=_records.submission_value(submission),
+        version=1,
+    )
+    context.job, _ = context.controller._book.take(row)
+    context.task = context.job.tasks[0]
+    _assign(context, 1, "i-1")
+
+
+def _assign(context, run, runner):
+    controller = context.controller
+    task = context.task
+    task.run = run
+    task.phase = scheduler.TaskPhase.RUNNING
+    task.runner = runner
+    task.lifetime = 1
+    scheduler.refresh_state(context.job)
+    worker = controller._workers.get(runner, 1)
+    controller._workers.place(
+        worker, context.job, task, confirmed_at=float("inf")
+    )
+    controller._book.mark(context.job)
+    controller._book.commit()
+
+
+def _list(context, runner, *, running=(), ended=()):
+    context.controller._handle(
+        _links.Looked(
+            runner=runner,
+            lifetime=1,
+            asked_at=time.monotonic() + 60,
+            report=_ports.RunnerReport(
+                lifetime=1,
+                clock_ms=1000.0,
+                running=tuple(running),
+                ended=tuple(ended),
+            ),
+        )
+    )
+
+
+def _end(number, run, kind):
+    return _ports.ReportedEnd(
+        number=number, name=_TASK, run=run, kind=_ports.EndKind(kind)
+    )
+
+
+@when('run 1 is given up and run 2 is assigned to runner "i-2"')
+def _give_up(context):
+    worker = context.controller._workers.get("i-1", 1)
+    worker.placed.clear()
+    context.controller._release([(context.job, context.task)], "silent")
+    _assign(context, 2, "i-2")
+
+
+@when('runner "{runner}" lists run {run:d} as {kind}')
+def _listed(context, runner, run, kind):
+    _list(context, runner, ended=[_end(1, run, kind.split()[0])])
+
+
+@when("the start of run 2 has no known outcome")
+def _unknown(context):
+    context.controller._handle(
+        _links.OrderOutcome(
+            runner="i-2",
+            lifetime=1,
+            name=_TASK,
+            run=2,
+            is_start=True,
+            result=_links.OrderResult.UNKNOWN,
+            reason="no answer",
+            at=time.monotonic(),
+            clean=False,
+        )
+    )
+
+
+@when('runner "i-2" lists nothing')
+def _nothing(context):
+    worker = context.controller._workers.get("i-2", 1)
+    for placed in worker.placed.values():
+        placed.confirmed_at = time.monotonic()
+    _list(context, "i-2")
+
+
+@then("the task is done and the job completed")
+def _done(context):
+    assert context.task.phase is scheduler.TaskPhase.DONE, context.task
+    assert context.job.state is scheduler.JobState.COMPLETED, context.job
+
+
+@when("the scheduler reads the job's row again")
+def _reload(context):
+    controller = context.controller
+    controller._book.commit()
+    key = _records.row_key(_records.PROGRESS, "q", _JOB)
+    row = context.store.read((key,)).unwrap()[0]
+    controller._book._restore_progress(context.job, row)
+    context.task = context.job.tasks[0]
+    controller._workers.get("i-1", 1).applied = 0
+
+
+@then("the task has failed once and waits")
+def _failed_once(context):
+    assert context.task.failures == 1, context.task
+    assert context.task.phase is scheduler.TaskPhase.WAITING, context.task
+
+
+@when("the job is cancelled")
+def _cancel(context):
+    context.controller._cancel(context.job)
+
+
+def _free(context):
+    worker = context.controller._workers.get("i-1", 1)
+    return worker.view(time.monotonic()).free.cores
+
+
+@then('runner "i-1" has the task\'s cores reserved')
+def _reserved(context):
+    assert _free(context) == 24, _free(context)
+
+
+@then('runner "i-1" has all its cores free')
+def _all_free(context):
+    assert _free(context) == 32, _free(context)
+
+
+@when('runner "i-1" lists a run that nobody recorded')
+def _stranger(context):
+    context.stranger = _ports.TaskName(job="ff", task="0.0.0")
+    run = _ports.ReportedRun(name=context.stranger, run=3, checkpoint="")
+    own = _ports.ReportedRun(name=_TASK, run=1, checkpoint="")
+    _list(context, "i-1", running=[run, own])
+
+
+@then('runner "i-1" is ordered to stop it')
+def _ordered(context):
+    assert (context.stranger, 3) in context.links["i-1"].stops
+
+
+@then('runner "i-1" is closed for starts')
+def _closed(context):
+    worker = context.controller._workers.get("i-1", 1)
+    assert worker.why_closed(time.monotonic())
+
+
+@given("a link to a runner that answers its first look with a run")
+def _link(context):
+    lease = unittest.mock.Mock(epoch=1, lapsed_seconds=-1.0, held=True)
+    runner = unittest.mock.Mock()
+    context.link = _links.RunnerLink(
+        parts=_links.LinkParts(
+            entry=_entry("i-1"),
+            connect=lambda entry: runner,
+            lease=lease,
+            max_lease_seconds=0.5,
+            post=lambda event: None,
+        )
+    )
+    run = _ports.ReportedRun(name=_TASK, run=1, checkpoint="")
+    runner.look.return_value = _ports.RunnerReport(
+        lifetime=1, clock_ms=1000.0, running=(run,), ended=()
+    )
+    context.link._look()
+
+
+@then("its leases have not run out yet")
+def _not_lapsed(context):
+    assert context.link.reached and not context.link.leases_lapsed
+
+
+@then("they have once the longest grant has passed in silence")
+def _lapsed(context):
+    time.sleep(0.5)
+    assert context.link.leases_lapsed
--- a/tests/features/steps/platform_steps.py
+++ b/tests/features/steps/platform_steps.py
@@ -334,6 +334,51 @@
     _start_all(context)
 
 
+@given('job "{name}" of {count:d} tasks that may be copied runs on one VM')
+def _copied(context, name, count):
+    steps = [{"count": count, "cpu": 1000, "speculative": True}]
+    _submit(context, name, steps, seconds=0.4)
+    nodes.wait_for(
+        lambda: len(_running(context, name)) == count, 3, "its tasks"
+    )
+    runners = {each.runner for each in _running(context, name)}
+    assert len(runners) == 1, runners
+    context.silent = runners.pop()
+
+
+@when(
+    "that VM's runner is silent for {seconds:f} s and all others take "
+    "orders late"
+)
+def _silent_and_late(context, seconds):
+    others = [
+        each
+        for each in context.cluster.world.runners.values()
+        if each is not context.silent
+    ]
+    for each in others:
+        each.faults.late_seconds = 2.0
+    context.silent.faults.silent = True
+    time.sleep(seconds)
+    context.silent.faults.silent = False
+    time.sleep(2.5)
+    for each in others:
+        each.faults.late_seconds = 0.0
+
+
+@then('no task of job "{name}" is started later than {seconds:d} s after that')
+def _not_again(context, name, seconds):
+    context.cluster.wait_state(_POOL, _id(name), "completed", 1)
+    shown = time.monotonic()
+    time.sleep(4)
+    late = [
+        each.task
+        for each in _intervals(context, name)
+        if each.began > shown + seconds
+    ]
+    assert not late, late
+
+
 @when("calls go on while every node is stopped in turn")
 def _stop_in_turn(context):
     cluster = context.cluster
