Ask for placement advice, and pace what fills beside what serves

The advisor is asked once for each step that is ready, its permits bound placement, its tickets go with the starts. Filling tasks stand still after three looks over the target.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_controller.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_controller.py
@@ -8,6 +8,7 @@
 import attrs
 import peridotsill
 
+from peridotsill_jobs import _advice
 from peridotsill_jobs import _book
 from peridotsill_jobs import _catalog
 from peridotsill_jobs import _clock
@@ -37,6 +38,8 @@
 # each failure, up to the second figure.
 _BACKOFF_SECONDS = 0.05
 _MAX_BACKOFF_SECONDS = 1.0
+# Speeds are changed at most this often: a tail covers half a second.
+_PACE_SECONDS = 0.45
 # A stop that was answered is ordered again if the run is still listed after
 # this time; longer than a stop may take.
 _STOP_AGAIN_SECONDS = 1.5
@@ -48,6 +51,7 @@
     | _links.Looked
     | _links.OrderOutcome
     | _commands.CommandOutcome
+    | _advice.Advised
 )
 
 
@@ -86,6 +90,12 @@
             post=self._inbox.put,
         )
         self._fleet = self._make_fleet()
+        self._asked: set[tuple[str, str, int, int]] = set()
+        self._desk: _advice.AdviceDesk | None = None
+        if parts.ports.advisor is not None:
+            self._desk = _advice.AdviceDesk(
+                advisor=parts.ports.advisor, post=self._inbox.put
+            )
         self._max_lease_seconds = parts.settings.bounds.max_lease_ms / 1000.0
 
     def _connect(self, entry: _ports.RunnerEntry) -> _links.RunnerLink:
@@ -140,6 +150,8 @@
         finally:
             self._feeds.stop()
             self._commander.stop()
+            if self._desk is not None:
+                self._desk.stop()
             self._workers.stop()
 
     def _load(self) -> int | None:
@@ -185,6 +197,8 @@
                 self._fleet.take_vms(event)
             case _commands.CommandOutcome():
                 self._fleet.take_outcome(event)
+            case _advice.Advised():
+                self._take_advice(event)
             case _links.Looked():
                 self._take_look(event)
             case _links.OrderOutcome():
@@ -418,6 +432,52 @@
         worker.strangers = len(running)
         for each in running.values():
             self._stop_stranger(worker, each)
+        self._pace(worker)
+
+    def _pace(self, worker: _workers.Worker) -> None:
+        """Let filling tasks work as fast as the serving ones bear."""
+        seen = [
+            each
+            for each in worker.placed.values()
+            if each.seen and each.task.phase is _Phase.RUNNING
+        ]
+        fillers = [each for each in seen if each.task.step.fills]
+        tails = [
+            peridotsill_scheduler.Tail(
+                tail_ms=each.gauge, target_ms=each.task.step.tail_target_ms
+            )
+            for each in seen
+            if each.task.step.tail_target_ms
+        ]
+        worker.link.watch_closely(bool(fillers and tails))
+        now = _clock.awake_seconds()
+        if not fillers or now - worker.paced_at < _PACE_SECONDS:
+            return
+        worker.paced_at = now
+        before = min(each.speed_percent for each in fillers)
+        percent = peridotsill_scheduler.plan_pace(tails, before)
+        for each in fillers:
+            if each.speed_percent != percent:
+                self._order_pace(worker, each, percent, tails)
+
+    def _order_pace(
+        self,
+        worker: _workers.Worker,
+        placed: _workers.Placed,
+        percent: int,
+        tails: list[peridotsill_scheduler.Tail],
+    ) -> None:
+        _logs.log(
+            "task:pace",
+            job=placed.job.spec.id,
+            task=placed.task.key,
+            runner=worker.entry.id,
+            percent=percent,
+            tails_ms=[each.tail_ms for each in tails],
+            targets_ms=[each.target_ms for each in tails],
+        )
+        name = _ports.TaskName(job=placed.job.spec.id, task=placed.task.key)
+        worker.link.order_pace(name, placed.task.run, percent)
 
     def _seen_running(
         self, placed: _workers.Placed, found: _ports.ReportedRun
@@ -511,7 +571,7 @@
                 task.started_at = outcome.at
             return
         if result is _links.OrderResult.REFUSED:
-            worker.hold_off()
+            self._take_refusal(worker, job, task, outcome.reason)
         if outcome.clean and outcome.reason != "old":
             del worker.placed[(job.spec.id, task.key)]
             self._wait_again(job, task)
@@ -519,6 +579,20 @@
             return
         self._stop(worker, placed)
 
+    def _take_refusal(
+        self,
+        worker: _workers.Worker,
+        job: peridotsill_scheduler.Job,
+        task: peridotsill_scheduler.Task,
+        reason: str,
+    ) -> None:
+        if reason != "ticket":
+            worker.hold_off()
+            return
+        permit = peridotsill_scheduler.permit_for(job, task, task.runner)
+        if permit is not None:
+            job.permits.remove(permit)
+
     def _stop(self, worker: _workers.Worker, placed: _workers.Placed) -> None:
         """Order a stop; the capacity is free when the end is listed."""
         if placed.task.phase is _Phase.STOPPING:
@@ -614,6 +688,7 @@
             views.setdefault(view.pool, []).append(view)
         starts: list[peridotsill_scheduler.Start] = []
         for pool, members in jobs.items():
+            self._ask_advice(members, views.get(pool, []), now)
             starts += peridotsill_scheduler.plan_starts(
                 policy=self._parts.settings.order_policy,
                 jobs=members,
@@ -623,6 +698,81 @@
             )
         return starts
 
+    def _ask_advice(
+        self,
+        jobs: list[peridotsill_scheduler.Job],
+        vms: list[peridotsill_scheduler.VmView],
+        now: float,
+    ) -> None:
+        """Ask which runners may run the steps that are ready."""
+        if self._desk is None:
+            return
+        for job in jobs:
+            timing = job.queue.advice
+            if timing is None:
+                continue
+            job.permits = [each for each in job.permits if each.until > now]
+            seen: set[tuple[int, int]] = set()
+            for task in peridotsill_scheduler.ready_tasks(job, now):
+                step = (task.occurrence, task.step.index)
+                if step not in seen:
+                    seen.add(step)
+                    self._ask_for(self._desk, job, task, vms, timing)
+
+    def _ask_for(
+        self,
+        desk: _advice.AdviceDesk,
+        job: peridotsill_scheduler.Job,
+        task: peridotsill_scheduler.Task,
+        vms: list[peridotsill_scheduler.VmView],
+        timing: peridotsill_scheduler.AdviceTiming,
+    ) -> None:
+        asked = (*job.key, task.occurrence, task.step.index)
+        if asked in self._asked or any(vm.allows(job, task) for vm in vms):
+            return
+        fresh = [
+            vm
+            for vm in vms
+            if vm.has_room(job, task)
+            and not peridotsill_scheduler.permit_for(job, task, vm.runner)
+        ]
+        if not fresh:
+            return
+        fresh.sort(key=lambda vm: -vm.free.cores)
+        self._asked.add(asked)
+        desk.ask(
+            _advice.Question(
+                job=job,
+                occurrence=task.occurrence,
+                step=task.step.index,
+                runners=tuple(
+                    vm.runner for vm in fresh[: _advice.MOST_RUNNERS]
+                ),
+                timing=timing,
+            )
+        )
+
+    def _take_advice(self, advised: _advice.Advised) -> None:
+        question = advised.question
+        job = question.job
+        self._asked.discard((*job.key, question.occurrence, question.step))
+        if not advised.answered:
+            return
+        good = {each.runner for each in advised.permits}
+        job.permits += advised.permits
+        # What the policy says of a step does not change.
+        job.permits += [
+            peridotsill_scheduler.Permit(
+                occurrence=question.occurrence,
+                step=question.step,
+                runner=runner,
+                ticket="",
+                until=float("inf"),
+            )
+            for runner in question.runners
+            if runner not in good
+        ]
+
     def _assign(
         self, start: peridotsill_scheduler.Start, now: float
     ) -> _ports.StartOrder:
@@ -647,8 +797,17 @@
             lease_until_ms=0.0,
             fence=self._parts.lease.epoch,
             checkpoint=task.checkpoint,
+            ticket=self._ticket_for(job, task),
         )
 
+    def _ticket_for(
+        self,
+        job: peridotsill_scheduler.Job,
+        task: peridotsill_scheduler.Task,
+    ) -> str:
+        permit = peridotsill_scheduler.permit_for(job, task, task.runner)
+        return permit.ticket if permit else ""
+
     def _next_run(
         self,
         job: peridotsill_scheduler.Job,
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_links.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_links.py
@@ -15,6 +15,8 @@
 
 # A runner answers a look when a run ends, or after this time.
 _WAIT_SECONDS = 1.0
+# The wait while filling tasks are paced: what a tail is measured over.
+_CLOSE_WAIT_SECONDS = 0.5
 # Time for an answer beyond the wait; some twenty times the usual one.
 _LOOK_TIMEOUT_SECONDS = 0.7
 # Time for the answer to an order, before it is sent once more.
@@ -124,6 +126,7 @@
         self._lookout = parts.connect(parts.entry)
         self._orders_to = parts.connect(parts.entry)
         self._orders: queue.SimpleQueue[_Order | None] = queue.SimpleQueue()
+        self._wait_seconds = _WAIT_SECONDS
         self._withdrawn: set[_Stop] = set()
         self._stopped = threading.Event()
         self._committed = threading.Condition()
@@ -177,6 +180,10 @@
         with self._committed:
             self._committed.notify_all()
 
+    def watch_closely(self, close: bool) -> None:
+        """Look more often, for the tails of serving tasks."""
+        self._wait_seconds = _CLOSE_WAIT_SECONDS if close else _WAIT_SECONDS
+
     def commit_ends(self, last_seen: int) -> None:
         """Let the runner forget the ends up to ``last_seen``."""
         with self._committed:
@@ -229,7 +236,7 @@
         self._await_commit()
         until = self._until_ms()
         trusted = until is not None and self._reported <= self._last_seen
-        wait = _WAIT_SECONDS if trusted else 0.0
+        wait = self._wait_seconds if trusted else 0.0
         asked_at = _clock.awake_seconds()
         try:
             report = self._lookout.look(
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_workers.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_workers.py
@@ -65,6 +65,7 @@
     )
     vm: str = ""
     avoided: bool = False
+    paced_at: float = 0.0
     held_back: str = ""
 
     @property
--- a/packages/peridotsill_scheduler/src/peridotsill_scheduler/__init__.py
+++ b/packages/peridotsill_scheduler/src/peridotsill_scheduler/__init__.py
@@ -26,6 +26,8 @@
 from peridotsill_scheduler._order import order_policies
 from peridotsill_scheduler._order import order_policy
 from peridotsill_scheduler._order import OrderInput
+from peridotsill_scheduler._pacing import plan_pace
+from peridotsill_scheduler._pacing import Tail
 from peridotsill_scheduler._placement import place_job
 from peridotsill_scheduler._placement import Start
 from peridotsill_scheduler._progress import ACTIVE_PHASES
@@ -34,6 +36,8 @@
 from peridotsill_scheduler._progress import JobState
 from peridotsill_scheduler._progress import LATE_FACTOR
 from peridotsill_scheduler._progress import open_occurrences
+from peridotsill_scheduler._progress import Permit
+from peridotsill_scheduler._progress import permit_for
 from peridotsill_scheduler._progress import ready_tasks
 from peridotsill_scheduler._progress import refresh_state
 from peridotsill_scheduler._progress import Task
@@ -56,6 +60,7 @@
     "MaintenanceStep",
     "Move",
     "OrderInput",
+    "Permit",
     "PoolNeed",
     "PoolSettings",
     "PoolSupply",
@@ -63,6 +68,7 @@
     "Resources",
     "Start",
     "Step",
+    "Tail",
     "Task",
     "TaskPhase",
     "VmView",
@@ -74,9 +80,11 @@
     "order_jobs",
     "order_policies",
     "order_policy",
+    "permit_for",
     "place_job",
     "plan_maintenance",
     "plan_moves",
+    "plan_pace",
     "plan_starts",
     "pool_need",
     "ready_tasks",
--- a/packages/peridotsill_scheduler/src/peridotsill_scheduler/_placement.py
+++ b/packages/peridotsill_scheduler/src/peridotsill_scheduler/_placement.py
@@ -101,7 +101,7 @@
     best: _vms.VmView | None = None
     best_rank: tuple[float, ...] = ()
     for vm in vms:
-        if not vm.allows(job.spec.id, task):
+        if not vm.allows(job, task):
             continue
         rank = _rank(task, vm)
         if best is None or rank < best_rank:
--- a/packages/peridotsill_scheduler/src/peridotsill_scheduler/_progress.py
+++ b/packages/peridotsill_scheduler/src/peridotsill_scheduler/_progress.py
@@ -77,6 +77,21 @@
         return self.phase in ACTIVE_PHASES
 
 
+@attrs.frozen(kw_only=True)
+class Permit:
+    """An advisor's permission to run a step on a runner.
+
+    ``until`` is in steady seconds. A permit with an empty ticket says that
+    the runner may not run the step.
+    """
+
+    occurrence: int
+    step: int
+    runner: str
+    ticket: str
+    until: float
+
+
 @attrs.define(kw_only=True, eq=False)
 class Job:
     """A job and its tasks.
@@ -84,7 +99,7 @@
     ``arrived_at`` is in steady seconds; ``arrived_ms`` is the Unix
     millisecond at which the accepting node saw the submission.
     ``row_version`` is the version of the progress row, 0 before there
-    is one.
+    is one. ``permits`` matter only for a queue with placement advice.
     """
 
     spec: _model.JobSpec
@@ -95,6 +110,7 @@
     tasks: list[Task] = attrs.field(factory=list)
     row_version: int = 0
     opened: int = 0
+    permits: list[Permit] = attrs.field(factory=list)
 
     @property
     def key(self) -> tuple[str, str]:
@@ -112,6 +128,17 @@
         return any(step.long_lived for step in self.spec.steps)
 
 
+def permit_for(job: Job, task: Task, runner: str) -> Permit | None:
+    """Return what the advisor said of a runner for a task's step."""
+    for permit in job.permits:
+        if permit.runner == runner and (permit.occurrence, permit.step) == (
+            task.occurrence,
+            task.step.index,
+        ):
+            return permit
+    return None
+
+
 def open_occurrences(job: Job, now_ms: float) -> bool:
     """Create the tasks of every occurrence that is due; tell if any was.
 
--- a/packages/peridotsill_scheduler/src/peridotsill_scheduler/_vms.py
+++ b/packages/peridotsill_scheduler/src/peridotsill_scheduler/_vms.py
@@ -44,15 +44,23 @@
         self.filling_count += task.step.fills
         self.long_lived_count += task.step.long_lived
 
-    def allows(self, job_id: str, task: _progress.Task) -> bool:
+    def allows(self, job: _progress.Job, task: _progress.Task) -> bool:
         """Tell whether the task may run here and has room."""
+        if job.queue.advice is not None:
+            permit = _progress.permit_for(job, task, self.runner)
+            if permit is None or not permit.ticket:
+                return False
+        return self.has_room(job, task)
+
+    def has_room(self, job: _progress.Job, task: _progress.Task) -> bool:
+        """Tell whether the task has room here, advice aside."""
         step = task.step
         if self.closed:
             return False
         if step.required_label and step.required_label not in self.labels:
             return False
         if step.max_per_vm:
-            key = (job_id, task.occurrence, step.index)
+            key = (job.spec.id, task.occurrence, step.index)
             if self.step_counts.get(key, 0) >= step.max_per_vm:
                 return False
         return self.free.covers(step.reserved)
--- a/tests/features/controller.feature
+++ b/tests/features/controller.feature
@@ -32,3 +32,10 @@
     Given a link to a runner that answers its first look with a run
     Then its leases have not run out yet
     And they have once the longest grant has passed in silence
+
+  Scenario: Advice is asked for once, and its ticket goes with the start
+    Given a scheduler with a queue that has placement advice
+    When a round is made
+    Then the advisor is asked once about both runners
+    When it allows runner "i-2" only
+    Then the task starts on runner "i-2" with the ticket
--- a/tests/features/scheduler.feature
+++ b/tests/features/scheduler.feature
@@ -60,3 +60,16 @@
 
   Scenario: Any backlog is placed within capacity
     Then drawn jobs on drawn VMs never exceed a VM's capacity
+
+  Scenario: What fills is slowed within the time that a tail may be over
+    Given filling tasks at full speed beside a tail of twice its target
+    Then they stand still after at most 3 looks
+    When the tail falls to half of its target
+    Then they are back at full speed after at most 8 looks
+    When the tail is at 0.8 of its target
+    Then their speed stays as it is
+
+  Scenario: A step with advice is placed only where its permit allows
+    Given 3 VMs of 32 cores in racks of one
+    When a step of 6 tasks of 16 cores with a permit for 2 of the VMs is placed
+    Then 4 tasks are placed, on 2 VMs
--- a/tests/features/steps/controller_steps.py
+++ b/tests/features/steps/controller_steps.py
@@ -4,12 +4,14 @@
 import time
 import unittest.mock
 
+import attrs
 from behave import given
 from behave import then
 from behave import when
 import peridotsill
 from returns import result
 
+from peridotsill_jobs import _advice
 from peridotsill_jobs import _controller
 from peridotsill_jobs import _lease
 from peridotsill_jobs import _links
@@ -71,6 +73,7 @@
 
     def __init__(self):
         self.stops = []
+        self.paces = []
         self.starts = []
 
     def order_stop(self, name, run):
@@ -82,6 +85,12 @@
     def commit_ends(self, last_seen):
         self.last_seen = last_seen
 
+    def watch_closely(self, close):
+        self.close = close
+
+    def order_pace(self, name, run, percent):
+        self.paces.append((name, run, percent))
+
     def stop(self):
         return None
 
@@ -106,7 +115,7 @@
     catalog.config = None
     catalog.waves = ()
     context.store = _Table()
-    ports = unittest.mock.Mock(table=context.store)
+    ports = unittest.mock.Mock(table=context.store, advisor=None)
     lease = _lease.Lease(node="n", table=context.store)
     lease.try_acquire()
     made = _controller.Controller(
@@ -320,3 +329,54 @@
 def _lapsed(context):
     time.sleep(0.5)
     assert context.link.leases_lapsed
+
+
+@given("a scheduler with a queue that has placement advice")
+def _advised_scheduler(context):
+    _scheduler(context)
+    timing = scheduler.AdviceTiming(
+        decision_seconds=0.1, vm_seconds=0.01, validity_seconds=3.0
+    )
+    context.job.queue = attrs.evolve(_QUEUE, advice=timing)
+    context.controller._parts.catalog.queue.return_value = context.job.queue
+    context.controller._registry_seen = True
+    context.desk = unittest.mock.Mock()
+    context.controller._desk = context.desk
+    context.controller._workers.forget_job(context.job)
+    context.task.phase = scheduler.TaskPhase.WAITING
+
+
+@when("a round is made")
+def _make_round(context):
+    context.controller._round()
+    context.controller._round()
+
+
+@then("the advisor is asked once about both runners")
+def _asked(context):
+    context.desk.ask.assert_called_once()
+    question = context.desk.ask.call_args.args[0]
+    assert set(question.runners) == {"i-1", "i-2"}, question
+
+
+@when('it allows runner "i-2" only')
+def _allowed(context):
+    question = context.desk.ask.call_args.args[0]
+    permit = scheduler.Permit(
+        occurrence=0,
+        step=0,
+        runner="i-2",
+        ticket="t-9",
+        until=time.monotonic() + 3,
+    )
+    context.controller._handle(
+        _advice.Advised(question=question, permits=(permit,), answered=True)
+    )
+    context.controller._round()
+
+
+@then('the task starts on runner "i-2" with the ticket')
+def _with_ticket(context):
+    starts = context.links["i-2"].starts
+    assert [order.ticket for order in starts] == ["t-9"], starts
+    assert not context.links["i-1"].starts
--- a/tests/features/steps/scheduler_steps.py
+++ b/tests/features/steps/scheduler_steps.py
@@ -318,3 +318,64 @@
         assert len(tasks) == len(set(tasks))
 
     check()
+
+
+def _pace(context, ratio):
+    tail = scheduler.Tail(tail_ms=100.0 * ratio, target_ms=100.0)
+    context.percent = scheduler.plan_pace([tail], context.percent)
+
+
+@given("filling tasks at full speed beside a tail of twice its target")
+def _disturbed(context):
+    context.percent = 100
+    context.ratio = 2.0
+
+
+@then("they stand still after at most {looks:d} looks")
+def _still(context, looks):
+    for _ in range(looks):
+        _pace(context, context.ratio)
+    assert context.percent == 0, context.percent
+
+
+@when("the tail falls to half of its target")
+def _falls(context):
+    context.ratio = 0.5
+
+
+@then("they are back at full speed after at most {looks:d} looks")
+def _back(context, looks):
+    for _ in range(looks):
+        _pace(context, context.ratio)
+    assert context.percent == 100, context.percent
+
+
+@when("the tail is at {ratio:f} of its target")
+def _at(context, ratio):
+    context.ratio = ratio
+
+
+@then("their speed stays as it is")
+def _stays(context):
+    before = context.percent
+    _pace(context, context.ratio)
+    assert context.percent == before, context.percent
+
+
+@when(
+    "a step of {count:d} tasks of {cores:d} cores with a permit for "
+    "{permitted:d} of the VMs is placed"
+)
+def _place_permitted(context, count, cores, permitted):
+    job = _job("j", count, cores, 1.0)
+    timing = scheduler.AdviceTiming(
+        decision_seconds=0.1, vm_seconds=0.01, validity_seconds=3.0
+    )
+    job.queue = attrs.evolve(job.queue, advice=timing)
+    for vm in context.vms[:permitted]:
+        job.permits.append(
+            scheduler.Permit(
+                occurrence=0, step=0, runner=vm.runner, ticket="t", until=9.0
+            )
+        )
+    _place(context, job)
