Spread submissions over partitions, and remove pending rows apart

Submissions go to four partitions by the job's id, progress has one of its own, and the rows that count pending jobs are removed by a thread of their own. A VM of a wave that is lent later no longer shows the wave as running.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_book.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_book.py
@@ -11,15 +11,16 @@
 from peridotsill_jobs import _clock
 from peridotsill_jobs import _lease
 from peridotsill_jobs import _logs
+from peridotsill_jobs import _pending
 from peridotsill_jobs import _records
 import peridotsill_platform
 import peridotsill_platform.exceptions
 import peridotsill_scheduler
 
 _JobKey = tuple[str, str]
-# Jobs in one commit; each takes up to three entries of the hundred that a
-# platform's table may allow.
-_JOBS_PER_COMMIT = 30
+# Jobs in one commit; each takes two entries of the hundred that a platform's
+# table may allow.
+_JOBS_PER_COMMIT = 45
 # Pause between tries of a commit while the table is away.
 _RETRY_SECONDS = 0.1
 
@@ -41,6 +42,7 @@
         counters: peridotsill.Counters,
     ) -> None:
         self._table = table
+        self._pending = _pending.PendingRows(table=table)
         self._catalog = catalog
         self._lease = lease
         self._counters = counters
@@ -88,8 +90,13 @@
         by_key = {row.key: row for row in made}
         for row in submitted:
             self._restore(row, by_key)
+        self._pending.start(frozenset(self._begun))
         return revision
 
+    def close(self) -> None:
+        """End the thread that follows the commits."""
+        self._pending.stop()
+
     def _restore(
         self, row: peridotsill.Row, progress: dict[str, peridotsill.Row]
     ) -> None:
@@ -229,11 +236,6 @@
             writes.append(
                 peridotsill_platform.Write(key=key, value=values[job.key])
             )
-            if job.key not in self._begun:
-                pending = _records.row_key(_records.PENDING, queue, job_id)
-                writes.append(
-                    peridotsill_platform.Write(key=pending, value=None)
-                )
         return peridotsill_platform.Transaction(
             checks=tuple(checks), writes=tuple(writes)
         )
@@ -243,7 +245,9 @@
     ) -> None:
         for job in jobs:
             job.row_version = revision
-            self._begun.add(job.key)
+            if job.key not in self._begun:
+                self._begun.add(job.key)
+                self._pending.begun(job.key)
 
     def _resolve(
         self,
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_controller.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_controller.py
@@ -150,6 +150,7 @@
         finally:
             self._feeds.stop()
             self._commander.stop()
+            self._book.close()
             if self._desk is not None:
                 self._desk.stop()
             self._workers.stop()
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_fleet.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_fleet.py
@@ -364,7 +364,7 @@
             self._show_wave(wave)
 
     def _show_wave(self, wave: _waves.Wave) -> None:
-        back = {vm for vm in wave.done if vm not in self._operations}
+        back = {vm for vm in wave.done if not self._maintained(wave, vm)}
         left = [
             vm for vm in wave.order.vms if vm not in back and vm in self._vms
         ]
@@ -390,6 +390,10 @@
                     reason=str(error),
                 )
 
+    def _maintained(self, wave: _waves.Wave, vm: str) -> bool:
+        operation = self._operations.get(vm)
+        return operation is not None and operation.wave == wave.order.name
+
     def _plan_wave(
         self,
         wave: _waves.Wave,
@@ -476,7 +480,7 @@
         self, wave: _waves.Wave, vm: str
     ) -> peridotsill_scheduler.MaintenanceStep:
         operation = self._operations.get(vm)
-        mine = operation is not None and operation.wave == wave.order.name
+        mine = self._maintained(wave, vm)
         if vm in wave.done and not mine:
             return _Step.DONE
         if not mine:
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_records.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_records.py
@@ -1,12 +1,15 @@
 """Rows of the job tables, and their keys.
 
-Three tables, each partitioned by queue: ``jobs`` holds what the caller
-submitted and whether it was cancelled, ``progress`` what the scheduler has
-decided and learned, and ``pending`` a row for each job that has not begun.
+``jobs`` holds what the caller submitted and whether it was cancelled, and
+``pending`` a row for each job that has not begun; both are spread over a few
+partitions for each queue, by the job's id, as a partition takes its
+transactions one after another. ``progress`` holds what the scheduler has
+decided and learned, in one partition that nothing else writes to.
 """
 
 import typing
 import urllib.parse
+import zlib
 
 import attrs
 import peridotsill
@@ -17,19 +20,31 @@
 JOBS = "jobs"
 PROGRESS = "progress"
 PENDING = "pending"
+# Partitions of a queue's submissions. On a store that is sixty times slower
+# than usual each still takes five transactions a second.
+_SHARDS = 4
 LEASE_KEY = "control//scheduler"
 
 _Phase = peridotsill_scheduler.TaskPhase
 
 
-def queue_prefix(table: str, queue: str) -> str:
-    """Return the prefix of a queue's rows in one of the tables."""
-    return f"{table}/{urllib.parse.quote(queue, safe='')}/"
+def queue_prefixes(table: str, queue: str) -> tuple[str, ...]:
+    """Return the prefixes of a queue's rows of ``jobs`` or ``pending``."""
+    return tuple(
+        _shard_prefix(table, queue, shard) for shard in range(_SHARDS)
+    )
+
+
+def _shard_prefix(table: str, queue: str, shard: int) -> str:
+    return f"{table}/{urllib.parse.quote(queue, safe='')}.{shard}/"
 
 
 def row_key(table: str, queue: str, job_id: str) -> str:
     """Return the key of a job's row in one of the tables."""
-    return queue_prefix(table, queue) + job_id
+    if table == PROGRESS:
+        return f"{PROGRESS}/scheduler/{queue}/{job_id}"
+    shard = zlib.crc32(job_id.encode()) % _SHARDS
+    return _shard_prefix(table, queue, shard) + job_id
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_submissions.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_submissions.py
@@ -202,8 +202,8 @@
             known = self._counts.get(queue)
         if known and now - known.read_at < _COUNT_SECONDS:
             return known
-        prefix = _records.queue_prefix(_records.PENDING, queue)
-        match self._table.scan((prefix,)):
+        prefixes = _records.queue_prefixes(_records.PENDING, queue)
+        match self._table.scan(prefixes):
             case result.Success(scan):
                 counted = Counted(pending=len(scan.rows), read_at=now)
             case result.Failure(error):
