--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_book.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_book.py
@@ -82,6 +82,7 @@
                 case result.Success(scan):
                     rows.append(scan.rows)
                     if revision is None:
+                        # The first table is the one that is watched.
                         revision = int(scan.revision)
                 case result.Failure(error):
                     _logs.log("book:unreadable", reason=str(error))
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_controller.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_controller.py
@@ -244,6 +244,7 @@
     ) -> None:
         self._parts.counters.add("ends", kind=str(end.kind))
         key = (end.name.job, end.name.task)
+        worker.abandoned.pop((*key, end.run), None)
         placed = worker.placed.get(key)
         current = placed is not None and placed.task.run == end.run
         _logs.log(
@@ -430,11 +431,26 @@
             elif placed.confirmed_at < looked.asked_at:
                 del worker.placed[key]
                 self._release([(placed.job, placed.task)], "not there")
+        self._compare_abandoned(worker, running, looked.asked_at)
         worker.strangers = len(running)
         for each in running.values():
             self._stop_stranger(worker, each)
         self._pace(worker)
 
+    def _compare_abandoned(
+        self,
+        worker: _workers.Worker,
+        running: dict[tuple[str, str, int], _ports.ReportedRun],
+        asked_at: float,
+    ) -> None:
+        """Stop the runs that were started again elsewhere."""
+        for key, placed in tuple(worker.abandoned.items()):
+            found = running.pop(key, None)
+            if found is not None:
+                worker.link.order_stop(found.name, found.run)
+            elif placed.confirmed_at < asked_at:
+                del worker.abandoned[key]
+
     def _pace(self, worker: _workers.Worker) -> None:
         """Let filling tasks work as fast as the serving ones bear."""
         seen = [
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_workers.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_workers.py
@@ -50,11 +50,16 @@
 
 @attrs.define(kw_only=True, eq=False)
 class Worker:
-    """A runner, its link and its tasks by job id, task and run."""
+    """A runner, its link and its tasks by job id and task.
+
+    ``abandoned`` holds, by job id, task and run, what was started again
+    elsewhere and may still run here; it takes capacity until it is gone.
+    """
 
     entry: _ports.RunnerEntry
     link: _links.RunnerLink
     placed: dict[tuple[str, str], Placed] = attrs.field(factory=dict)
+    abandoned: dict[tuple[str, str, int], Placed] = attrs.field(factory=dict)
     applied: int = 0
     listed: bool = True
     strangers: int = 0
@@ -124,7 +129,7 @@
             closed=self.why_closed(now),
             avoided=self.avoided,
         )
-        for placed in self.placed.values():
+        for placed in (*self.placed.values(), *self.abandoned.values()):
             view.reserve(placed.job.spec.id, placed.task)
         return view
 
@@ -222,7 +227,7 @@
             if worker.listed:
                 worker.listed = False
                 _logs.log("runner:unlisted", runner=runner)
-            if not worker.placed:
+            if not worker.placed and not worker.abandoned:
                 worker.link.stop()
                 del self._workers[runner]
         return ended
@@ -278,7 +283,7 @@
             + _links.run_lease_seconds(max_lease_seconds) / _links.CLOCK_FACTOR
         )
         for worker in self._workers.values():
-            if not worker.placed:
+            if not worker.placed and not worker.abandoned:
                 continue
             if worker.link.reached:
                 over = worker.link.leases_lapsed
@@ -287,6 +292,7 @@
             if over:
                 ended += [(p.job, p.task) for p in worker.placed.values()]
                 worker.placed.clear()
+                worker.abandoned.clear()
         if now > unknown_until:
             for tasks in self._missing.values():
                 ended += tasks
@@ -296,7 +302,7 @@
     def forsaken(self) -> list[JobTask]:
         """Return the tasks on silent runners that may run twice at once.
 
-        If such a runner comes back, its run is stopped as unknown.
+        If such a runner comes back, its run is stopped.
         """
         ended: list[JobTask] = []
         for worker in self._workers.values():
@@ -305,6 +311,7 @@
             for key, placed in tuple(worker.placed.items()):
                 if placed.task.step.speculative:
                     del worker.placed[key]
+                    worker.abandoned[(*key, placed.task.run)] = placed
                     ended.append((placed.job, placed.task))
         return ended
 
--- a/tests/features/controller.feature
+++ b/tests/features/controller.feature
@@ -39,3 +39,12 @@
     Then the advisor is asked once about both runners
     When it allows runner "i-2" only
     Then the task starts on runner "i-2" with the ticket
+
+  Scenario: What was started again elsewhere takes capacity until it is gone
+    Given a scheduler with a task of run 1 on runner "i-1"
+    When runner "i-1" is silent until its tasks are started again elsewhere
+    Then runner "i-1" has the task's cores reserved
+    When runner "i-1" still has run 1
+    Then runner "i-1" is ordered to stop run 1
+    When runner "i-1" lists run 1 as stopped
+    Then runner "i-1" has all its cores free
--- a/tests/features/steps/controller_steps.py
+++ b/tests/features/steps/controller_steps.py
@@ -380,3 +380,24 @@
     starts = context.links["i-2"].starts
     assert [order.ticket for order in starts] == ["t-9"], starts
     assert not context.links["i-1"].starts
+
+
+@when('runner "i-1" is silent until its tasks are started again elsewhere')
+def _forsaken(context):
+    controller = context.controller
+    worker = controller._workers.get("i-1", 1)
+    worker.placed[(_JOB, "0.0.0")].confirmed_at = 0.0
+    worker.link.silent_seconds = 3.0
+    controller._release(controller._workers.forsaken(), "silent")
+    worker.link.silent_seconds = 0.0
+
+
+@when('runner "i-1" still has run 1')
+def _still_running(context):
+    run = _ports.ReportedRun(name=_TASK, run=1, checkpoint="")
+    _list(context, "i-1", running=[run])
+
+
+@then('runner "i-1" is ordered to stop run 1')
+def _stop_first(context):
+    assert (_TASK, 1) in context.links["i-1"].stops
