--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_lease.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_lease.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import threading
+import traceback
 
 import attrs
 from returns import result
@@ -133,6 +134,8 @@
                     epoch=int(value.get("epoch", 0)),
                     since=since,
                 )
+            case result.Failure(error):
+                _logs.log("lease:unreadable", reason=str(error))
         return None
 
     def _write(self, version: int, epoch: int) -> bool:
@@ -143,6 +146,8 @@
                 return True
             case result.Failure(peridotsill_platform.exceptions.Conflict()):
                 return self._resolve(epoch, asked_at)
+            case result.Failure(error):
+                _logs.log("lease:unwritten", epoch=epoch, reason=str(error))
         return False
 
     def _resolve(self, epoch: int, asked_at: float) -> bool:
@@ -204,7 +209,12 @@
             target=_keep, args=(lease, stopped), daemon=True, name="lease"
         )
         renewal.start()
-        schedule()
+        try:
+            schedule()
+        except Exception as error:
+            # Renewing without scheduling would keep every node from it.
+            lease.lose(f"the scheduler failed: {error!r}")
+            _logs.log("scheduler:failed", traceback=traceback.format_exc())
         renewal.join()
 
 
--- a/tests/features/controller.feature
+++ b/tests/features/controller.feature
@@ -52,3 +52,7 @@
     Then runner "i-1" is ordered to stop run 1
     When runner "i-1" lists run 1 as stopped
     Then runner "i-1" has all its cores free
+
+  Scenario: A scheduler that fails gives its lease up, and begins anew
+    Given a node whose scheduler fails the first time
+    Then it holds the lease again, under a higher epoch, within 3 s
--- a/tests/features/steps/controller_steps.py
+++ b/tests/features/steps/controller_steps.py
@@ -412,3 +412,33 @@
 @then('runner "i-1" is ordered to stop run 1')
 def _stop_first(context):
     assert (_TASK, 1) in context.links["i-1"].stops
+
+
+@given("a node whose scheduler fails the first time")
+def _failing(context):
+    table = _Table()
+    context.lease = _lease.Lease(node="n", table=table)
+    context.epochs = []
+    stopped = threading.Event()
+
+    def schedule():
+        context.epochs.append(context.lease.epoch)
+        if len(context.epochs) == 1:
+            raise KeyError("unexpected")
+        stopped.wait(5)
+
+    threading.Thread(
+        target=_lease.compete,
+        args=(context.lease, stopped, schedule),
+        daemon=True,
+    ).start()
+    context.stack.callback(stopped.set)
+
+
+@then("it holds the lease again, under a higher epoch, within {seconds:d} s")
+def _again(context, seconds):
+    deadline = time.monotonic() + seconds
+    while len(context.epochs) < 2 and time.monotonic() < deadline:
+        time.sleep(0.05)
+    assert context.epochs == [1, 2], context.epochs
+    assert context.lease.held
