Take out what nothing reads, and name a placed task in one place

Found on reading the change again: a property of the book, a method of the catalog, a field of a task and two lists of the stand-in's log that nothing reads; and the name of a placed task, built anew in three places. No behaviour changes.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_book.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_book.py
@@ -166,11 +166,6 @@
         else:
             self._open[job.key] = job
 
-    @property
-    def dirty(self) -> bool:
-        """Whether something waits to be committed."""
-        return bool(self._dirty)
-
     def commit(self) -> frozenset[_JobKey] | None:
         """Write what changed, and return the jobs that had to be re-read.
 
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_catalog.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_catalog.py
@@ -62,10 +62,6 @@
         age = _clock.real_seconds() - self._reached_at
         return age < _REACH_SECONDS
 
-    def note_reached(self) -> None:
-        """Note that the table has answered another part of this node."""
-        self._reached_at = _clock.real_seconds()
-
     def queue(self, name: str) -> peridotsill_scheduler.Queue | None:
         """Return a queue of any configuration seen, the newest form."""
         return self._queues.get(name)
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_pacer.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_pacer.py
@@ -2,7 +2,6 @@
 
 from peridotsill_jobs import _clock
 from peridotsill_jobs import _logs
-from peridotsill_jobs import _ports
 from peridotsill_jobs import _workers
 import peridotsill_scheduler
 
@@ -53,5 +52,4 @@
         tails_ms=[each.tail_ms for each in tails],
         targets_ms=[each.target_ms for each in tails],
     )
-    name = _ports.TaskName(job=placed.job.spec.id, task=placed.task.key)
-    worker.link.order_pace(name, placed.task.run, percent)
+    worker.link.order_pace(placed.name, placed.task.run, percent)
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_runs.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_runs.py
@@ -208,7 +208,6 @@
             return
         task.phase = _Phase.WAITING
         task.started_at = 0.0
-        task.waiting_since = _clock.awake_seconds()
         self._book.mark(job)
 
     def _refresh(self, job: peridotsill_scheduler.Job) -> None:
@@ -298,10 +297,7 @@
     ) -> None:
         """Stop what should not run, also if an earlier scheduler tried."""
         if placed.task.phase in _OVER:
-            worker.link.order_stop(
-                _ports.TaskName(job=placed.job.spec.id, task=placed.task.key),
-                placed.task.run,
-            )
+            worker.link.order_stop(placed.name, placed.task.run)
             return
         if placed.task.phase is not _Phase.STOPPING:
             if placed.job.final:
@@ -397,8 +393,7 @@
         if placed.task.phase not in _OVER:
             placed.task.phase = _Phase.STOPPING
             self._book.mark(placed.job)
-        name = _ports.TaskName(job=placed.job.spec.id, task=placed.task.key)
-        worker.link.order_stop(name, placed.task.run)
+        worker.link.order_stop(placed.name, placed.task.run)
 
     def _stop_tasks(self, job: peridotsill_scheduler.Job) -> None:
         for task in job.tasks:
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_workers.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_workers.py
@@ -47,6 +47,11 @@
     speed_percent: int = 100
     gauge: float = 0.0
 
+    @property
+    def name(self) -> _ports.TaskName:
+        """The task's name over all jobs."""
+        return _ports.TaskName(job=self.job.spec.id, task=self.task.key)
+
 
 @attrs.define(kw_only=True, eq=False)
 class Worker:
--- a/packages/peridotsill_scheduler/src/peridotsill_scheduler/_progress.py
+++ b/packages/peridotsill_scheduler/src/peridotsill_scheduler/_progress.py
@@ -64,7 +64,6 @@
     started_at: float = 0.0
     failed_on: str = ""
     not_before: float = 0.0
-    waiting_since: float = 0.0
 
     @property
     def key(self) -> str:
--- a/tests/emulator/rules.py
+++ b/tests/emulator/rules.py
@@ -27,8 +27,6 @@
     def __init__(self):
         self.lock = threading.Lock()
         self.intervals = []
-        self.out = []
-        self.orders = []
 
     def begun(self, runner, task, run, body):
         """Note a run's begin."""
