Settle an order whose run was started again elsewhere meanwhile

Found on reading the change again: once a task was taken off a silent runner, the answer to its start was looked for among the runner's tasks only and dropped. The run then counted as possibly still to come, and its capacity stayed reserved for as long as the runner went on answering. The outcome is now looked up among the abandoned runs too. Ruled out: freeing at the first look without the run, as a late start may follow it. The new scenario in controller.feature failed before.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_runs.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_runs.py
@@ -322,11 +322,15 @@
     def take_outcome(self, outcome: _links.OrderOutcome) -> None:
         """Take what came of an order."""
         worker = self._workers.get(outcome.runner, outcome.lifetime)
+        if worker is None:
+            return
         key = (outcome.name.job, outcome.name.task)
-        placed = worker.placed.get(key) if worker else None
-        if worker is None or placed is None:
+        abandoned = worker.abandoned.get((*key, outcome.run))
+        if abandoned is not None:
+            self._take_abandoned(worker, abandoned, outcome)
             return
-        if placed.task.run != outcome.run:
+        placed = worker.placed.get(key)
+        if placed is None or placed.task.run != outcome.run:
             return
         if outcome.is_start:
             self._take_start(worker, placed, outcome)
@@ -337,6 +341,18 @@
         # A run that is not there is refused from now on.
         placed.confirmed_at = outcome.at
 
+    def _take_abandoned(
+        self,
+        worker: _workers.Worker,
+        abandoned: _workers.Placed,
+        outcome: _links.OrderOutcome,
+    ) -> None:
+        """Settle an order about a run that was started again elsewhere."""
+        if outcome.result is _links.OrderResult.UNKNOWN:
+            worker.link.order_stop(outcome.name, outcome.run)
+            return
+        abandoned.confirmed_at = outcome.at
+
     def _take_start(
         self,
         worker: _workers.Worker,
--- a/tests/features/controller.feature
+++ b/tests/features/controller.feature
@@ -56,3 +56,10 @@
   Scenario: A scheduler that fails gives its lease up, and begins anew
     Given a node whose scheduler fails the first time
     Then it holds the lease again, under a higher epoch, within 3 s
+
+  Scenario: An order's outcome counts also when its run was started elsewhere
+    Given a scheduler with a task of run 1 on runner "i-1"
+    When run 1 is started again elsewhere while its own start is unanswered
+    And the start of run 1 is answered as done
+    And runner "i-1" has nothing running
+    Then runner "i-1" has all its cores free
--- a/tests/features/steps/controller_steps.py
+++ b/tests/features/steps/controller_steps.py
@@ -442,3 +442,35 @@
         time.sleep(0.05)
     assert context.epochs == [1, 2], context.epochs
     assert context.lease.held
+
+
+@when("run 1 is started again elsewhere while its own start is unanswered")
+def _forsaken_unanswered(context):
+    controller = context.controller
+    worker = controller._workers.get("i-1", 1)
+    worker.link.silent_seconds = 3.0
+    controller._runs.release(controller._workers.forsaken(), "silent")
+    worker.link.silent_seconds = 0.0
+    _assign(context, 2, "i-2")
+
+
+@when("the start of run 1 is answered as done")
+def _answered_done(context):
+    context.controller._handle(
+        _links.OrderOutcome(
+            runner="i-1",
+            lifetime=1,
+            name=_TASK,
+            run=1,
+            is_start=True,
+            result=_links.OrderResult.DONE,
+            reason="",
+            at=time.monotonic(),
+            clean=True,
+        )
+    )
+
+
+@when('runner "i-1" has nothing running')
+def _nothing_there(context):
+    _list(context, "i-1")
