Refuse ambiguous requests and end their connections

So one request could hide another. It showed only when the rest had arrived before the first answer was read, which is why it came and went with the load.

Found beside it by drawing requests (hypothesis): chunk sizes -5 and 0_3 were taken and the request run (200); trailers were read as the next request; a NUL, a bare CR or a fold in a header line was passed on; a request line with a leading blank or a NUL in its target was taken.

Change: an own reader of chunked bodies with RFC 9112's sizes and trailer; a connection whose body was not read to its end says and does "Connection: close"; header and request lines are checked before cheroot guesses about them.

Ruled out: the test's reader (it saw what was sent).

--- a/packages/peridotsill/src/peridotsill/_listener.py
+++ b/packages/peridotsill/src/peridotsill/_listener.py
@@ -9,12 +9,14 @@
 import contextlib
 import io
 import queue
+import re
 import socket
 import threading
 import time
 import typing
 
 import attrs
+from cheroot import errors
 from cheroot import makefile
 from cheroot import server
 from cheroot import wsgi
@@ -34,6 +36,54 @@
     }
 )
 _WRITE_TIMEOUT_SECONDS = 60.0
+# RFC 9110's token, without the underscore: WSGI can't tell it from a dash.
+_HEADER_NAME = re.compile(rb"[!#$%&'*+.^`|~0-9A-Za-z-]+")
+# RFC 9110, 5.5: what no header line may hold besides its own end.
+_CONTROL_CHARACTER = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
+# RFC 9112, 3: no white space or control characters within a part.
+_REQUEST_LINE = re.compile(
+    rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+ [^\x00-\x20\x7f]+ HTTP/1\.[01]\r\n"
+)
+# RFC 9112, 7.1; 16 digits pass every size that a body may have.
+_CHUNK_LINE = re.compile(rb"([0-9A-Fa-f]{1,16})[ \t]*(?:;[^\r\n]*)?\r\n")
+_CRLF = b"\r\n"
+
+
+class _RememberedLine:
+    """Passes lines on and keeps the last one."""
+
+    def __init__(self, rfile: typing.Any) -> None:
+        self._rfile = rfile
+        self.last = b""
+
+    def readline(self) -> bytes:
+        """Return the next line."""
+        self.last = bytes(self._rfile.readline())
+        return self.last
+
+
+class _HeaderLines:
+    """Header lines as they are read, without folds and control characters.
+
+    A folded line and one that a NUL ends mean different things to
+    different readers of the same bytes.
+    """
+
+    def __init__(self, rfile: typing.Any) -> None:
+        self._rfile = rfile
+
+    def readline(self) -> bytes:
+        """Return the next line.
+
+        Raises:
+            ValueError: If no reader should guess what it means.
+        """
+        line = bytes(self._rfile.readline())
+        if line[:1] in (b" ", b"\t"):
+            raise ValueError("Folded header line.")
+        if _CONTROL_CHARACTER.search(line.removesuffix(_CRLF)):
+            raise ValueError("Control character in a header line.")
+        return line
 
 
 class _HeaderReader(server.HeaderReader):
@@ -45,7 +95,7 @@
     def __call__(
         self, rfile: typing.Any, hdict: dict[bytes, bytes] | None = None
     ) -> dict[bytes, bytes]:
-        headers = super().__call__(rfile, hdict)
+        headers = super().__call__(_HeaderLines(rfile), hdict)
         length = headers.get(b"Content-Length")
         if length is not None and not length.isdigit():
             raise ValueError("Content-Length is not a natural number.")
@@ -57,7 +107,7 @@
         return typing.cast(dict[bytes, bytes], headers)
 
     def _allow_header(self, key_name: bytes) -> bool:
-        if not key_name or b" " in key_name or b"_" in key_name:
+        if not _HEADER_NAME.fullmatch(key_name):
             raise ValueError("Malformed header name.")
         if key_name in _SINGLE_HEADERS and key_name in self._seen:
             raise ValueError(f"Repeated header {key_name.decode()}.")
@@ -70,6 +120,55 @@
         return key_name.title()
 
 
+class _ChunkedBody(server.ChunkedRFile):
+    """A chunked body, read to the end of its trailer and no further.
+
+    cheroot's own takes sizes such as ``-5`` and ``1_0`` and leaves the
+    trailer to be read as the next request.
+    """
+
+    @property
+    def is_at_end(self) -> bool:
+        """Whether all of the body has been read, its trailer too."""
+        return bool(self.closed)
+
+    def _fetch(self) -> None:
+        if self.closed:
+            return
+        size = self._chunk_size()
+        if size == 0:
+            self._skip_trailer()
+            self.closed = True
+            return
+        self._count(size + len(_CRLF))
+        chunk = self.rfile.read(size)
+        if len(chunk) < size or self.rfile.read(len(_CRLF)) != _CRLF:
+            raise ValueError("a chunk is not of the size that it declares")
+        self.buffer += chunk
+
+    def _chunk_size(self) -> int:
+        line = self.rfile.readline()
+        self._count(len(line))
+        found = _CHUNK_LINE.fullmatch(line)
+        if found is None:
+            raise ValueError("bad chunk size")
+        return int(found[1], 16)
+
+    def _skip_trailer(self) -> None:
+        while True:
+            line = self.rfile.readline()
+            self._count(len(line))
+            if line == _CRLF:
+                return
+            if not line.endswith(_CRLF):
+                raise ValueError("the trailer broke off")
+
+    def _count(self, size: int) -> None:
+        self.bytes_read += size
+        if self.maxlen and self.bytes_read > self.maxlen:
+            raise errors.MaxSizeExceeded("body too large", self.maxlen)
+
+
 class _HttpRequest(server.HTTPRequest):
     """A request whose header phase has one deadline for all its bytes."""
 
@@ -83,14 +182,49 @@
         super().parse_request()
         self.conn.start_phase(self.server.body_seconds)
 
+    def read_request_line(self) -> bool:
+        """Read the first line; refuse what cheroot would guess about."""
+        source = self.rfile
+        lines = _RememberedLine(source)
+        self.rfile = lines
+        try:
+            reader = typing.cast(typing.Any, super())
+            if not reader.read_request_line():
+                return False
+        finally:
+            self.rfile = source
+        if _REQUEST_LINE.fullmatch(lines.last):
+            return True
+        self.simple_response("400 Bad Request", "Malformed Request-Line")
+        return False
+
     def respond(self) -> None:
         """Run the application and count the request as open meanwhile."""
         with self.server.open_requests.entered():
-            super().respond()
+            if self.chunked_read:
+                self._respond_to_chunked()
+            else:
+                super().respond()
+
+    def _respond_to_chunked(self) -> None:
+        self.rfile = _ChunkedBody(
+            self.conn.rfile, self.server.max_request_body_size
+        )
+        self.server.gateway(self).respond()
+        if self.ready:
+            self.ensure_headers_sent()
+        if self.chunked_write:
+            self.conn.wfile.write(b"0\r\n\r\n")
 
     def send_headers(self) -> None:
-        """Announce the connection's end while the listener closes."""
-        if self.server.closing:
+        """Announce the connection's end where no request may follow.
+
+        That is so while the listener closes, and after a chunked body
+        that was not read to its end: its rest is no request.
+        """
+        body = self.rfile
+        unread = isinstance(body, _ChunkedBody) and not body.is_at_end
+        if self.server.closing or unread:
             self.close_connection = True
         super().send_headers()
 
--- a/tests/features/input.feature
+++ b/tests/features/input.feature
@@ -10,6 +10,16 @@
     And nothing of them reached a runner
     And a good look-up is served after all
 
+  Scenario: Drawn ambiguous requests run nothing and hide no other
+    When 800 drawn ambiguous requests, each with another behind it
+    Then each got one refusal that ended its connection
+    And no runner saw any of them
+    And a good look-up is served after all
+
+  Scenario: A trailer ends a chunked body, and the next request is read
+    When a chunked request with a trailer is followed by another
+    Then both are served
+
   Scenario: A body that breaks off is not dispatched
     When a caller half-closes after 5 of 50 body bytes
     Then the reply is a 400 problem that says ran "no"
--- a/tests/features/steps/input_steps.py
+++ b/tests/features/steps/input_steps.py
@@ -38,6 +38,20 @@
         b"Transfer-Encoding: chunked\r\n\r\nzz\r\nab\r\n",
         400,
     ),
+    (
+        b"POST /lookup/b HTTP/1.1\r\nHost: x\r\n"
+        b"Transfer-Encoding: chunked\r\n\r\n-5\r\nabcde\r\n0\r\n\r\n",
+        400,
+    ),
+    (
+        b"POST /lookup/b HTTP/1.1\r\nHost: x\r\n"
+        b"Transfer-Encoding: chunked\r\n\r\n0_3\r\nabc\r\n0\r\n\r\n",
+        400,
+    ),
+    (b"POST /lookup/b HTTP/1.1\r\nHost: x\r\nX-A: a\x00b\r\n\r\n", 400),
+    (b"POST /lookup/b HTTP/1.1\r\nHost: x\r\nX-A: a\rb\r\n\r\n", 400),
+    (b"POST /lookup/b HTTP/1.1\r\nHost: x\r\nX-A: a\r\n b\r\n\r\n", 400),
+    (b"POST /lookup/b HTTP/1.1\r\nHost: x\r\nX(A: a\r\n\r\n", 400),
     (
         b"POST /lookup/b HTTP/1.1\r\nHost: x\r\nContent-Length : 4\r\n\r\nab",
         400,
