Keep what jobs used in their rows, for the pool's next owner

A hand-over between the two batches (heartbeats late under load) let the next owner start with the declared sizes.

Change: a job that is done carries its use in its row; an owner learns from the rows once at the start of each tenure. New scenario kills the owner in between: without the recall it failed, with it it passes.

Also two causes of listed scenarios: a hand-over writes an owner row without a node, which "Moves finish though their node is killed" took for a name (KeyError ''), so steps now wait for a node's name; and fleets of two processes shared loopback hosts, so a port that was free when looked up could be taken by the other suite ("not ready within 20 s"); each process now has a network of its own.

--- a/packages/peridotsill/src/peridotsill/__init__.py
+++ b/packages/peridotsill/src/peridotsill/__init__.py
@@ -42,6 +42,7 @@
 from peridotsill._model import DisruptionStep
 from peridotsill._model import Job
 from peridotsill._model import JobState
+from peridotsill._model import JobUse
 from peridotsill._model import NodeRow
 from peridotsill._model import Owner
 from peridotsill._model import Pool
@@ -92,6 +93,7 @@
     "HttpProblem",
     "Job",
     "JobState",
+    "JobUse",
     "Journal",
     "JsonApp",
     "JsonClient",
--- a/packages/peridotsill/src/peridotsill/_model.py
+++ b/packages/peridotsill/src/peridotsill/_model.py
@@ -130,12 +130,22 @@
     finished_at: float = 0.0
 
 
+@attrs.frozen(kw_only=True)
+class JobUse:
+    """What a job used on its VM until it was done."""
+
+    cores: float
+    memory_gib: float
+    run_seconds: float
+
+
 @attrs.frozen(kw_only=True)
 class Job:
     """A task that a pool must carry.
 
     Sizes are what its owner declared. ``deadline_at`` is seconds since
     the epoch, or 0 for none. ``attempt`` numbers the task leases.
+    ``used`` is set on a job that is done, if its run was seen whole.
     """
 
     name: str
@@ -153,6 +163,7 @@
     checkpoint: float = _codec.bounded(minimum=0, maximum=1, default=0.0)
     lost_seconds: float = _codec.bounded(minimum=0, default=0.0)
     reason: str = ""
+    used: JobUse | None = None
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/peridotsill_node/src/peridotsill_node/_jobs.py
+++ b/packages/peridotsill_node/src/peridotsill_node/_jobs.py
@@ -69,6 +69,7 @@
         self._quarantine = _placement.Quarantine()
         self._started_at: dict[str, float] = {}
         self._renewed_at: dict[str, float] = {}
+        self._recalled_epochs: dict[str, int] = {}
 
     def step(self, pool: peridotsill.Pool, tenure: _ownership.Tenure) -> None:
         """Stop, renew and place what is due."""
@@ -79,11 +80,23 @@
         )
         if not jobs:
             return
+        self._recall(jobs, tenure)
         self._stop(jobs, tenure)
         self._renew(pool, jobs, tenure)
         self._evacuate(pool, jobs, tenure)
         self._place(pool, jobs, tenure)
 
+    def _recall(
+        self,
+        jobs: tuple[peridotsill.Job, ...],
+        tenure: _ownership.Tenure,
+    ) -> None:
+        """Learn from the jobs that were done under earlier owners."""
+        if self._recalled_epochs.get(tenure.pool) == tenure.epoch:
+            return
+        self._recalled_epochs[tenure.pool] = tenure.epoch
+        self._usage.recall(jobs)
+
     def _write(
         self,
         changes: list[tuple[peridotsill.Job, peridotsill.Job]],
@@ -171,12 +184,7 @@
             case _TaskPhase.RUNNING:
                 return attrs.evolve(job, state=peridotsill.JobState.RUNNING)
             case _TaskPhase.DONE:
-                self._learn(job, status)
-                return attrs.evolve(
-                    job,
-                    state=peridotsill.JobState.DONE,
-                    reason="",
-                )
+                return self._after_success(job, status)
             case _TaskPhase.FAILED:
                 return self._after_failure(job)
             case _:
@@ -186,19 +194,22 @@
         now = time.monotonic()
         return now - self._started_at.get(task_id(job), now)
 
-    def _learn(
+    def _after_success(
         self,
         job: peridotsill.Job,
         status: peridotsill_platform.TaskStatus,
-    ) -> None:
+    ) -> peridotsill.Job:
+        done = attrs.evolve(job, state=peridotsill.JobState.DONE, reason="")
         started_at = self._started_at.pop(task_id(job), None)
         if job.vm:
             self._quarantine.succeeded(job.vm)
         if started_at is None or job.checkpoint:
-            return
+            return done
         seconds = time.monotonic() - started_at
-        need = _placement.need_from(status, job, seconds)
-        self._usage.record(_placement.family_of(job), need)
+        use = _placement.use_from(status, seconds)
+        self._usage.record(job, use)
+        # A later owner of the pool learns it from the row.
+        return attrs.evolve(done, used=use)
 
     def _after_failure(self, job: peridotsill.Job) -> peridotsill.Job:
         if job.vm and self._quarantine.failed(job.vm, job.name):
@@ -256,9 +267,7 @@
         for status in statuses:
             job = by_id[status.id]
             if status.phase is _TaskPhase.DONE:
-                self._learn(job, status)
-                done = peridotsill.JobState.DONE
-                changes.append((job, attrs.evolve(job, state=done)))
+                changes.append((job, self._after_success(job, status)))
             elif status.phase is not _TaskPhase.RUNNING:
                 changed = _after_lapse(job, status, self._elapsed(job))
                 changes.append((job, attrs.evolve(changed, reason=reason)))
--- a/packages/peridotsill_node/src/peridotsill_node/_placement.py
+++ b/packages/peridotsill_node/src/peridotsill_node/_placement.py
@@ -5,6 +5,7 @@
 """
 
 import collections
+import collections.abc
 import math
 import time
 
@@ -42,17 +43,25 @@
     """What jobs of each family have used."""
 
     def __init__(self) -> None:
-        self._samples: dict[str, collections.deque[Need]] = {}
+        self._samples: dict[str, dict[str, peridotsill.JobUse]] = {}
         self._learned: dict[str, Need] = {}
 
-    def record(self, family: str, need: Need) -> None:
-        """Keep one finished job's use."""
-        kept = self._samples.setdefault(
-            family, collections.deque(maxlen=_KEPT_SAMPLES)
-        )
-        kept.append(need)
+    def record(self, job: peridotsill.Job, use: peridotsill.JobUse) -> None:
+        """Keep a finished job's use; each job counts once."""
+        family = family_of(job)
+        kept = self._samples.setdefault(family, {})
+        kept.pop(job.name, None)
+        kept[job.name] = use
+        while len(kept) > _KEPT_SAMPLES:
+            del kept[next(iter(kept))]
         if len(kept) >= _LEAST_SAMPLES:
-            self._learned[family] = _high_use(tuple(kept))
+            self._learned[family] = _high_use(tuple(kept.values()))
+
+    def recall(self, jobs: collections.abc.Iterable[peridotsill.Job]) -> None:
+        """Take up what finished jobs' rows say that they used."""
+        for job in jobs:
+            if job.used is not None:
+                self.record(job, job.used)
 
     def need_of(self, job: peridotsill.Job) -> Need:
         """Return what a job is expected to use."""
@@ -67,7 +76,7 @@
         )
 
 
-def _high_use(samples: tuple[Need, ...]) -> Need:
+def _high_use(samples: tuple[peridotsill.JobUse, ...]) -> Need:
     cores = quantile(tuple(each.cores for each in samples), _QUANTILE)
     memory = quantile(tuple(each.memory_gib for each in samples), _QUANTILE)
     seconds = quantile(tuple(each.run_seconds for each in samples), _QUANTILE)
@@ -241,15 +250,12 @@
     return wasted, racks[load.vm.rack], left, load.vm.name
 
 
-def need_from(
-    status: peridotsill_platform.TaskStatus,
-    job: peridotsill.Job,
-    run_seconds: float,
-) -> Need:
+def use_from(
+    status: peridotsill_platform.TaskStatus, run_seconds: float
+) -> peridotsill.JobUse:
     """Return what a finished task used."""
-    return Need(
+    return peridotsill.JobUse(
         cores=status.used_cores,
         memory_gib=status.used_memory_gib,
-        accelerators=job.accelerators,
         run_seconds=run_seconds,
     )
--- a/packages/peridotsill_node/src/peridotsill_node/_resources.py
+++ b/packages/peridotsill_node/src/peridotsill_node/_resources.py
@@ -17,7 +17,15 @@
 _MANAGED_FIELDS: dict[str, tuple[str, ...]] = {
     "pools": ("grants",),
     "vms": ("disruption", "home_pool"),
-    "jobs": ("state", "vm", "attempt", "checkpoint", "lost_seconds", "reason"),
+    "jobs": (
+        "state",
+        "vm",
+        "attempt",
+        "checkpoint",
+        "lost_seconds",
+        "reason",
+        "used",
+    ),
     "waves": (
         "state",
         "reason",
--- a/tests/benches/jobs.py
+++ b/tests/benches/jobs.py
@@ -191,11 +191,10 @@
                 self.running.remove(task)
                 task.done_at = self.now
                 self.usage.record(
-                    task.job.family,
-                    _placement.Need(
+                    task.job,
+                    peridotsill.JobUse(
                         cores=4,
                         memory_gib=task.memory,
-                        accelerators=0,
                         run_seconds=task.seconds,
                     ),
                 )
--- a/tests/features/jobs.feature
+++ b/tests/features/jobs.feature
@@ -60,3 +60,8 @@
     Given jobs of family "deep" use 20 cores though they declare 2
     When 24 jobs of family "deep" are declared in two batches
     Then in the second batch at most 2 of them share a VM
+
+  Scenario: Learned sizes outlive the node that learned them
+    Given jobs of family "deep" use 20 cores though they declare 2
+    When 24 jobs of family "deep" are declared, the owner killed in between
+    Then in the second batch at most 2 of them share a VM
--- a/tests/features/steps/fleet_steps.py
+++ b/tests/features/steps/fleet_steps.py
@@ -95,7 +95,7 @@
 
 @when("the pool's owner gets {name}")
 def step_owner_signal(context, name):
-    owner = rows(context)["owners/trails"]["node"]
+    owner = context.fleet.pool_owner("trails")
     context.owner = owner
     context.victim = owner.rpartition("-")[0]
     process = context.fleet.processes[context.victim]
@@ -275,8 +275,7 @@
 
 @when('a VM is moved to "{pool}" and the owner is killed at once')
 def step_move_kill(context, pool):
-    fleet.wait_until(lambda: "owners/trails" in rows(context), 10)
-    owner = rows(context)["owners/trails"]["node"].rpartition("-")[0]
+    owner = context.fleet.pool_owner("trails").rpartition("-")[0]
     other = next(name for name in context.fleet.nodes if name != owner)
     assert move(context, other, "vm0", pool)
     context.fleet.processes[owner].kill()
--- a/tests/features/steps/jobs_steps.py
+++ b/tests/features/steps/jobs_steps.py
@@ -46,11 +46,7 @@
 
 @given("the pool is owned")
 def step_owned(context):
-    def owner():
-        found = context.fleet.platform(rows=True)["rows"]
-        return found.get("owners/trails", {}).get("node")
-
-    fleet.wait_until(owner, 10, "an owner")
+    context.fleet.pool_owner("trails")
 
 
 @given('VM "{vm}" fails every task')
@@ -127,7 +123,7 @@
 
 @when("{count:d} once-only jobs of {seconds:g} s are declared while {fault}")
 def step_declare_fault(context, count, seconds, fault):
-    owner = context.fleet.platform(rows=True)["rows"]["owners/trails"]["node"]
+    owner = context.fleet.pool_owner("trails")
     process = context.fleet.processes[owner.rpartition("-")[0]]
     names = [f"once-{number}" for number in range(count)]
     half = count // 2
@@ -275,6 +271,28 @@
     step_done(context, 60)
 
 
+@when(
+    '{count:d} jobs of family "{family}" are declared, the owner killed'
+    " in between"
+)
+def step_batches_killed(context, count, family):
+    names = [f"{family}-{number}" for number in range(count)]
+    declare(context, names[:8], family=family, run_seconds=0.5)
+    step_done(context, 20)
+    context.first = len(tasks(context))
+    owner = context.fleet.pool_owner("trails")
+    victim = owner.rpartition("-")[0]
+    context.fleet.processes[victim].kill()
+    del context.fleet.nodes[victim]
+    fleet.wait_until(
+        lambda: context.fleet.pool_owner("trails") != owner,
+        30,
+        "another owner",
+    )
+    declare(context, names[8:], family=family, run_seconds=1.5)
+    step_done(context, 60)
+
+
 @then("in the second batch at most {limit:d} of them share a VM")
 def step_share(context, limit):
     found = tasks(context)[context.first :]
--- a/tests/standins/fleet.py
+++ b/tests/standins/fleet.py
@@ -22,6 +22,10 @@
 
 TESTS = pathlib.Path(__file__).resolve().parent.parent
 TOKEN = "a-shared-token-for-tests"
+# Each process that makes fleets has loopback hosts of its own: a port that
+# is free when it is looked up can't be taken by a suite beside this one.
+_NETWORK = f"127.{10 + os.getpid() % 240}"
+_PLATFORM_HOST = f"{_NETWORK}.0.9"
 
 
 def wait_until(
@@ -124,7 +128,7 @@
         self.http = urllib3.PoolManager(
             maxsize=300, retries=False, num_pools=100
         )
-        self.platform_address = f"127.0.0.9:{free_port('127.0.0.9')}"
+        self.platform_address = f"{_PLATFORM_HOST}:{free_port(_PLATFORM_HOST)}"
         self.timing: dict[str, float] = {}
         self.limits: dict[str, float] = {}
 
@@ -161,7 +165,7 @@
     def add_vm(self, name: str, index: int, *more: str) -> None:
         """Start a runner on a new VM; four VMs make a rack."""
         domain = index % 3 + 1
-        host = f"127.0.{domain}.{index // 3 + 10}"
+        host = f"{_NETWORK}.{domain}.{index // 3 + 10}"
         address = f"{host}:{free_port(host)}"
         self.vms[name] = {
             "name": name,
@@ -190,7 +194,7 @@
         )
 
     def settings_of(self, name: str, index: int) -> dict:
-        host = f"127.0.{index % 3 + 1}.{200 + index}"
+        host = f"{_NETWORK}.{index % 3 + 1}.{200 + index}"
         ports = [free_port(host) for _ in range(3)]
         while len(set(ports)) < 3:
             ports = [free_port(host) for _ in range(3)]
@@ -283,6 +287,15 @@
             "POST", "/standin/state", state, timeout_seconds=10.0
         )
 
+    def pool_owner(self, pool: str) -> str:
+        """Wait for the node that owns a pool; a hand-over has none."""
+        key = f"owners/{pool}"
+        return wait_until(
+            lambda: self.platform(rows=True)["rows"].get(key, {}).get("node"),
+            10,
+            f"an owner of {pool}",
+        )
+
     def faults(self, **faults: float) -> None:
         self.platform(faults=faults)
 
