Take out settings and fields that nothing reads

Bounds of the platform that no code used (stop grace, notice of an away task, time of a move, pace target, remote factor), the configuration's header and body limits, which no page of the users explains and which were decoded but not applied, PoolSupply.coming and VmView.suspect.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_fleet.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_fleet.py
@@ -292,19 +292,17 @@
         estimator: peridotsill_scheduler.Estimator,
         now: float,
     ) -> peridotsill_scheduler.PoolSupply:
-        idle = []
-        coming = 0
-        for record in records:
-            coming += record.pool != pool
-            if self._free(record, now) and self._is_idle(record):
-                idle.append(record.name)
+        idle = tuple(
+            record.name
+            for record in records
+            if self._free(record, now) and self._is_idle(record)
+        )
         cores = [record.capacity.cores for record in records]
         return peridotsill_scheduler.PoolSupply(
             name=pool,
             standby=self._standby(pool),
             size=len(records),
-            coming=coming,
-            idle=tuple(idle),
+            idle=idle,
             vm_cores=sum(cores) / len(cores) if cores else 1.0,
             need=peridotsill_scheduler.pool_need(
                 jobs.get(pool, ()),
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_ports.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_ports.py
@@ -81,8 +81,6 @@
     version: int
     queues: tuple[peridotsill_scheduler.Queue, ...]
     pools: tuple[peridotsill_scheduler.PoolSettings, ...]
-    header_bytes: int = 16384
-    body_bytes: int = 262144
 
 
 class EndKind(peridotsill.TextEnum):
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_settings.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_settings.py
@@ -14,24 +14,16 @@
 class Bounds:
     """What the platform promises and demands, in milliseconds.
 
-    ``max_lease_ms`` is the longest lease of a run; ``stop_grace_ms`` the
-    time a stop may take; ``away_notice_ms`` after that time a long-lived
-    task that is not at work counts as away; ``handover_ms`` has to pass
-    between VM commands of two nodes; ``move_ms`` and ``maintenance_ms``
-    are how long a VM is gone; ``exit_grace_ms`` is the time from SIGTERM
-    to SIGKILL; ``pace_target_ms`` the longest time that a serving task's
-    tail may stay above its target.
+    ``max_lease_ms`` is the longest lease of a run; ``handover_ms`` has to
+    pass between VM commands of two nodes; ``maintenance_ms`` is how long
+    a VM is gone for its upkeep; ``exit_grace_ms`` is the time from SIGTERM
+    to SIGKILL.
     """
 
     max_lease_ms: float = peridotsill.bounded(minimum=500, default=10000.0)
-    stop_grace_ms: float = peridotsill.bounded(minimum=0, default=900.0)
-    away_notice_ms: float = peridotsill.bounded(minimum=0, default=4500.0)
     handover_ms: float = peridotsill.bounded(minimum=0, default=3000.0)
-    move_ms: float = peridotsill.bounded(minimum=0, default=1500.0)
     maintenance_ms: float = peridotsill.bounded(minimum=0, default=2000.0)
     exit_grace_ms: float = peridotsill.bounded(minimum=0, default=6000.0)
-    pace_target_ms: float = peridotsill.bounded(minimum=0, default=4000.0)
-    remote_factor: float = peridotsill.bounded(minimum=1, default=1.5)
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/peridotsill_scheduler/src/peridotsill_scheduler/_lending.py
+++ b/packages/peridotsill_scheduler/src/peridotsill_scheduler/_lending.py
@@ -55,14 +55,13 @@
 class PoolSupply:
     """A pool's VMs; ``idle`` names those that could leave at once.
 
-    ``coming`` counts the VMs on their way to the pool, which are among
-    ``size``. ``vm_cores`` is the mean of the pool's VMs.
+    ``size`` counts the VMs on their way to the pool too. ``vm_cores`` is
+    the mean of the pool's VMs.
     """
 
     name: str
     standby: bool
     size: int
-    coming: int
     idle: tuple[str, ...]
     vm_cores: float
     need: PoolNeed
--- a/packages/peridotsill_scheduler/src/peridotsill_scheduler/_placement.py
+++ b/packages/peridotsill_scheduler/src/peridotsill_scheduler/_placement.py
@@ -121,4 +121,4 @@
         load = vm.filling_count * 8 - vm.long_lived_count
     else:
         load = 0.0
-    return (vm.suspect, failed_here, vm.avoided, far, load, vm.free.cores)
+    return (failed_here, vm.avoided, far, load, vm.free.cores)
--- a/packages/peridotsill_scheduler/src/peridotsill_scheduler/_vms.py
+++ b/packages/peridotsill_scheduler/src/peridotsill_scheduler/_vms.py
@@ -27,7 +27,6 @@
     free: _model.Resources
     closed: str = ""
     avoided: bool = False
-    suspect: bool = False
     task_count: int = 0
     step_counts: dict[tuple[str, int, int], int] = attrs.field(factory=dict)
     serving_count: int = 0
--- a/tests/features/steps/scheduler_steps.py
+++ b/tests/features/steps/scheduler_steps.py
@@ -162,7 +162,6 @@
         name=name,
         standby=standby,
         size=size,
-        coming=0,
         idle=tuple(f"{name}-{n}" for n in range(size)),
         vm_cores=32.0,
         need=scheduler.PoolNeed(
