Read the settings file again at SIGHUP and when it is replaced

A job node only logged SIGHUP. Now bounds and the order policy are taken over at once, other changes are named as needing a restart, and a bad file is refused while the former settings stay in force.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/__init__.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/__init__.py
@@ -28,6 +28,7 @@
 from peridotsill_jobs._settings import JobNodeSettings
 from peridotsill_jobs._settings import load_job_settings
 from peridotsill_jobs._settings import make_ports
+from peridotsill_jobs._settings import SettingsFile
 
 __all__ = [
     "AdviceTicket",
@@ -46,6 +47,7 @@
     "RunnerEntry",
     "RunnerReport",
     "RunnerState",
+    "SettingsFile",
     "StartOrder",
     "TaskName",
     "VmRecord",
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_controller.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_controller.py
@@ -49,7 +49,7 @@
 class ControllerParts:
     """What a scheduler works with."""
 
-    settings: _settings.JobNodeSettings
+    settings: _settings.LiveSettings
     ports: _ports.PlatformPorts
     catalog: _catalog.Catalog
     lease: _lease.Lease
@@ -80,7 +80,7 @@
         )
         self._registry_seen = False
         self._commander = _commands.Commander(
-            node=parts.settings.node,
+            node=parts.settings.current.node,
             vms=parts.ports.vms,
             lease=parts.lease,
             post=self._inbox.put,
@@ -92,7 +92,10 @@
                 advisor=parts.ports.advisor, post=self._inbox.put
             )
             self._advice = _advice.Advice(desk=desk)
-        self._max_lease_seconds = parts.settings.bounds.max_lease_ms / 1000.0
+
+    @property
+    def _max_lease_seconds(self) -> float:
+        return self._parts.settings.current.bounds.max_lease_ms / 1000.0
 
     def _connect(self, entry: _ports.RunnerEntry) -> _links.RunnerLink:
         link = _links.RunnerLink(
@@ -111,7 +114,7 @@
         parts = self._parts
         # The commands of the last holder and ours must not alternate. Its
         # lease had to run out first, which is a part of that time.
-        handover = parts.settings.bounds.handover_ms / 1000.0
+        handover = parts.settings.current.bounds.handover_ms / 1000.0
         rest = max(0.0, handover - _lease.LEASE_SECONDS)
         wait = rest if parts.lease.epoch > 1 else 0.0
         return _fleet.Fleet(
@@ -287,7 +290,7 @@
             if self._advice is not None:
                 self._advice.ask_for_ready(members, views.get(pool, []), now)
             starts += peridotsill_scheduler.plan_starts(
-                policy=self._parts.settings.order_policy,
+                policy=self._parts.settings.current.order_policy,
                 jobs=members,
                 vms=views.get(pool, []),
                 now=now,
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_fleet.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_fleet.py
@@ -57,7 +57,7 @@
     ``release`` takes the tasks of a VM that went away.
     """
 
-    settings: _settings.JobNodeSettings
+    settings: _settings.LiveSettings
     catalog: _catalog.Catalog
     table: peridotsill_platform.Table
     keys: _ports.Keys
@@ -413,6 +413,7 @@
             if name in self._vms:
                 self._begin_maintenance(wave, name, now)
         ready = {view.name for view in views if self._can_begin(view, now)}
+        bounds = self._parts.settings.current.bounds
         chosen = peridotsill_scheduler.plan_maintenance(
             [
                 view
@@ -421,9 +422,7 @@
             ],
             max_parallel=wave.order.max_parallel,
             seconds_left=wave.seen_at + wave.order.deadline_seconds - now,
-            maintenance_seconds=(
-                self._parts.settings.bounds.maintenance_ms / 1000.0
-            ),
+            maintenance_seconds=bounds.maintenance_ms / 1000.0,
         )
         for view in chosen:
             _logs.log(
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_node.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_node.py
@@ -35,6 +35,7 @@
 
     def __init__(self, *, settings: _settings.JobNodeSettings) -> None:
         self._settings = settings
+        self._live = _settings.LiveSettings(settings)
         self._ports = _settings.make_ports(settings)
         self._counters = peridotsill.Counters()
         self._leaving = threading.Event()
@@ -107,10 +108,14 @@
         self._callers.start()
         _logs.log("node:started", node=self._settings.node)
 
+    def apply(self, settings: _settings.JobNodeSettings) -> None:
+        """Take over what may change of new settings; log the rest."""
+        self._live.replace(settings)
+
     def _schedule(self) -> None:
         controller = _controller.Controller(
             parts=_controller.ControllerParts(
-                settings=self._settings,
+                settings=self._live,
                 ports=self._ports,
                 catalog=self._catalog,
                 lease=self._lease,
@@ -131,7 +136,7 @@
         self._leaving.set()
         self._callers.close_gently()
         self._lease.release()
-        grace = self._settings.bounds.exit_grace_ms / 1000.0
+        grace = self._live.current.bounds.exit_grace_ms / 1000.0
         time.sleep(min(_NOTICE_SECONDS, grace / 2))
         left = grace - _EXIT_MARGIN_SECONDS - (time.monotonic() - began)
         self._callers.stop(max(0.0, left))
--- a/tests/emulator/nodes.py
+++ b/tests/emulator/nodes.py
@@ -56,6 +56,13 @@
         self.process.kill()
         self.process.wait()
 
+    def change_settings(self, **fields):
+        """Replace the settings file by one with other fields."""
+        found = json.loads(self.settings.read_text())
+        new = self.settings.with_suffix(".new")
+        new.write_text(json.dumps({**found, **fields}))
+        new.replace(self.settings)
+
     def lines(self):
         """Return the log's lines that are JSON."""
         found = []
--- a/tests/features/platform_jobs.feature
+++ b/tests/features/platform_jobs.feature
@@ -9,6 +9,16 @@
     And each task of job "a1" was started once
     And every node shows job "a1" as completed
 
+  Scenario Outline: Settings that change are taken over (<how>)
+    When a node's settings get order policy "first_come" with <how>
+    Then that node says that it took over "order_policy" within 3 s
+    And a settings file with a bad field is refused and nothing ends
+
+    Examples:
+      | how       |
+      | SIGHUP    |
+      | no signal |
+
   Scenario: Steps wait for the steps before them
     When 12 jobs of two steps are submitted
     Then all jobs are completed within 20 s
--- a/tests/features/steps/controller_steps.py
+++ b/tests/features/steps/controller_steps.py
@@ -120,7 +120,7 @@
     lease.try_acquire()
     made = _controller.Controller(
         parts=_controller.ControllerParts(
-            settings=_settings_of(),
+            settings=_settings.LiveSettings(_settings_of()),
             ports=ports,
             catalog=catalog,
             lease=lease,
--- a/tests/features/steps/platform_steps.py
+++ b/tests/features/steps/platform_steps.py
@@ -581,3 +581,38 @@
     with contextlib.suppress(StopIteration):
         _, vm, _, _ = next(iter(world.commands))
         assert world.vms[vm]["pool"] == _POOL, world.vms[vm]
+
+
+@when('a node\'s settings get order policy "{policy}" with {how}')
+def _new_settings(context, policy, how):
+    context.node = context.cluster.nodes[0]
+    context.node.change_settings(order_policy=policy)
+    if how == "SIGHUP":
+        context.node.send(signal.SIGHUP)
+
+
+@then('that node says that it took over "{name}" within {seconds:d} s')
+def _taken_over(context, name, seconds):
+    nodes.wait_for(
+        lambda: any(
+            name in line.get("changed", [])
+            for line in context.node.lines()
+            if line.get("message_type") == "settings:read"
+        ),
+        seconds,
+        f"{name} taken over",
+    )
+
+
+@then("a settings file with a bad field is refused and nothing ends")
+def _bad_settings(context):
+    context.node.change_settings(threads="many")
+    nodes.wait_for(
+        lambda: any(
+            line.get("message_type") == "settings:refused"
+            for line in context.node.lines()
+        ),
+        3,
+        "a refusal",
+    )
+    assert context.cluster.ready(context.node)
