Count every VM that may be in maintenance against its wave

Found beside it on reading: a repeat answered "busy" after a try without an answer, or of an earlier scheduler's command, took the VM off the count; a list that still shows the VM as up did so too.

Change: lending leaves out what waves took; a busy answer to a command that may be at work already keeps the VM counted and is tried again after a rest; a VM counts as out for at least as long as its maintenance takes.

Before: the four new scenarios failed, one by one command too many. After: 4 passed. Ruled out: a takeover (one epoch all along)."

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_commands.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_commands.py
@@ -34,10 +34,15 @@
 
 
 class CommandResult(peridotsill.TextEnum):
-    """What came of a command."""
+    """What came of a command.
+
+    BUSY says that it was not taken; UNSURE that an earlier try without an
+    answer may be at work, which would make the VM busy too.
+    """
 
     DONE = "done"
     BUSY = "busy"
+    UNSURE = "unsure"
     REFUSED = "refused"
 
 
@@ -91,6 +96,7 @@
         self._stopped.set()
 
     def _run(self, command: Command) -> None:
+        unanswered = False
         while not self._stopped.is_set():
             if not self._lease.held:
                 if self._lease.lost:
@@ -100,7 +106,10 @@
             try:
                 self._call(command)
             except exceptions.FleetBusy as error:
-                self._end(command, CommandResult.BUSY, str(error))
+                result = (
+                    CommandResult.UNSURE if unanswered else CommandResult.BUSY
+                )
+                self._end(command, result, str(error))
                 return
             except exceptions.FleetRefused as error:
                 self._end(command, CommandResult.REFUSED, str(error))
@@ -109,6 +118,7 @@
                 self._lease.lose(str(error))
                 return
             except exceptions.FleetError as error:
+                unanswered = True
                 _logs.log(
                     "vm:command_unanswered",
                     vm=command.vm,
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_fleet.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_fleet.py
@@ -30,7 +30,8 @@
 _CLEAR_SECONDS = 6.0
 # Arrivals are kept for this long.
 _ARRIVAL_SECONDS = 60.0
-# The list may lag behind a command's answer by this much.
+# The list may lag behind a move's answer by this much; a move that is done
+# already is answered at once, so its whole time is not waited for.
 _LIST_LAG_SECONDS = 0.3
 
 
@@ -42,11 +43,14 @@
 
 @attrs.define(kw_only=True, eq=False)
 class _Operation:
+    """A command under way; ``repeats`` one that may be at work already."""
+
     command: _commands.Command
     phase: _Phase
     since: float
     wave: str = ""
     runner: str = ""
+    repeats: bool = False
 
 
 @attrs.frozen(kw_only=True)
@@ -109,7 +113,7 @@
 
     def _check_back(self, name: str, operation: _Operation) -> None:
         record = self._vms.get(name)
-        if self._listed_at < operation.since + _LIST_LAG_SECONDS:
+        if self._listed_at < operation.since + self._least_away(operation):
             return
         if record is None or record.state is _ports.VmState.UP:
             _logs.log(
@@ -120,6 +124,13 @@
             )
             self._end(name)
 
+    def _least_away(self, operation: _Operation) -> float:
+        """Return how long a VM is surely away after its command."""
+        if operation.command.kind is _Kind.MAINTAIN:
+            bounds = self._parts.settings.current.bounds
+            return bounds.maintenance_ms / 1000.0
+        return _LIST_LAG_SECONDS
+
     def take_outcome(self, outcome: _commands.CommandOutcome) -> None:
         """Take the answer to a command."""
         operation = self._operations.get(outcome.command.vm)
@@ -134,11 +145,12 @@
                 wave.done.add(outcome.command.vm)
             return
         refused = outcome.result is _commands.CommandResult.REFUSED
+        unsure = outcome.result is _commands.CommandResult.UNSURE
         wave = self._waves.get(operation.wave)
         if wave is not None:
             if refused:
                 wave.done.add(outcome.command.vm)
-            else:
+            elif not (unsure or operation.repeats):
                 wave.begun.discard(outcome.command.vm)
         self._not_before[outcome.command.vm] = outcome.at + _BUSY_SECONDS
         self._end(outcome.command.vm)
@@ -232,7 +244,10 @@
     def _record(self, operation: _Operation) -> bool:
         """Record a VM of a wave as begun; true if it may be commanded."""
         wave = self._waves.get(operation.wave)
-        if wave is None or operation.command.vm in wave.begun:
+        if wave is None:
+            return True
+        if operation.command.vm in wave.begun:
+            operation.repeats = True
             return True
         wave.begun.add(operation.command.vm)
         if self._wave_rows.save(wave):
@@ -323,6 +338,16 @@
         supplies: list[peridotsill_scheduler.PoolSupply],
         now: float,
     ) -> None:
+        # Since they were counted, waves may have taken some of the idle.
+        supplies = [
+            attrs.evolve(
+                each,
+                idle=tuple(
+                    vm for vm in each.idle if vm not in self._operations
+                ),
+            )
+            for each in supplies
+        ]
         needs = {each.name: each for each in supplies}
         for move in peridotsill_scheduler.plan_moves(supplies):
             need = needs[move.target].need
@@ -408,9 +433,10 @@
                 views.append(self._due_vm(wave, record, by_pool))
         self._avoid(views)
         for name in wave.unfinished - set(self._operations):
-            # An earlier scheduler's command may still be carried out, and
-            # is safe to repeat.
-            if name in self._vms:
+            # A command without an answer may still be carried out, and is
+            # safe to repeat.
+            rested = now >= self._not_before.get(name, 0.0)
+            if name in self._vms and rested:
                 self._begin_maintenance(wave, name, now)
         ready = {view.name for view in views if self._can_begin(view, now)}
         bounds = self._parts.settings.current.bounds
--- /dev/null
+++ b/tests/features/maintenance.feature
@@ -0,0 +1,36 @@
+Feature: No more VMs out for maintenance than the wave allows
+
+  Background:
+    Given a fleet with idle VMs "a1" to "a4" in pool "a" and none in "b"
+
+  Scenario: A VM whose maintenance begins is not lent in the same round
+    Given a wave over "a4" to "a4" with at most 2 at once
+    And pool "b" needs 4 VMs
+    When the fleet decides
+    Then no VM was commanded twice
+    And only one VM was commanded to be maintained
+
+  Scenario: A command that may be at work counts as one VM out
+    Given a wave over "a1" to "a4" with at most 1 at once
+    When the fleet decides
+    And the command gets no answer, and then that the VM is busy
+    And the list of VMs shows it in maintenance
+    And the fleet decides 10 times more
+    Then only one VM was commanded to be maintained
+
+  Scenario: An earlier scheduler's command that may be at work counts too
+    Given a wave over "a1" to "a4" with at most 1 at once
+    And an earlier scheduler recorded "a3" as begun
+    When the fleet decides
+    And the command is answered that the VM is busy
+    And the list of VMs shows it in maintenance
+    And the fleet decides 10 times more
+    Then only one VM was commanded to be maintained
+
+  Scenario: A VM is out for as long as its maintenance takes
+    Given a wave over "a1" to "a4" with at most 1 at once
+    When the fleet decides
+    And the command is answered as done
+    And the list of VMs lags and shows all of them as up
+    And the fleet decides 10 times more
+    Then only one VM was commanded to be maintained
--- /dev/null
+++ b/tests/features/steps/maintenance_steps.py
@@ -0,0 +1,209 @@
+"""Steps on the fleet's decisions, with stubs for everything outside it."""
+
+import unittest.mock
+
+import attrs
+from behave import given
+from behave import then
+from behave import when
+import peridotsill
+from returns import result
+
+from peridotsill_jobs import _clock
+from peridotsill_jobs import _commands
+from peridotsill_jobs import _feeds
+from peridotsill_jobs import _fleet
+from peridotsill_jobs import _ports
+from peridotsill_jobs import _settings
+from peridotsill_jobs import exceptions
+import peridotsill_scheduler as scheduler
+
+_POOLS = ("a", "b")
+
+
+def _record(name):
+    return _ports.VmRecord(
+        name=name,
+        pool="a",
+        state=_ports.VmState.UP,
+        runner=f"r-{name}",
+        rack="r",
+        labels=frozenset(),
+        domain="z",
+        capacity=scheduler.Resources(cores=32, memory_mib=65536),
+    )
+
+
+def _worker(name):
+    return unittest.mock.Mock(
+        entry=unittest.mock.Mock(id=f"r-{name}"), vm=name, placed={}
+    )
+
+
+class _Table:
+    """A table that takes every commit and holds one wave's row."""
+
+    def __init__(self):
+        self.row = None
+
+    def read(self, keys):
+        rows = () if self.row is None else (self.row,)
+        return result.Success(rows)
+
+    def commit(self, transaction):
+        return result.Success(2)
+
+
+@given('a fleet with idle VMs "a1" to "a4" in pool "a" and none in "b"')
+def _make_fleet(context):
+    names = [f"a{number}" for number in range(1, 5)]
+    context.records = tuple(map(_record, names))
+    context.sent = []
+    context.catalog = unittest.mock.Mock(waves=())
+    context.catalog.config.pools = [
+        scheduler.PoolSettings(name=name) for name in _POOLS
+    ]
+    context.catalog.pool.side_effect = lambda name: scheduler.PoolSettings(
+        name=name
+    )
+    commander = unittest.mock.Mock()
+    commander.send.side_effect = context.sent.append
+    settings = _settings.JobNodeSettings(
+        node="n",
+        domain="z",
+        callers="127.0.0.1:1",
+        readiness="127.0.0.1:2",
+        metrics="127.0.0.1:2",
+        platform="none",
+        table="",
+        vm_service="",
+    )
+    context.rows = _Table()
+    context.keys = unittest.mock.Mock(wave_status_prefix="status//")
+    context.made = _fleet.Fleet(
+        parts=_fleet.FleetParts(
+            settings=_settings.LiveSettings(settings),
+            catalog=context.catalog,
+            table=context.rows,
+            keys=context.keys,
+            documents=unittest.mock.Mock(),
+            workers=[_worker(name) for name in names],
+            commander=commander,
+            evict=unittest.mock.Mock(),
+            release=unittest.mock.Mock(),
+        ),
+        may_command_from=0.0,
+    )
+    _list_vms(context, _clock.awake_seconds())
+
+
+def _list_vms(context, asked_at):
+    context.made.take_vms(
+        _feeds.VmsSeen(vms=context.records, asked_at=asked_at)
+    )
+
+
+@given('a wave over "a{first:d}" to "a{last:d}" with at most {most:d} at once')
+def _wave(context, first, last, most):
+    context.catalog.waves = (
+        _ports.WaveOrder(
+            name="1",
+            number=1,
+            vms=tuple(f"a{number}" for number in range(first, last + 1)),
+            deadline_seconds=20.0,
+            max_parallel=most,
+        ),
+    )
+
+
+@given('an earlier scheduler recorded "{vm}" as begun')
+def _begun(context, vm):
+    context.rows.row = peridotsill.Row(
+        key="control//wave-1", value={"begun": [vm], "done": []}, version=1
+    )
+
+
+@given('pool "b" needs {count:d} VMs')
+def _needs(context, count):
+    context.made.note_arrival("b", 32.0 * count, _clock.awake_seconds())
+
+
+@when("the fleet decides")
+def _decide(context):
+    context.made._next_at = 0.0
+    context.made.step({}, scheduler.Estimator())
+
+
+@when("the fleet decides 10 times more")
+def _decide_more(context):
+    for _ in range(10):
+        # Nothing is left alone for having been busy a moment ago.
+        context.made._not_before.clear()
+        _decide(context)
+
+
+def _last_maintenance(context):
+    kind = _commands.CommandKind.MAINTAIN
+    return [each for each in context.sent if each.kind is kind][-1]
+
+
+def _answer(context, *answers):
+    """Have the VM service answer the command that was sent last."""
+    service = unittest.mock.Mock()
+    service.maintain.side_effect = answers
+    lease = unittest.mock.Mock(epoch=1, held=True, lost=False)
+    commander = _commands.Commander(
+        node="n", vms=service, lease=lease, post=context.made.take_outcome
+    )
+    commander._run(_last_maintenance(context))
+
+
+@when("the command gets no answer, and then that the VM is busy")
+def _unanswered(context):
+    _answer(
+        context,
+        exceptions.FleetError("no answer"),
+        exceptions.FleetBusy("busy"),
+    )
+
+
+@when("the command is answered that the VM is busy")
+def _busy(context):
+    _answer(context, exceptions.FleetBusy("busy"))
+
+
+@when("the command is answered as done")
+def _done(context):
+    _answer(context, None)
+
+
+@when("the list of VMs shows it in maintenance")
+def _in_maintenance(context):
+    vm = _last_maintenance(context).vm
+    state = _ports.VmState.MAINTENANCE
+    context.records = tuple(
+        attrs.evolve(each, state=state) if each.name == vm else each
+        for each in context.records
+    )
+    _list_vms(context, _clock.awake_seconds())
+
+
+@when("the list of VMs lags and shows all of them as up")
+def _lagging(context):
+    _list_vms(context, _clock.awake_seconds() + 0.5)
+
+
+@then("no VM was commanded twice")
+def _once(context):
+    vms = [command.vm for command in context.sent]
+    assert len(vms) == len(set(vms)), context.sent
+
+
+def _maintained(context):
+    kind = _commands.CommandKind.MAINTAIN
+    return {each.vm for each in context.sent if each.kind is kind}
+
+
+@then("only one VM was commanded to be maintained")
+def _only_one(context):
+    assert len(_maintained(context)) == 1, context.sent
