--- /dev/null
+++ b/tests/model/__init__.py
@@ -0,0 +1,1 @@
+"""Small models of protocols, whose states are enumerated."""
