Ask a table that is away without a wait, so that its return is seen at once

A watch that waits 0.8 s for changes was over only after 1.3 s, and one that was sent just before the store's return had less than its wait left when its connection came through, so it failed too.

Change: while the table is away, the operators' rows and the submitted jobs are asked for without a wait, so that an attempt is over in half a second and the first one after the return is answered at once.

Ruled out: Retry-After (clients came back within their 3 s and were refused again), the takeover (the next scheduler began 0.8 s after the store's return).

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_catalog.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_catalog.py
@@ -110,9 +110,10 @@
         return None
 
     def _wait(self, revision: int) -> int | None:
-        changes = self._table.watch(
-            self._keys.operators, revision, _WAIT_SECONDS
-        )
+        # A table that is away is asked without a wait: such a call is over
+        # soon, and the first one after the table's return is answered.
+        wait = _WAIT_SECONDS if self._reachable else 0.0
+        changes = self._table.watch(self._keys.operators, revision, wait)
         match changes:
             case result.Success(found):
                 self._answered()
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_feeds.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_feeds.py
@@ -74,9 +74,11 @@
 
     def _follow_jobs(self, revision: int) -> None:
         table = self._ports.table
+        wait = _WAIT_SECONDS
         while not self._stopped.is_set():
-            match table.watch(_records.JOBS, revision, _WAIT_SECONDS):
+            match table.watch(_records.JOBS, revision, wait):
                 case result.Success(changes):
+                    wait = _WAIT_SECONDS
                     revision = int(changes.revision)
                     if changes.rows:
                         self._post(JobRows(rows=changes.rows))
@@ -87,6 +89,9 @@
                     revision = self._read_jobs(revision)
                 case result.Failure(error):
                     _logs.log("jobs:watch_failed", reason=str(error))
+                    # Without a wait a call is over soon, and the first one
+                    # after the table's return is answered at once.
+                    wait = 0.0
                     self._stopped.wait(_RETRY_SECONDS)
 
     def _read_jobs(self, revision: int) -> int:
--- a/tests/features/platform_jobs.feature
+++ b/tests/features/platform_jobs.feature
@@ -43,6 +43,10 @@
     Then job "d1" is failed within 10 s
     And each task of job "d1" was started 2 times
 
+  Scenario: Jobs are accepted soon after a store that was silent is back
+    When the store is silent to all for 2.8, 3.2, 3.6 and 4 s
+    Then every node accepted a job within 1 s of its return each time
+
   Scenario Outline: Jobs complete once while <fault>
     When 30 jobs of two steps are submitted
     And the fault is that <fault>
--- a/tests/features/steps/platform_steps.py
+++ b/tests/features/steps/platform_steps.py
@@ -616,3 +616,31 @@
         "a refusal",
     )
     assert context.cluster.ready(context.node)
+
+
+@when("the store is silent to all for 2.8, 3.2, 3.6 and 4 s")
+def _silent_to_all(context):
+    silent = context.cluster.world.store.faults.silent
+    context.accepted_after = []
+    for number, seconds in enumerate((2.8, 3.2, 3.6, 4.0)):
+        silent.add(store.EVERYONE)
+        time.sleep(seconds)
+        silent.discard(store.EVERYONE)
+        back = time.monotonic()
+        for node in context.cluster.nodes:
+            _submit_until_accepted(context, node, f"d{number}{node.number}")
+            context.accepted_after.append(time.monotonic() - back)
+
+
+def _submit_until_accepted(context, node, name):
+    def accepted():
+        steps = [{"count": 1, "cpu": 1000, "mem_mb": 100}]
+        reply = context.cluster.submit(node, _POOL, _id(name), steps)
+        return reply is not None and reply.status == 200
+
+    nodes.wait_for(accepted, 10, f"{name} is accepted")
+
+
+@then("every node accepted a job within {seconds:d} s of its return each time")
+def _accepted_soon(context, seconds):
+    assert max(context.accepted_after) <= seconds, context.accepted_after
