Give up commits that are overdue, and renew the lease with a short timeout

Change: commits wait eight times as long as answers usually take, 0.25 s at least, twice as long after each overdue one, up to 1.2 s (lease: 0.8 s). Sending again is safe, as every commit is conditional. A renewal that is found done counts from the first try that may have done it, not from the one that found it; before, the holder could believe in its lease for up to 0.7 s too long (scenario: 1.45 s left instead of 0.85).

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_book.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_book.py
@@ -36,7 +36,7 @@
     def __init__(
         self,
         *,
-        table: peridotsill_platform.WatchedTable,
+        table: peridotsill_platform.Table,
         catalog: _catalog.Catalog,
         lease: _lease.Lease,
         counters: peridotsill.Counters,
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_controller.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_controller.py
@@ -64,7 +64,7 @@
         self._parts = parts
         self._inbox: queue.SimpleQueue[Event] = queue.SimpleQueue()
         self._book = _book.Book(
-            table=parts.ports.table,
+            table=parts.ports.patient_table(),
             catalog=parts.catalog,
             lease=parts.lease,
             counters=parts.counters,
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_lease.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_lease.py
@@ -49,6 +49,7 @@
         self._seen: _Seen | None = None
         self._epoch = 0
         self._valid_until = float("-inf")
+        self._unanswered_at: float | None = None
         self._lock = threading.Lock()
         self._released = False
         self._lost = True
@@ -147,6 +148,8 @@
             case result.Failure(peridotsill_platform.exceptions.Conflict()):
                 return self._resolve(epoch, asked_at)
             case result.Failure(error):
+                if self._unanswered_at is None:
+                    self._unanswered_at = asked_at
                 _logs.log("lease:unwritten", epoch=epoch, reason=str(error))
         return False
 
@@ -156,7 +159,11 @@
         if found is None:
             return False
         if found.holder == self._node and found.epoch == epoch:
-            self._hold(found.version, epoch, asked_at)
+            # It may be the first of those tries that was done.
+            first = self._unanswered_at
+            self._hold(
+                found.version, epoch, asked_at if first is None else first
+            )
             return True
         self.lose(f"epoch {found.epoch} is held by {found.holder!r}")
         return False
@@ -173,6 +180,7 @@
             self._lost = False
             until = asked_at + LEASE_SECONDS - _MARGIN_SECONDS
             self._valid_until = max(self._valid_until, until)
+            self._unanswered_at = None
 
     def _commit(
         self, version: int, holder: str, epoch: int
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_node.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_node.py
@@ -45,9 +45,14 @@
             documents=self._ports.documents,
         )
         self._committer = peridotsill_platform.GroupCommitter(
-            table=self._ports.table, batch_size=_SUBMISSIONS_PER_COMMIT
+            table=self._ports.patient_table(),
+            batch_size=_SUBMISSIONS_PER_COMMIT,
+        )
+        self._lease = _lease.Lease(
+            node=settings.node,
+            # Half a lease leaves time for another try.
+            table=self._ports.patient_table(_lease.LEASE_SECONDS / 2),
         )
-        self._lease = _lease.Lease(node=settings.node, table=self._ports.table)
         app = _app.JobApp(
             catalog=self._catalog,
             documents=self._ports.documents,
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_ports.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_ports.py
@@ -9,6 +9,11 @@
 import peridotsill_platform
 import peridotsill_scheduler
 
+# Waits for the answer to a commit: many times a busy store's usual answer,
+# and what leaves a caller, who waits three seconds, time for another try.
+_LEAST_COMMIT_SECONDS = 0.25
+_MOST_COMMIT_SECONDS = 1.2
+
 
 class RunnerState(peridotsill.TextEnum):
     """What a runner says of itself in the registry."""
@@ -272,17 +277,26 @@
 class PlatformPorts:
     """Everything that the job service gets from a platform.
 
-    ``lease_table`` is the same table with a short timeout, so that a
-    renewal without an answer leaves time for another.
+    ``table_within`` returns the same table with a timeout in seconds.
     ``deadline_header`` is the header in which callers say how many
     milliseconds they wait.
     """
 
     table: peridotsill_platform.WatchedTable
-    lease_table: peridotsill_platform.Table
+    table_within: peridotsill_platform.TableWithin
     keys: Keys
     documents: Documents
     connect: collections.abc.Callable[[RunnerEntry], Runner]
     vms: VmService
     deadline_header: str
     advisor: Advisor | None = None
+
+    def patient_table(
+        self, most_seconds: float = _MOST_COMMIT_SECONDS
+    ) -> peridotsill_platform.PatientTable:
+        """Return the table with commits that are soon given up."""
+        return peridotsill_platform.PatientTable(
+            within=self.table_within,
+            least_seconds=_LEAST_COMMIT_SECONDS,
+            most_seconds=most_seconds,
+        )
--- a/packages/peridotsill_platform/src/peridotsill_platform/__init__.py
+++ b/packages/peridotsill_platform/src/peridotsill_platform/__init__.py
@@ -2,6 +2,8 @@
 
 from peridotsill_platform._group_commit import GroupCommitter
 from peridotsill_platform._http_table import HttpTable
+from peridotsill_platform._patient import PatientTable
+from peridotsill_platform._patient import TableWithin
 from peridotsill_platform._services import ListedVm
 from peridotsill_platform._services import ObjectStore
 from peridotsill_platform._services import TaskOrder
@@ -34,11 +36,13 @@
     "HttpTable",
     "ListedVm",
     "ObjectStore",
+    "PatientTable",
     "ReadResult",
     "ScanResult",
     "Table",
     "TableChanges",
     "TableFactory",
+    "TableWithin",
     "TaskOrder",
     "TaskPhase",
     "TaskStatus",
--- /dev/null
+++ b/tests/features/patience.feature
@@ -0,0 +1,32 @@
+Feature: Commits whose answers are overdue are given up, and sent again
+
+  Scenario: A lost answer is waited for a moment only
+    Given a table that answers commits in 0.01 s
+    When 20 commits are made
+    And an answer is lost
+    Then it was waited for 0.25 s
+    And the next answer is waited for 0.5 s
+
+  Scenario: A slow table is waited for, up to the longest wait
+    Given a table that answers commits in 0.4 s
+    When 20 commits are made
+    Then the next answer is waited for 1.2 s
+
+  Scenario: A wait does not grow without end, and shrinks with an answer
+    Given a table that answers commits in 0.01 s
+    When 20 commits are made
+    And 9 answers are lost
+    Then the next answer is waited for 1.2 s
+    When 1 commits are made
+    Then the next answer is waited for 0.25 s
+
+  Scenario: The lease is kept while half of its renewals get no answer
+    Given the holder of a lease whose table loses each second answer
+    When it renews for 4 s
+    Then it held the lease all the while
+
+  Scenario: A lease counts from the first renewal that may have been done
+    Given the holder of a lease
+    When a renewal is done and its answer lost 0.6 s ago
+    And the next renewal learns it
+    Then its lease ends 0.85 s from now
--- a/tests/features/steps/controller_steps.py
+++ b/tests/features/steps/controller_steps.py
@@ -116,6 +116,7 @@
     catalog.waves = ()
     context.store = _Table()
     ports = unittest.mock.Mock(table=context.store, advisor=None)
+    ports.patient_table.return_value = context.store
     lease = _lease.Lease(node="n", table=context.store)
     lease.try_acquire()
     made = _controller.Controller(
--- /dev/null
+++ b/tests/features/steps/patience_steps.py
@@ -0,0 +1,167 @@
+"""Steps on waits for the table's answers, with a table in memory."""
+
+import threading
+import time
+
+from behave import given
+from behave import then
+from behave import when
+import peridotsill
+from returns import result
+
+from peridotsill_jobs import _clock
+from peridotsill_jobs import _lease
+from peridotsill_jobs import _ports
+import peridotsill_platform
+import peridotsill_platform.exceptions
+
+_UNKNOWN = result.Failure(
+    peridotsill_platform.exceptions.OutcomeUnknown("no answer")
+)
+
+
+class _Table:
+    """A table that can lose answers; a lost one takes the whole timeout."""
+
+    def __init__(self, seconds=0.0):
+        self.seconds = seconds
+        self.timeout = 0.0
+        self.lost = 0
+        self.lose_each_second = False
+        self.sleeps = False
+        self.commits = 0
+        self.rows = {}
+
+    def within(self, seconds):
+        self.timeout = seconds
+        return self
+
+    def read(self, keys):
+        found = [self.rows[key] for key in keys if key in self.rows]
+        return result.Success(tuple(found))
+
+    def commit(self, transaction):
+        self.commits += 1
+        outcome = self._apply(transaction)
+        each_second = self.lose_each_second and self.commits % 2 == 0
+        if self.lost or each_second:
+            self.lost -= bool(self.lost)
+            time.sleep(self.timeout if self.sleeps else 0.0)
+            return _UNKNOWN
+        time.sleep(self.seconds)
+        return outcome
+
+    def _apply(self, transaction):
+        for check in transaction.checks:
+            row = self.rows.get(check.key)
+            if check.version != (row.version if row else 0):
+                return result.Failure(
+                    peridotsill_platform.exceptions.Conflict((check.key,))
+                )
+        for write in transaction.writes:
+            self.rows[write.key] = peridotsill.Row(
+                key=write.key, value=write.value, version=self.commits
+            )
+        return result.Success(self.commits)
+
+
+_NOTHING = peridotsill_platform.Transaction(checks=(), writes=())
+
+
+def _patient(table, most=_ports._MOST_COMMIT_SECONDS):
+    return peridotsill_platform.PatientTable(
+        within=table.within,
+        least_seconds=_ports._LEAST_COMMIT_SECONDS,
+        most_seconds=most,
+    )
+
+
+@given("a table that answers commits in {seconds:g} s")
+def _answering(context, seconds):
+    context.made = _Table(seconds)
+    context.patient = _patient(context.made)
+
+
+@when("{count:d} commits are made")
+def _commits(context, count):
+    for _ in range(count):
+        context.patient.commit(_NOTHING)
+
+
+@when("an answer is lost")
+def _lose_one(context):
+    _lose(context, 1)
+
+
+@when("{count:d} answers are lost")
+def _lose(context, count):
+    context.made.lost = count
+    _commits(context, count)
+
+
+@then("it was waited for {seconds:g} s")
+def _waited(context, seconds):
+    assert context.made.timeout == seconds, context.made.timeout
+
+
+@then("the next answer is waited for {seconds:g} s")
+def _next_wait(context, seconds):
+    context.made.lost = 1
+    _commits(context, 1)
+    _waited(context, seconds)
+
+
+@given("the holder of a lease whose table loses each second answer")
+def _lossy_holder(context):
+    _holder(context)
+    context.made.lose_each_second = True
+
+
+@given("the holder of a lease")
+def _holder(context):
+    context.made = _Table()
+    context.made.sleeps = True
+    context.lease = _lease.Lease(
+        node="n", table=_patient(context.made, _lease.LEASE_SECONDS / 2)
+    )
+    assert context.lease.try_acquire()
+
+
+@when("it renews for {seconds:d} s")
+def _renews(context, seconds):
+    stopped = threading.Event()
+    keeper = threading.Thread(
+        target=_lease._keep, args=(context.lease, stopped)
+    )
+    keeper.start()
+    until = time.monotonic() + seconds
+    context.held = []
+    while time.monotonic() < until:
+        context.held.append(context.lease.held)
+        time.sleep(0.01)
+    stopped.set()
+    keeper.join()
+
+
+@then("it held the lease all the while")
+def _held(context):
+    assert all(context.held), context.held.count(False)
+
+
+@when("a renewal is done and its answer lost {seconds:g} s ago")
+def _renewal_lost(context, seconds):
+    context.made.sleeps = False
+    context.made.lost = 1
+    assert not context.lease.renew()
+    time.sleep(seconds)
+
+
+@when("the next renewal learns it")
+def _learns(context):
+    assert context.lease.renew()
+
+
+@then("its lease ends {seconds:g} s from now")
+def _ends(context, seconds):
+    left = context.lease._valid_until - _clock.real_seconds()
+    assert seconds - 0.1 <= left <= seconds + 0.01, left
