--- a/Makefile
+++ b/Makefile
@@ -19,6 +19,7 @@
 
 demo: setup
 	PYTHONPATH=tests $(BIN)/python -m standins.demo
+	PYTHONPATH=tests $(BIN)/python -m emulator.demo
 
 emulate: setup
 	PYTHONPATH=tests $(BIN)/python -m emulator --kill
