--- /dev/null
+++ b/tests/emulator/drawn.py
@@ -0,0 +1,142 @@
+"""Plays drawn sequences of faults on real nodes and judges the rules.
+
+``python -m emulator.drawn [--count N] [--seed S] [--at-once N]`` draws fresh
+sequences; each line names the seed that plays one again.
+"""
+
+import argparse
+import concurrent.futures
+import random
+import sys
+import time
+
+import attrs
+
+from emulator import faults
+from emulator import nodes
+from emulator import rules
+
+_POOL = "trails"
+_JOBS = 16
+_JOB_GAP_SECONDS = 0.25
+# Longer than the longest fault and a takeover after it.
+_SETTLE_SECONDS = 60.0
+_LONGEST_PAUSE_SECONDS = 1.5
+_FAULTS_IN_SEQUENCE = 3
+_STEPS = [
+    {"count": 4, "cpu": 4000, "estimated_ms": 300},
+    {"count": 2, "cpu": 8000, "estimated_ms": 300, "after": [0]},
+]
+# What would leave no node, or no VM, if it came three times.
+_LEFT_OUT = frozenset(
+    {
+        "nothing fails",
+        "the scheduler is killed",
+        "the scheduler is stopped by SIGTERM",
+        "a VM crashes for good",
+    }
+)
+
+
+@attrs.frozen(kw_only=True)
+class Strike:
+    """A fault, and the seconds to wait before it."""
+
+    pause: float
+    fault: str
+
+
+def choices():
+    """Return the faults that may be drawn any number of times."""
+    return tuple(each for each in faults.names() if each not in _LEFT_OUT)
+
+
+def draw(seed):
+    """Return the sequence of a seed."""
+    source = random.Random(seed)
+    return tuple(
+        Strike(
+            pause=source.uniform(0.0, _LONGEST_PAUSE_SECONDS),
+            fault=source.choice(choices()),
+        )
+        for _ in range(_FAULTS_IN_SEQUENCE)
+    )
+
+
+def play(sequence):
+    """Play a sequence; return what was wrong, one line each."""
+    with nodes.cluster(
+        nodes=3, pools={_POOL: 4, "spare": 2}, standby=("spare",)
+    ) as cluster:
+        with concurrent.futures.ThreadPoolExecutor(1) as pool:
+            struck = pool.submit(_strike_all, cluster, sequence)
+            accepted = _submit_all(cluster)
+            struck.result()
+        return [
+            *_unfinished(cluster, accepted),
+            *rules.broken_rules(cluster.world),
+        ]
+
+
+def _strike_all(cluster, sequence):
+    for strike in sequence:
+        time.sleep(strike.pause)
+        faults.strike(strike.fault, cluster)
+
+
+def _submit_all(cluster):
+    """Submit the jobs, each until it is accepted."""
+    accepted = []
+    for number in range(1, _JOBS + 1):
+        name = f"{number:016x}"
+        deadline = time.monotonic() + _SETTLE_SECONDS
+        while time.monotonic() < deadline:
+            node = cluster.nodes[random.randrange(len(cluster.nodes))]
+            reply = cluster.submit(node, _POOL, name, _STEPS, seconds=0.3)
+            if reply is not None and reply.status == 200:
+                accepted.append(name)
+                break
+            time.sleep(_JOB_GAP_SECONDS)
+        time.sleep(_JOB_GAP_SECONDS)
+    return accepted
+
+
+def _unfinished(cluster, accepted):
+    if len(accepted) < _JOBS:
+        yield f"only {len(accepted)} of {_JOBS} jobs were accepted"
+    for name in accepted:
+        try:
+            cluster.wait_state(_POOL, name, "completed", _SETTLE_SECONDS)
+        except AssertionError as error:
+            yield str(error)
+
+
+def _report(seed):
+    sequence = draw(seed)
+    wrong = play(sequence)
+    struck = "; ".join(f"{s.pause:.2f} s, {s.fault}" for s in sequence)
+    print(f"{seed}: {'WRONG' if wrong else 'good'}: {struck}", flush=True)
+    for line in wrong:
+        print(f"  {line}", flush=True)
+    return not wrong
+
+
+def main():
+    """Play fresh sequences; return 1 if something was wrong."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--count", type=int, default=10)
+    parser.add_argument("--seed", type=int, default=None)
+    parser.add_argument("--at-once", type=int, default=3)
+    options = parser.parse_args()
+    first = options.seed
+    if first is None:
+        first = random.SystemRandom().randrange(1 << 30)
+    seeds = range(first, first + options.count)
+    with concurrent.futures.ThreadPoolExecutor(options.at_once) as pool:
+        good = list(pool.map(_report, seeds))
+    print(f"{good.count(True)} good, {good.count(False)} wrong")
+    return 0 if all(good) else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/emulator/nodes.py
+++ b/tests/emulator/nodes.py
@@ -75,8 +75,9 @@
 class Cluster:
     """Nodes, their world, and callers of it."""
 
-    def __init__(self, *, world, folder, count, settings):
+    def __init__(self, *, world, folder, count, settings, standby):
         self.world = world
+        self.standby = standby
         self._folder = folder
         self._settings = settings
         self.nodes = [self._make(number + 1) for number in range(count)]
@@ -235,6 +236,7 @@
             folder=pathlib.Path(folder),
             count=nodes,
             settings=settings or {},
+            standby=standby,
         )
         try:
             running.start()
--- a/tests/features/steps/platform_steps.py
+++ b/tests/features/steps/platform_steps.py
@@ -10,6 +10,7 @@
 from behave import given
 from behave import then
 from behave import when
+from emulator import faults
 from emulator import nodes
 from emulator import rules
 from emulator import store
@@ -35,12 +36,6 @@
     return [each for each in _intervals(context, name) if not each.ended]
 
 
-def _after(seconds, action):
-    timer = threading.Timer(seconds, action)
-    timer.daemon = True
-    timer.start()
-
-
 @given(
     '{count:d} job nodes with {vms:d} VMs in "trails" and {spare:d} in standby'
 )
@@ -194,147 +189,9 @@
     time.sleep(1.5)
 
 
-_FAULTS = {}
-
-
-def _fault(text):
-    def register(function):
-        _FAULTS[text] = function
-        return function
-
-    return register
-
-
 @when("the fault is that {fault}")
 def _make_fault(context, fault):
-    _FAULTS[fault](context)
-
-
-@_fault("nothing fails")
-def _nothing(context):
-    return None
-
-
-_fault("the scheduler is killed")(_kill_scheduler)
-
-
-@_fault("the scheduler is frozen for 4 s")
-def _freeze(context):
-    node = context.cluster.scheduler()
-    node.send(signal.SIGSTOP)
-    _after(4, lambda: node.send(signal.SIGCONT))
-
-
-@_fault("the scheduler is stopped by SIGTERM")
-def _term(context):
-    context.cluster.scheduler().send(signal.SIGTERM)
-
-
-def _refuse(context, who, seconds, kind):
-    faults = context.cluster.world.store.faults
-    callers = getattr(faults, kind)
-    callers.add(who)
-    _after(seconds, lambda: callers.discard(who))
-
-
-@_fault("the store is down for 3 s")
-def _store_down(context):
-    _refuse(context, store.EVERYONE, 3, "refused")
-
-
-@_fault("the store refuses the scheduler for 5 s")
-def _store_refuses(context):
-    host = context.cluster.scheduler().store_host
-    _refuse(context, host, 5, "refused")
-
-
-@_fault("the store is silent to the scheduler for 5 s")
-def _store_silent(context):
-    host = context.cluster.scheduler().store_host
-    _refuse(context, host, 5, "silent")
-
-
-@_fault("the store loses answers of transactions")
-def _store_loses(context):
-    context.cluster.world.store.faults.lose = 8
-
-
-@_fault("the store does transactions 2 s late")
-def _store_late(context):
-    faults = context.cluster.world.store.faults
-    faults.late_seconds = 2.0
-    faults.lose = 5
-
-
-@_fault("the store takes 0.2 s for each answer")
-def _store_slow(context):
-    context.cluster.world.store.faults.slow_seconds = 0.2
-
-
-@_fault("the store forgets its history")
-def _store_compacts(context):
-    for delay in (0.1, 0.3, 0.6, 1.0):
-        _after(delay, context.cluster.world.store.compact)
-
-
-def _busy_vm(context):
-    world = context.cluster.world
-    return max(
-        (
-            name
-            for name, each in tuple(world.vms.items())
-            if each["pool"] == _POOL and each["state"] == "up"
-        ),
-        key=lambda vm: len(world.on(vm)),
-    )
-
-
-@_fault("a runner leaves orders unanswered and late")
-def _late_orders(context):
-    world = context.cluster.world
-    runner = world.runner_of(_busy_vm(context))
-    runner.faults.late_seconds = 2.0
-
-    def well():
-        runner.faults.late_seconds = 0.0
-
-    _after(3, well)
-
-
-@_fault("a runner answers orders with 500 and late")
-def _odd_orders(context):
-    context.cluster.world.runner_of(_busy_vm(context)).faults.odd = True
-    _late_orders(context)
-
-
-@_fault("a runner goes silent for 3 s")
-def _silent_runner(context):
-    runner = context.cluster.world.runner_of(_busy_vm(context))
-    runner.faults.silent = True
-
-    def well():
-        runner.faults.silent = False
-
-    _after(3, well)
-
-
-@_fault("a VM crashes and comes back")
-def _crash_and_back(context):
-    context.cluster.world.crash(_busy_vm(context), back_after=2.0)
-
-
-@_fault("a VM crashes for good")
-def _crash(context):
-    vm = _busy_vm(context)
-    context.cluster.world.crash(vm)
-    context.cluster.world.vms.pop(vm)
-
-
-@_fault("all nodes are killed and started again")
-def _restart_all(context):
-    time.sleep(0.3)
-    _kill_all(context)
-    _start_all(context)
+    faults.strike(fault, context.cluster)
 
 
 @given('job "{name}" of {count:d} tasks that may be copied runs on one VM')
