--- a/tests/emulator/runners.py
+++ b/tests/emulator/runners.py
@@ -69,6 +69,7 @@
         self.numbers = itertools.count(1)
         self.fence = 0
         self.lease_until = 0.0
+        self.lapsed_at = float("-inf")
         self.up = True
         self._zero = time.monotonic()
 
@@ -187,6 +188,8 @@
     def _settle(self):
         """End what is due: finished runs, and all when the lease ran out."""
         now = time.monotonic()
+        if self.clock_ms() > self.lease_until:
+            self.lapsed_at = self._zero + self.lease_until / 1000.0
         if self.runs and self.clock_ms() > self.lease_until:
             for each in tuple(self.runs.values()):
                 self._end(each, "lapsed")
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -159,6 +159,180 @@
         feature="input",
         scenario="Slow senders",
     ),
+    Mutant(
+        promise="input: a body that was not read ends its connection",
+        package="peridotsill",
+        module="_listener.py",
+        old=(
+            "        unread = isinstance(body, _ChunkedBody) and not"
+            " body.is_at_end"
+        ),
+        new="        unread = False",
+        feature="input",
+        scenario="Drawn ambiguous",
+    ),
+    Mutant(
+        promise="input: folded header lines are refused",
+        package="peridotsill",
+        module="_listener.py",
+        old='        if line[:1] in (b" ", b"\\t"):',
+        new="        if False:",
+        feature="input",
+        scenario="Drawn ambiguous",
+    ),
+    Mutant(
+        promise="jobs: a new owner learns from the rows",
+        package="peridotsill_node",
+        module="_jobs.py",
+        old="        self._usage.recall(jobs)",
+        new="        return",
+        feature="jobs",
+        scenario="Learned sizes outlive",
+    ),
+    Mutant(
+        promise="starts: progress is written under a condition",
+        package="peridotsill_jobs",
+        module="_book.py",
+        old="            checks=tuple(checks), writes=tuple(writes)",
+        new="            checks=(), writes=tuple(writes)",
+        feature="platform_jobs",
+        scenario="Jobs complete once while the scheduler is frozen",
+    ),
+    Mutant(
+        promise="starts: leases of an earlier scheduler are counted",
+        package="peridotsill_jobs",
+        module="_links.py",
+        old=(
+            "            granted = self._lease_seconds * 1000.0 if r"
+            "eport.running else 0.0"
+        ),
+        new="            granted = 0.0",
+        feature="controller",
+        scenario="A runner's leases that another scheduler",
+    ),
+    Mutant(
+        promise="starts: a runner that has just answered keeps its leases",
+        package="peridotsill_jobs",
+        module="_links.py",
+        old=(
+            "        if not self.reached or self.silent_seconds <= _"
+            "TRUSTED_SECONDS:"
+        ),
+        new="        if not self.reached:",
+        feature="controller",
+        scenario="A runner that has just answered",
+    ),
+    Mutant(
+        promise="capacity: what was started again elsewhere stays reserved",
+        package="peridotsill_jobs",
+        module="_workers.py",
+        old=(
+            "                    worker.abandoned[(*key, placed.task"
+            ".run)] = placed\n"
+        ),
+        new="",
+        feature="controller",
+        scenario="What was started again elsewhere",
+    ),
+    Mutant(
+        promise="strangers: a run that nobody recorded is stopped",
+        package="peridotsill_jobs",
+        module="_runs.py",
+        old=(
+            "runner=worker.entry.id,\n        )\n        worker.link"
+            ".order_stop"
+        ),
+        new="runner=worker.entry.id,\n        )\n        id",
+        feature="controller",
+        scenario="A run that nobody recorded",
+    ),
+    Mutant(
+        promise="waves: what a wave has just taken is not lent",
+        package="peridotsill_jobs",
+        module="_fleet.py",
+        old="vm for vm in each.idle if vm not in self._operations",
+        new="vm for vm in each.idle",
+        feature="maintenance",
+        scenario="A VM whose maintenance begins",
+    ),
+    Mutant(
+        promise="waves: a busy answer after an unanswered try is unsure",
+        package="peridotsill_jobs",
+        module="_commands.py",
+        old="                unanswered = True",
+        new="                unanswered = False",
+        feature="maintenance",
+        scenario="A command that may be at work",
+    ),
+    Mutant(
+        promise="waves: a repeat of an earlier command counts",
+        package="peridotsill_jobs",
+        module="_fleet.py",
+        old="            operation.repeats = True",
+        new="            operation.repeats = False",
+        feature="maintenance",
+        scenario="An earlier scheduler's command",
+    ),
+    Mutant(
+        promise="waves: a VM is out for its whole maintenance",
+        package="peridotsill_jobs",
+        module="_fleet.py",
+        old="        if operation.command.kind is _Kind.MAINTAIN:",
+        new="        if False:",
+        feature="maintenance",
+        scenario="A VM is out for as long",
+    ),
+    Mutant(
+        promise="store: one that is away is asked without a wait",
+        package="peridotsill_jobs",
+        module="_catalog.py",
+        old="        wait = _WAIT_SECONDS if self._reachable else 0.0",
+        new="        wait = _WAIT_SECONDS",
+        feature="platform_jobs",
+        scenario="Jobs are accepted soon after",
+    ),
+    Mutant(
+        promise="store: overdue commits are given up",
+        package="peridotsill_platform",
+        module="_patient.py",
+        old=(
+            "            return min(self._most_seconds, wait * 2.0**"
+            "self._overdue)"
+        ),
+        new="            return self._most_seconds",
+        feature="patience",
+        scenario="A lost answer is waited for",
+    ),
+    Mutant(
+        promise="lease: it counts from the first unanswered renewal",
+        package="peridotsill_jobs",
+        module="_lease.py",
+        old="            first = self._unanswered_at",
+        new="            first = None",
+        feature="patience",
+        scenario="A lease counts from",
+    ),
+    Mutant(
+        promise="submissions: a row that exists is this job's",
+        package="peridotsill_jobs",
+        module="_submissions.py",
+        old=(
+            "                    return Shown(outcome=Outcome.DONE, "
+            'reason="repeated")'
+        ),
+        new="                    return Shown(outcome=Outcome.NOT_DONE)",
+        feature="platform_jobs",
+        scenario="A job is one job",
+    ),
+    Mutant(
+        promise="cancels: a new scheduler reads them",
+        package="peridotsill_jobs",
+        module="_controller.py",
+        old="        for job in self._book.cancelled:",
+        new="        for job in ():",
+        feature="takeover",
+        scenario="cancelled before",
+    ),
 )
 
 
