Show the job service on a platform with `peridotsill service`

Operators had only rows and log lines there. The new commands read the rows through the ports of a job node's settings: scheduler, jobs, job, waves, vms; explain collects the decisions about a subject from the nodes' output. The adapter is named by an option, so the product still knows no platform. One scenario on real nodes: contents, explain, exit codes 2, 4 and 6; it failed before, as there was no such command.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/__init__.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/__init__.py
@@ -1,5 +1,6 @@
 """The job service: queues for callers, and a scheduler for the VMs."""
 
+from peridotsill_jobs._inspection import Inspector
 from peridotsill_jobs._logs import log
 from peridotsill_jobs._logs import logging_to_stdout
 from peridotsill_jobs._node import JobNode
@@ -36,6 +37,7 @@
     "Bounds",
     "Documents",
     "EndKind",
+    "Inspector",
     "JobNode",
     "JobNodeSettings",
     "JobsConfig",
--- /dev/null
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_inspection.py
@@ -0,0 +1,173 @@
+"""What operators are shown of the job service, read from its rows."""
+
+import collections
+import typing
+
+import attrs
+import peridotsill
+import peridotsill.exceptions
+from returns import result
+
+from peridotsill_jobs import _ports
+from peridotsill_jobs import _records
+from peridotsill_jobs import _waves
+from peridotsill_jobs import exceptions
+
+
+@attrs.frozen(kw_only=True)
+class SchedulerView:
+    """Which node holds the scheduler's lease, and how often it changed."""
+
+    holder: str
+    epoch: int
+    row_version: int
+
+
+@attrs.frozen(kw_only=True)
+class TaskView:
+    """A task that was started; ``run`` counts its starts."""
+
+    name: str
+    phase: str
+    run: int
+    runner: str
+    failures: int
+
+
+@attrs.frozen(kw_only=True)
+class JobView:
+    """A job whose first task was started, with those of its tasks."""
+
+    id: str
+    queue: str
+    state: str
+    epoch: int
+    tasks: tuple[TaskView, ...]
+
+    def count(self, phase: str) -> int:
+        """Return how many of the tasks are in a phase."""
+        return collections.Counter(each.phase for each in self.tasks)[phase]
+
+
+@attrs.frozen(kw_only=True)
+class WaveView:
+    """A wave as the scheduler recorded it: VMs commanded, and answered."""
+
+    name: str
+    begun: tuple[str, ...]
+    done: tuple[str, ...]
+
+
+class Inspector:
+    """Reads the rows of a job service and its platform's list of VMs."""
+
+    def __init__(self, *, ports: _ports.PlatformPorts) -> None:
+        self._ports = ports
+
+    def scheduler(self) -> SchedulerView | None:
+        """Return the lease, None if no node ever held it.
+
+        Raises:
+            RowsUnreadable: If the table does not answer.
+        """
+        rows = self._read(_records.LEASE_KEY)
+        if not rows:
+            return None
+        value = rows[0].value
+        return SchedulerView(
+            holder=str(value.get("holder", "")),
+            epoch=int(value.get("epoch", 0)),
+            row_version=rows[0].version,
+        )
+
+    def jobs(self) -> tuple[JobView, ...]:
+        """Return the jobs of which a task was started.
+
+        Raises:
+            RowsUnreadable: If the table does not answer.
+        """
+        return tuple(map(_job_view, self._scan(f"{_records.PROGRESS}/")))
+
+    def job(self, queue: str, job_id: str) -> JobView | None:
+        """Return one job, None if none of its tasks was started.
+
+        Raises:
+            RowsUnreadable: If the table does not answer.
+        """
+        key = _records.row_key(_records.PROGRESS, queue, job_id)
+        rows = self._read(key)
+        return _job_view(rows[0]) if rows else None
+
+    def waves(self) -> tuple[WaveView, ...]:
+        """Return the waves that a scheduler has begun.
+
+        Raises:
+            RowsUnreadable: If the table does not answer.
+        """
+        found = []
+        for row in self._scan("control//"):
+            if row.key.startswith(_waves.KEY_PREFIX):
+                found.append(
+                    WaveView(
+                        name=row.key.removeprefix(_waves.KEY_PREFIX),
+                        begun=tuple(row.value.get("begun", ())),
+                        done=tuple(row.value.get("done", ())),
+                    )
+                )
+        return tuple(found)
+
+    def vms(self) -> tuple[_ports.VmRecord, ...]:
+        """Return the platform's list of VMs.
+
+        Raises:
+            FleetError: If the VM service does not answer.
+        """
+        return self._ports.vms.list_vms()
+
+    def _read(self, key: str) -> tuple[peridotsill.Row, ...]:
+        match self._ports.table.read((key,)):
+            case result.Success(rows):
+                return typing.cast(tuple[peridotsill.Row, ...], rows)
+            case result.Failure(error):
+                raise exceptions.RowsUnreadable(str(error))
+        raise AssertionError("a result is a success or a failure")
+
+    def _scan(self, prefix: str) -> tuple[peridotsill.Row, ...]:
+        match self._ports.table.scan((prefix,)):
+            case result.Success(scan):
+                return typing.cast(tuple[peridotsill.Row, ...], scan.rows)
+            case result.Failure(error):
+                raise exceptions.RowsUnreadable(str(error))
+        raise AssertionError("a result is a success or a failure")
+
+
+def _job_view(row: peridotsill.Row) -> JobView:
+    queue, job_id = row.key.split("/", 3)[2:]
+    try:
+        return JobView(
+            id=job_id,
+            queue=queue,
+            state=str(_records.parse_state(row.value)),
+            epoch=int(row.value.get("epoch", 0)),
+            tasks=tuple(
+                TaskView(
+                    name=name,
+                    phase=str(fields[0]),
+                    run=int(fields[1]),
+                    runner=str(fields[2]),
+                    failures=int(fields[4]),
+                )
+                for name, fields in sorted(row.value["tasks"].items())
+            ),
+        )
+    except (
+        peridotsill.exceptions.InvalidResource,
+        KeyError,
+        IndexError,
+        TypeError,
+        ValueError,
+    ):
+        # Shown, so that an operator sees that the row needs a look.
+        return JobView(
+            id=job_id, queue=queue, state="unreadable", epoch=0, tasks=()
+        )
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_waves.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_waves.py
@@ -10,7 +10,7 @@
 import peridotsill_platform
 import peridotsill_platform.exceptions
 
-_KEY_PREFIX = "control//wave-"
+KEY_PREFIX = "control//wave-"
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -47,7 +47,7 @@
 
     def load(self, wave: Wave) -> bool:
         """Read a wave's row; false if it could not be read."""
-        match self._table.read((_KEY_PREFIX + wave.order.name,)):
+        match self._table.read((KEY_PREFIX + wave.order.name,)):
             case result.Success(rows):
                 if rows:
                     value = rows[0].value
@@ -65,7 +65,7 @@
 
     def save(self, wave: Wave) -> bool:
         """Write a wave's row; false if it is not known to be written."""
-        key = _KEY_PREFIX + wave.order.name
+        key = KEY_PREFIX + wave.order.name
         value = {"begun": sorted(wave.begun), "done": sorted(wave.done)}
         outcome = self._table.commit(
             peridotsill_platform.Transaction(
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/exceptions.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/exceptions.py
@@ -57,3 +57,7 @@
 
 class AdviceUnavailable(JobsError):
     """The placement advisor did not answer."""
+
+
+class RowsUnreadable(JobsError):
+    """The table did not answer, so its rows can't be shown."""
--- a/packages/peridotsill_node/src/peridotsill_node/_cli.py
+++ b/packages/peridotsill_node/src/peridotsill_node/_cli.py
@@ -19,6 +19,7 @@
 import rich.table
 import typer
 
+from peridotsill_node import _service_cli
 import peridotsill_operators
 from peridotsill_operators import exceptions as operator_exceptions
 
@@ -44,6 +45,7 @@
 app.add_typer(vm_app, name="vm")
 app.add_typer(config_app, name="config")
 app.add_typer(node_app, name="node")
+app.add_typer(_service_cli.service_app, name="service")
 
 Address = typing.Annotated[
     list[str],
@@ -127,6 +129,10 @@
 ) -> None:
     if output not in ("table", "json"):
         raise typer.BadParameter("--output: say table or json")
+    if context.invoked_subcommand == "service":
+        # It speaks to a platform, not to nodes, and needs no token.
+        context.obj = _Context(addresses=[], token="", output=output)
+        return
     try:
         token = peridotsill.load_token(token_file)
     except peridotsill.exceptions.SettingsError as error:
--- a/tests/features/platform_jobs.feature
+++ b/tests/features/platform_jobs.feature
@@ -19,6 +19,15 @@
       | SIGHUP    |
       | no signal |
 
+  Scenario: Operators see the scheduler, jobs, waves and VMs, and a decision
+    When 12 jobs of two steps are submitted
+    Then all jobs are completed within 20 s
+    And `peridotsill service` shows the scheduler, the jobs and 6 VMs
+    And it shows a job's tasks and explains its decisions from the logs
+    And it ends with 4 for an unknown job, and with 2 for bad settings
+    When all nodes and the store are gone
+    Then `peridotsill service` ends with 6 and says why
+
   Scenario: Steps wait for the steps before them
     When 12 jobs of two steps are submitted
     Then all jobs are completed within 20 s
--- a/tests/features/steps/platform_steps.py
+++ b/tests/features/steps/platform_steps.py
@@ -3,7 +3,10 @@
 import base64
 import contextlib
 import json
+import pathlib
 import signal
+import subprocess
+import sys
 import threading
 import time
 
@@ -501,3 +504,64 @@
 @then("every node accepted a job within {seconds:d} s of its return each time")
 def _accepted_soon(context, seconds):
     assert max(context.accepted_after) <= seconds, context.accepted_after
+
+
+def _service(context, *words, adapter="peridotsill_adapter"):
+    """Run an operators' command; its exit code, data and errors."""
+    binary = pathlib.Path(sys.executable).parent / "peridotsill"
+    settings = str(context.cluster.nodes[0].settings)
+    chosen = ["--settings", settings, "--adapter", adapter]
+    done = subprocess.run(
+        [str(binary), "-o", "json", "service", *chosen, *words],
+        capture_output=True,
+        text=True,
+        timeout=30,
+    )
+    assert "Traceback" not in done.stderr, done.stderr
+    data = json.loads(done.stdout) if done.stdout.strip() else None
+    return done.returncode, data, done.stderr
+
+
+@then("`peridotsill service` shows the scheduler, the jobs and {count:d} VMs")
+def _shows(context, count):
+    _, found, _ = _service(context, "scheduler")
+    scheduler = context.cluster.scheduler()
+    assert found["holder"] == f"node-{scheduler.number}", found
+    _, found, _ = _service(context, "jobs", "--state", "completed")
+    ids = {_id(name) for name in context.jobs}
+    assert {each["id"] for each in found} == ids, found
+    _, found, _ = _service(context, "vms")
+    assert len(found) == count, found
+    assert _service(context, "waves")[:2] == (0, [])
+
+
+@then("it shows a job's tasks and explains its decisions from the logs")
+def _explains(context):
+    queue, job = f"q-{_POOL}", _id(context.jobs[0])
+    _, found, _ = _service(context, "job", queue, job)
+    assert [each["phase"] for each in found["tasks"]] == ["done"] * 6, found
+    logs = [str(node.log) for node in context.cluster.nodes]
+    _, found, _ = _service(context, "explain", job, *logs)
+    kinds = [each["message_type"] for each in found]
+    assert kinds[0] == "job:accepted" and kinds[-1] == "job:state", kinds
+    assert kinds.count("task:start") == 6, kinds
+
+
+@then("it ends with 4 for an unknown job, and with 2 for bad settings")
+def _exit_codes(context):
+    assert _service(context, "job", f"q-{_POOL}", "ff")[0] == 4
+    code, _, why = _service(context, "scheduler", adapter="no_such_module")
+    assert code == 2 and "no_such_module" in why, (code, why)
+
+
+@when("all nodes and the store are gone")
+def _all_gone(context):
+    for node in context.cluster.nodes:
+        node.kill()
+    context.cluster.world.store.faults.refused.add(store.EVERYONE)
+
+
+@then("`peridotsill service` ends with 6 and says why")
+def _ends_with_6(context):
+    code, _, why = _service(context, "scheduler")
+    assert code == 6 and why.strip(), (code, why)
