Move the reading of requests out of the listener's module

_listener.py bounds phases and connections; _http_request.py says what a request may look like. No change of behaviour.

--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -162,7 +162,7 @@
     Mutant(
         promise="input: a body that was not read ends its connection",
         package="peridotsill",
-        module="_listener.py",
+        module="_http_request.py",
         old=(
             "        unread = isinstance(body, _ChunkedBody) and not"
             " body.is_at_end"
@@ -174,7 +174,7 @@
     Mutant(
         promise="input: folded header lines are refused",
         package="peridotsill",
-        module="_listener.py",
+        module="_http_request.py",
         old='        if line[:1] in (b" ", b"\\t"):',
         new="        if False:",
         feature="input",
