Follow tables by one loop

The operators' rows and the submitted jobs were followed by two loops of the same shape; _following.py is now the one, with the retry without a wait.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_catalog.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_catalog.py
@@ -4,19 +4,17 @@
 import threading
 
 import peridotsill
-from returns import result
 
 from peridotsill_jobs import _clock
+from peridotsill_jobs import _following
 from peridotsill_jobs import _logs
 from peridotsill_jobs import _ports
-import peridotsill_platform.exceptions
+import peridotsill_platform
 import peridotsill_scheduler
 
 # A wait for changes ends after this time without one, so that a connection
 # that went silent is noticed within the time a change may take.
 _WAIT_SECONDS = 0.8
-# Pause after a failed call; short against the time a change may take.
-_RETRY_SECONDS = 0.15
 # Without an answer for this long the table counts as out of reach: two
 # waits in a row have failed.
 _REACH_SECONDS = 2.0
@@ -90,44 +88,26 @@
         self._stopped.set()
 
     def _run(self) -> None:
-        revision: int | None = None
-        while not self._stopped.is_set():
-            if revision is None:
-                revision = self._read_all()
-            else:
-                revision = self._wait(revision)
-
-    def _read_all(self) -> int | None:
-        match self._table.scan((f"{self._keys.operators}//",)):
-            case result.Success(scan):
-                self._answered()
-                self._waves = {}
-                for row in scan.rows:
-                    self._take(row)
-                return int(scan.revision)
-            case result.Failure(error):
-                self._failed(error)
-        return None
+        _following.follow(
+            _following.Following(
+                table=self._table,
+                name=self._keys.operators,
+                prefix=f"{self._keys.operators}//",
+                wait_seconds=_WAIT_SECONDS,
+                take=self._take_followed,
+                failed=self._failed,
+            ),
+            self._stopped,
+        )
 
-    def _wait(self, revision: int) -> int | None:
-        # A table that is away is asked without a wait: such a call is over
-        # soon, and the first one after the table's return is answered.
-        wait = _WAIT_SECONDS if self._reachable else 0.0
-        changes = self._table.watch(self._keys.operators, revision, wait)
-        match changes:
-            case result.Success(found):
-                self._answered()
-                for row in found.rows:
-                    self._take(row)
-                for key in found.deleted:
-                    self._waves.pop(key, None)
-                return int(found.revision)
-            case result.Failure(peridotsill_platform.exceptions.HistoryGone()):
-                _logs.log("catalog:history_gone", revision=revision)
-                return None
-            case result.Failure(error):
-                self._failed(error)
-        return revision
+    def _take_followed(self, followed: _following.Followed) -> None:
+        self._answered()
+        if followed.whole:
+            self._waves = {}
+        for row in followed.rows:
+            self._take(row)
+        for key in followed.deleted:
+            self._waves.pop(key, None)
 
     def _answered(self) -> None:
         self._reached_at = _clock.real_seconds()
@@ -139,7 +119,6 @@
         if self._reachable:
             self._reachable = False
             _logs.log("dependency:lost", dependency="table", reason=str(error))
-        self._stopped.wait(_RETRY_SECONDS)
 
     def _take(self, row: peridotsill.Row) -> None:
         if row.key == self._keys.config:
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_feeds.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_feeds.py
@@ -8,17 +8,15 @@
 from returns import result
 
 from peridotsill_jobs import _clock
+from peridotsill_jobs import _following
 from peridotsill_jobs import _logs
 from peridotsill_jobs import _ports
 from peridotsill_jobs import _records
 from peridotsill_jobs import exceptions
-import peridotsill_platform
-import peridotsill_platform.exceptions
 
 # A wait for submissions ends after this time without one; it bounds how
 # long a silent connection hides them.
 _WAIT_SECONDS = 0.6
-_RETRY_SECONDS = 0.15
 # Period of reading the registry: a third of the time in which a draining
 # runner must get no more work, less the way of the change.
 _REGISTRY_SECONDS = 0.4
@@ -73,36 +71,23 @@
         self._stopped.set()
 
     def _follow_jobs(self, revision: int) -> None:
-        table = self._ports.table
-        wait = _WAIT_SECONDS
-        while not self._stopped.is_set():
-            match table.watch(_records.JOBS, revision, wait):
-                case result.Success(changes):
-                    wait = _WAIT_SECONDS
-                    revision = int(changes.revision)
-                    if changes.rows:
-                        self._post(JobRows(rows=changes.rows))
-                case result.Failure(
-                    peridotsill_platform.exceptions.HistoryGone()
-                ):
-                    _logs.log("jobs:history_gone", revision=revision)
-                    revision = self._read_jobs(revision)
-                case result.Failure(error):
-                    _logs.log("jobs:watch_failed", reason=str(error))
-                    # Without a wait a call is over soon, and the first one
-                    # after the table's return is answered at once.
-                    wait = 0.0
-                    self._stopped.wait(_RETRY_SECONDS)
-
-    def _read_jobs(self, revision: int) -> int:
-        match self._ports.table.scan((f"{_records.JOBS}/",)):
-            case result.Success(scan):
-                self._post(JobRows(rows=scan.rows))
-                return int(scan.revision)
-            case result.Failure(error):
-                _logs.log("jobs:scan_failed", reason=str(error))
-                self._stopped.wait(_RETRY_SECONDS)
-        return revision
+        _following.follow(
+            _following.Following(
+                table=self._ports.table,
+                name=_records.JOBS,
+                prefix=f"{_records.JOBS}/",
+                wait_seconds=_WAIT_SECONDS,
+                take=self._take_jobs,
+                failed=_log_jobs_unread,
+                revision=revision,
+            ),
+            self._stopped,
+        )
+
+    def _take_jobs(self, followed: _following.Followed) -> None:
+        # Jobs are cancelled by a write; their rows are never deleted.
+        if followed.rows:
+            self._post(JobRows(rows=followed.rows))
 
     def _read_registry(self) -> None:
         prefix = f"{self._ports.keys.registry}//"
@@ -129,3 +114,7 @@
             else:
                 self._post(VmsSeen(vms=vms, asked_at=asked_at))
             self._stopped.wait(_VMS_SECONDS)
+
+
+def _log_jobs_unread(error: Exception) -> None:
+    _logs.log("jobs:watch_failed", reason=str(error))
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -285,9 +285,9 @@
     Mutant(
         promise="store: one that is away is asked without a wait",
         package="peridotsill_jobs",
-        module="_catalog.py",
-        old="        wait = _WAIT_SECONDS if self._reachable else 0.0",
-        new="        wait = _WAIT_SECONDS",
+        module="_following.py",
+        old="            wait = 0.0",
+        new="            wait = following.wait_seconds",
         feature="platform_jobs",
         scenario="Jobs are accepted soon after",
     ),
