--- a/tests/features/controller.feature
+++ b/tests/features/controller.feature
@@ -63,3 +63,9 @@
     And the start of run 1 is answered as done
     And runner "i-1" has nothing running
     Then runner "i-1" has all its cores free
+
+  Scenario: Of two schedulers that start a task, the later one gives way
+    Given a scheduler with a task that waits
+    When another scheduler has recorded run 2 of it on runner "i-2"
+    And a round is made
+    Then nothing is started, and the task is run 2 on runner "i-2"
--- a/tests/features/steps/controller_steps.py
+++ b/tests/features/steps/controller_steps.py
@@ -18,6 +18,7 @@
 from peridotsill_jobs import _ports
 from peridotsill_jobs import _records
 from peridotsill_jobs import _settings
+import peridotsill_platform.exceptions
 import peridotsill_scheduler as scheduler
 
 _JOB = "00000000000000aa"
@@ -28,13 +29,18 @@
 
 
 class _Table:
-    """A table in memory that takes every commit."""
+    """A table in memory that demands each checked row's version."""
 
     def __init__(self):
         self.rows = {}
         self.version = 0
 
     def commit(self, transaction):
+        for check in transaction.checks:
+            if self.rows.get(check.key, (None, 0))[1] != check.version:
+                return result.Failure(
+                    peridotsill_platform.exceptions.Conflict((check.key,))
+                )
         self.version += 1
         for write in transaction.writes:
             self.rows[write.key] = (write.value, self.version)
@@ -320,7 +326,7 @@
             entry=_entry("i-1"),
             connect=lambda entry: runner,
             lease=lease,
-            max_lease_seconds=0.5,
+            max_lease_seconds=3.0,
             post=lambda event: None,
         )
     )
@@ -337,9 +343,10 @@
 
 @then("they have once the longest grant has passed in silence")
 def _lapsed(context):
-    time.sleep(0.5)
+    # Nine tenths of the longest lease, on a clock that may be slow.
+    time.sleep(2.5)
     assert not context.link.leases_lapsed
-    time.sleep(1.3)
+    time.sleep(0.4)
     assert context.link.leases_lapsed
 
 
@@ -475,3 +482,33 @@
 @when('runner "i-1" has nothing running')
 def _nothing_there(context):
     _list(context, "i-1")
+
+
+@given("a scheduler with a task that waits")
+def _waiting(context):
+    _scheduler(context)
+    context.controller._registry_seen = True
+    context.controller._workers.forget_job(context.job)
+    context.task.phase = scheduler.TaskPhase.WAITING
+    context.controller._book.mark(context.job)
+    context.controller._book.commit()
+
+
+@when('another scheduler has recorded run 2 of it on runner "i-2"')
+def _recorded_elsewhere(context):
+    key = _records.row_key(_records.PROGRESS, "q", _JOB)
+    value, _ = context.store.rows[key]
+    task = ["running", 2, "i-2", 1, 0, 0, ""]
+    other = {**value, "tasks": {"0.0.0": task}}
+    context.store.version += 1
+    context.store.rows[key] = (other, context.store.version)
+
+
+@then('nothing is started, and the task is run 2 on runner "i-2"')
+def _gives_way(context):
+    starts = [
+        order for link in context.links.values() for order in link.starts
+    ]
+    assert not starts, starts
+    task = context.job.tasks[0]
+    assert (task.run, task.runner) == (2, "i-2"), task
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -195,8 +195,8 @@
         module="_book.py",
         old="            checks=tuple(checks), writes=tuple(writes)",
         new="            checks=(), writes=tuple(writes)",
-        feature="platform_jobs",
-        scenario="Jobs complete once while the scheduler is frozen",
+        feature="controller",
+        scenario="Of two schedulers that start a task",
     ),
     Mutant(
         promise="starts: leases of an earlier scheduler are counted",
