--- a/tests/features/steps/controller_steps.py
+++ b/tests/features/steps/controller_steps.py
@@ -8,6 +8,7 @@
 from behave import given
 from behave import then
 from behave import when
+from emulator import stubs
 import peridotsill
 from returns import result
 
@@ -101,19 +102,6 @@
         return None
 
 
-def _settings_of():
-    return _settings.JobNodeSettings(
-        node="n",
-        domain="z",
-        callers="127.0.0.1:1",
-        readiness="127.0.0.1:2",
-        metrics="127.0.0.1:2",
-        platform="none",
-        table="",
-        vm_service="",
-    )
-
-
 @given('a scheduler with a task of run 1 on runner "i-1"')
 def _scheduler(context):
     catalog = unittest.mock.Mock()
@@ -127,7 +115,7 @@
     lease.try_acquire()
     made = _controller.Controller(
         parts=_controller.ControllerParts(
-            settings=_settings.LiveSettings(_settings_of()),
+            settings=_settings.LiveSettings(stubs.node_settings()),
             ports=ports,
             catalog=catalog,
             lease=lease,
--- a/tests/features/steps/maintenance_steps.py
+++ b/tests/features/steps/maintenance_steps.py
@@ -6,6 +6,7 @@
 from behave import given
 from behave import then
 from behave import when
+from emulator import stubs
 import peridotsill
 from returns import result
 
@@ -68,16 +69,7 @@
     )
     commander = unittest.mock.Mock()
     commander.send.side_effect = context.sent.append
-    settings = _settings.JobNodeSettings(
-        node="n",
-        domain="z",
-        callers="127.0.0.1:1",
-        readiness="127.0.0.1:2",
-        metrics="127.0.0.1:2",
-        platform="none",
-        table="",
-        vm_service="",
-    )
+    settings = stubs.node_settings()
     context.rows = _Table()
     context.keys = unittest.mock.Mock(wave_status_prefix="status//")
     context.made = _fleet.Fleet(
