Make a round at least each 0.1 s however many events there are

On a slow node with many runners they come faster than that; then no round is made, nothing is committed or started, while the lease is renewed by its own thread and every node leaves the scheduling to it.

Change: events are handled for 0.1 s before a round at most. Scenario with an inbox that never empties: 3.0 s before (as long as the events went on), passed after.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_controller.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_controller.py
@@ -30,6 +30,9 @@
 # Events gather for this long before a round, so that one commit carries
 # many of them; short against a task's run time.
 _GATHER_SECONDS = 0.008
+# Events are handled for this long before a round at most: on a slow node
+# they may come faster than that, and without a round nothing is started.
+_MOST_GATHER_SECONDS = 0.1
 # A round is made at least this often, for what comes due by time.
 _IDLE_SECONDS = 0.2
 _LOAD_RETRY_SECONDS = 0.2
@@ -183,7 +186,8 @@
         with contextlib.suppress(queue.Empty):
             self._handle(self._inbox.get(timeout=_IDLE_SECONDS))
             time.sleep(_GATHER_SECONDS)
-            while True:
+            until = time.monotonic() + _MOST_GATHER_SECONDS
+            while time.monotonic() < until:
                 self._handle(self._inbox.get_nowait())
 
     def _handle(self, event: Event) -> None:
--- a/tests/features/controller.feature
+++ b/tests/features/controller.feature
@@ -64,6 +64,11 @@
     And runner "i-1" has nothing running
     Then runner "i-1" has all its cores free
 
+  Scenario: Events that never cease don't keep rounds from being made
+    Given a scheduler with a task of run 1 on runner "i-1"
+    When looks are reported faster than they are handled
+    Then it goes on to its round within 1 s
+
   Scenario: Of two schedulers that start a task, the later one gives way
     Given a scheduler with a task that waits
     When another scheduler has recorded run 2 of it on runner "i-2"
--- a/tests/features/steps/controller_steps.py
+++ b/tests/features/steps/controller_steps.py
@@ -1,5 +1,6 @@
 """Steps on the scheduler's loop, with stubs for everything outside it."""
 
+import queue
 import threading
 import time
 import unittest.mock
@@ -14,6 +15,7 @@
 
 from peridotsill_jobs import _advice
 from peridotsill_jobs import _controller
+from peridotsill_jobs import _feeds
 from peridotsill_jobs import _lease
 from peridotsill_jobs import _links
 from peridotsill_jobs import _ports
@@ -500,3 +502,32 @@
     assert not starts, starts
     task = context.job.tasks[0]
     assert (task.run, task.runner) == (2, "i-2"), task
+
+
+class _EndlessInbox:
+    """Always has one more event, for some seconds."""
+
+    def __init__(self, seconds):
+        self._until = time.monotonic() + seconds
+
+    def get(self, timeout):
+        return self.get_nowait()
+
+    def get_nowait(self):
+        if time.monotonic() > self._until:
+            raise queue.Empty
+        time.sleep(0.001)
+        return _feeds.JobRows(rows=())
+
+
+@when("looks are reported faster than they are handled")
+def _flood(context):
+    context.controller._inbox = _EndlessInbox(seconds=3.0)
+    began = time.monotonic()
+    context.controller._take_events()
+    context.gathered_seconds = time.monotonic() - began
+
+
+@then("it goes on to its round within {seconds:d} s")
+def _goes_on(context, seconds):
+    assert context.gathered_seconds < seconds, context.gathered_seconds
