Have the stand-in's runners end each run at its own time

On a loaded machine the silence outlasted the lease; the task was rightly started elsewhere after the lease's end, and the old run was recorded as going on until the runner was reached again.

Change: an end has the time at which it was due, and a lapse that of the lease's end; before judging, runners are settled. This is stricter: a start a moment before the lease's end is noticed now. What finished before the lapse is listed as done, as on the users' platform, and no longer as lapsed.

The late carrying out of orders was written twice (start, stop) and is one method; a fault that nobody made (hang) and two fields are gone.

--- a/tests/emulator/faults.py
+++ b/tests/emulator/faults.py
@@ -141,15 +141,24 @@
     _answer_late(runner)
 
 
-@fault("a runner goes silent for 3 s")
-def _silent_runner(cluster):
+def _silence(cluster, seconds):
     runner = _busy_runner(cluster)
     runner.faults.silent = True
 
     def well():
         runner.faults.silent = False
 
-    _after(3, well)
+    _after(seconds, well)
+
+
+@fault("a runner goes silent for 3 s")
+def _silent_runner(cluster):
+    _silence(cluster, 3)
+
+
+@fault("a runner goes silent until its leases ran out")
+def _silent_past_leases(cluster):
+    _silence(cluster, 5)
 
 
 @fault("a VM crashes and comes back")
--- a/tests/emulator/rules.py
+++ b/tests/emulator/rules.py
@@ -41,15 +41,15 @@
                 )
             )
 
-    def ended(self, runner, task, run, how):
-        """Note a run's end."""
+    def ended(self, runner, task, run, how, at):
+        """Note a run's end at a monotonic time."""
         with self.lock:
             for each in self.intervals:
                 if each.runner is runner and (each.task, each.run) == (
                     task,
                     run,
                 ):
-                    each.ended = each.ended or time.monotonic()
+                    each.ended = each.ended or at
                     each.how = each.how or how
 
     def noted(self, runner, row):
@@ -83,6 +83,8 @@
 
 def broken_rules(world):
     """Return a line for each rule that the run log shows as broken."""
+    for runner in tuple(world.runners.values()):
+        runner.settle()
     with world.log.lock:
         intervals = list(world.log.intervals)
     return (
--- a/tests/emulator/runners.py
+++ b/tests/emulator/runners.py
@@ -29,21 +29,23 @@
     began: float
     seconds: float
     percent: int = 100
-    ended: float = 0.0
-    how: str = ""
+
+    @property
+    def due(self):
+        """Return when the run is finished if nothing ends it before."""
+        return self.began + self.seconds
 
 
 @attrs.define
 class RunnerFaults:
     """What a runner does wrong.
 
-    ``silent`` answers nothing, ``hang`` lets nothing end, ``fail`` fails
-    all, ``late_seconds`` answers no order and carries it out later; with
-    ``odd`` it answers such an order with status 500.
+    ``silent`` answers nothing, ``fail`` fails all, ``late_seconds`` answers
+    no order and carries it out later; with ``odd`` it answers such an
+    order with status 500.
     """
 
     silent: bool = False
-    hang: bool = False
     fail: bool = False
     late_seconds: float = 0.0
     odd: bool = False
@@ -77,14 +79,25 @@
         """Return the runner's own steady clock."""
         return (time.monotonic() - self._zero) * 1000.0
 
-    def _meet_faults(self, order, again):
+    def _meet_faults(self):
         if not self.up or self.faults.silent:
             raise Unanswered(self.id)
-        if order and self.faults.late_seconds and not again:
-            threading.Timer(self.faults.late_seconds, order).start()
-            if self.faults.odd:
-                raise OrderError(500)
-            raise Unanswered(self.id)
+
+    def _meet_lateness(self, order, body):
+        """Carry an order out later, if this runner does so now."""
+        if not self.faults.late_seconds:
+            return
+
+        def carry_out():
+            try:
+                order(body, again=True)
+            except (OrderError, Unanswered):
+                return
+
+        threading.Timer(self.faults.late_seconds, carry_out).start()
+        if self.faults.odd:
+            raise OrderError(500)
+        raise Unanswered(self.id)
 
     def _fenced(self, body):
         fence = body.get("fencing_token", 0)
@@ -93,15 +106,10 @@
         self.fence = fence
 
     def start(self, body, again=False):
-        """Begin a run."""
-
-        def carry_out():
-            try:
-                self.start(body, again=True)
-            except (OrderError, Unanswered):
-                return
-
-        self._meet_faults(carry_out, again)
+        """Begin a run; ``again`` if its lateness is over."""
+        self._meet_faults()
+        if not again:
+            self._meet_lateness(self.start, body)
         with self.lock:
             self._settle()
             self._fenced(body)
@@ -128,14 +136,9 @@
 
     def stop(self, body, again=False):
         """End a run; one that is not there is refused from now on."""
-
-        def carry_out():
-            try:
-                self.stop(body, again=True)
-            except (OrderError, Unanswered):
-                return
-
-        self._meet_faults(carry_out, again)
+        self._meet_faults()
+        if not again:
+            self._meet_lateness(self.stop, body)
         with self.lock:
             self._settle()
             self._fenced(body)
@@ -143,12 +146,12 @@
             self.highest[task] = max(self.highest.get(task, 0), run)
             there = self.runs.get(task)
             if there is not None and there.run == run:
-                self._end(there, "stopped")
+                self._end(there, "stopped", time.monotonic())
             return {"clock_ms": self.clock_ms()}
 
     def hold(self, body):
         """Extend leases, forget seen ends, and report."""
-        self._meet_faults(None, True)
+        self._meet_faults()
         deadline = time.monotonic() + body.get("wait_ms", 0) / 1000.0
         with self.lock:
             self._settle()
@@ -163,7 +166,7 @@
             while not self.ended and time.monotonic() < deadline and self.up:
                 self.lock.wait(0.02)
                 self._settle()
-            self._meet_faults(None, True)
+            self._meet_faults()
             return {
                 "clock_ms": self.clock_ms(),
                 "born": self.born,
@@ -176,7 +179,7 @@
 
     def pace(self, body):
         """Set the share of speed of a run."""
-        self._meet_faults(None, True)
+        self._meet_faults()
         with self.lock:
             self._fenced(body)
             there = self.runs.get(body["task"])
@@ -185,34 +188,42 @@
             there.percent = body["percent"]
             return {"clock_ms": self.clock_ms()}
 
+    def settle(self):
+        """End what is due, also while nobody reaches this runner."""
+        with self.lock:
+            self._settle()
+
     def _settle(self):
-        """End what is due: finished runs, and all when the lease ran out."""
-        now = time.monotonic()
-        if self.clock_ms() > self.lease_until:
-            self.lapsed_at = self._zero + self.lease_until / 1000.0
-        if self.runs and self.clock_ms() > self.lease_until:
-            for each in tuple(self.runs.values()):
-                self._end(each, "lapsed")
-            return
-        for each in tuple(self.runs.values()):
-            if self.faults.hang or now - each.began < each.seconds:
-                continue
-            bad = self.faults.fail or self.world.is_poison(each.task)
-            self._end(each, "failed" if bad else "done")
+        """End what is due: finished runs, and all when the lease ran out.
 
-    def _end(self, run, how):
+        Each ends at its own time, however late that is found out.
+        """
+        now = time.monotonic()
+        lapse = self._zero + self.lease_until / 1000.0
+        if now > lapse:
+            self.lapsed_at = lapse
+        for each in sorted(self.runs.values(), key=lambda run: run.due):
+            if each.due <= min(now, lapse):
+                bad = self.faults.fail or self.world.is_poison(each.task)
+                self._end(each, "failed" if bad else "done", each.due)
+            elif now > lapse:
+                self._end(each, "lapsed", lapse)
+
+    def _end(self, run, how, at):
         del self.runs[run.task]
         number = next(self.numbers)
         self.ended.append([number, run.task, run.run, how, ""])
-        self.world.log.ended(self, run.task, run.run, how)
+        self.world.log.ended(self, run.task, run.run, how, at)
         self.lock.notify_all()
 
     def die(self):
         """End with everything that runs here, without a word."""
         with self.lock:
+            self._settle()
             self.up = False
+            now = time.monotonic()
             for each in self.runs.values():
-                self.world.log.ended(self, each.task, each.run, "gone")
+                self.world.log.ended(self, each.task, each.run, "gone", now)
             self.runs = {}
             self.lock.notify_all()
 
--- a/tests/features/platform_jobs.feature
+++ b/tests/features/platform_jobs.feature
@@ -77,6 +77,7 @@
       | a runner leaves orders unanswered and late     |
       | a runner answers orders with 500 and late      |
       | a runner goes silent for 3 s                   |
+      | a runner goes silent until its leases ran out  |
       | a VM crashes and comes back                    |
       | a VM crashes for good                          |
       | all nodes are killed and started again         |
