Take out what the change wrote twice, and state that nothing read

- `peridotsill service` printed tables and JSON by a copy of the other commands' code, with its own exit codes: both are _cli_output.py now.
- The order of a task's fields in a progress row was known in two places; _records._task_record reads it for the scheduler and for operators, and the key is taken apart beside where it is made.
- JobNode kept its settings twice; LiveSettings and SettingsFile move to _live_settings.py, as _settings.py had two jobs.
- controller_steps built the outcome of a start twice.
- The runner of the tests strips the blank that behave leaves at the end of an outline's name, so that such a scenario can be listed at all.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/__init__.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/__init__.py
@@ -1,6 +1,7 @@
 """The job service: queues for callers, and a scheduler for the VMs."""
 
 from peridotsill_jobs._inspection import Inspector
+from peridotsill_jobs._live_settings import SettingsFile
 from peridotsill_jobs._logs import log
 from peridotsill_jobs._logs import logging_to_stdout
 from peridotsill_jobs._node import JobNode
@@ -29,7 +30,6 @@
 from peridotsill_jobs._settings import JobNodeSettings
 from peridotsill_jobs._settings import load_job_settings
 from peridotsill_jobs._settings import make_ports
-from peridotsill_jobs._settings import SettingsFile
 
 __all__ = [
     "AdviceTicket",
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_controller.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_controller.py
@@ -17,10 +17,10 @@
 from peridotsill_jobs import _fleet
 from peridotsill_jobs import _lease
 from peridotsill_jobs import _links
+from peridotsill_jobs import _live_settings
 from peridotsill_jobs import _logs
 from peridotsill_jobs import _ports
 from peridotsill_jobs import _runs
-from peridotsill_jobs import _settings
 from peridotsill_jobs import _workers
 import peridotsill_scheduler
 
@@ -52,7 +52,7 @@
 class ControllerParts:
     """What a scheduler works with."""
 
-    settings: _settings.LiveSettings
+    settings: _live_settings.LiveSettings
     ports: _ports.PlatformPorts
     catalog: _catalog.Catalog
     lease: _lease.Lease
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_fleet.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_fleet.py
@@ -11,9 +11,9 @@
 from peridotsill_jobs import _clock
 from peridotsill_jobs import _commands
 from peridotsill_jobs import _feeds
+from peridotsill_jobs import _live_settings
 from peridotsill_jobs import _logs
 from peridotsill_jobs import _ports
-from peridotsill_jobs import _settings
 from peridotsill_jobs import _waves
 from peridotsill_jobs import _workers
 import peridotsill_platform
@@ -61,7 +61,7 @@
     ``release`` takes the tasks of a VM that went away.
     """
 
-    settings: _settings.LiveSettings
+    settings: _live_settings.LiveSettings
     catalog: _catalog.Catalog
     table: peridotsill_platform.Table
     keys: _ports.Keys
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_inspection.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_inspection.py
@@ -12,6 +12,7 @@
 from peridotsill_jobs import _records
 from peridotsill_jobs import _waves
 from peridotsill_jobs import exceptions
+import peridotsill_platform
 
 
 @attrs.frozen(kw_only=True)
@@ -125,49 +126,49 @@
         return self._ports.vms.list_vms()
 
     def _read(self, key: str) -> tuple[peridotsill.Row, ...]:
-        match self._ports.table.read((key,)):
-            case result.Success(rows):
-                return typing.cast(tuple[peridotsill.Row, ...], rows)
-            case result.Failure(error):
-                raise exceptions.RowsUnreadable(str(error))
-        raise AssertionError("a result is a success or a failure")
+        outcome = self._ports.table.read((key,))
+        return _rows_or_raise(outcome)
 
     def _scan(self, prefix: str) -> tuple[peridotsill.Row, ...]:
-        match self._ports.table.scan((prefix,)):
-            case result.Success(scan):
-                return typing.cast(tuple[peridotsill.Row, ...], scan.rows)
-            case result.Failure(error):
-                raise exceptions.RowsUnreadable(str(error))
-        raise AssertionError("a result is a success or a failure")
+        outcome = self._ports.table.scan((prefix,))
+        return _rows_or_raise(outcome.map(lambda scan: scan.rows))
+
+
+def _rows_or_raise(
+    outcome: peridotsill_platform.ReadResult,
+) -> tuple[peridotsill.Row, ...]:
+    match outcome:
+        case result.Success(rows):
+            return typing.cast(tuple[peridotsill.Row, ...], rows)
+        case result.Failure(error):
+            raise exceptions.RowsUnreadable(str(error))
+    raise AssertionError("a result is a success or a failure")
 
 
 def _job_view(row: peridotsill.Row) -> JobView:
-    queue, job_id = row.key.split("/", 3)[2:]
+    queue, job_id = _records.job_of_progress(row.key)
     try:
-        return JobView(
-            id=job_id,
-            queue=queue,
-            state=str(_records.parse_state(row.value)),
-            epoch=int(row.value.get("epoch", 0)),
-            tasks=tuple(
-                TaskView(
-                    name=name,
-                    phase=str(fields[0]),
-                    run=int(fields[1]),
-                    runner=str(fields[2]),
-                    failures=int(fields[4]),
-                )
-                for name, fields in sorted(row.value["tasks"].items())
-            ),
-        )
-    except (
-        peridotsill.exceptions.InvalidResource,
-        KeyError,
-        IndexError,
-        TypeError,
-        ValueError,
-    ):
+        state = str(_records.parse_state(row.value))
+        records = _records.parse_tasks(row.value)
+    except peridotsill.exceptions.InvalidResource:
         # Shown, so that an operator sees that the row needs a look.
         return JobView(
             id=job_id, queue=queue, state="unreadable", epoch=0, tasks=()
         )
+    epoch = row.value.get("epoch", 0)
+    return JobView(
+        id=job_id,
+        queue=queue,
+        state=state,
+        epoch=epoch if isinstance(epoch, int) else 0,
+        tasks=tuple(
+            TaskView(
+                name=name,
+                phase=str(record.phase),
+                run=record.run,
+                runner=record.runner,
+                failures=record.failures,
+            )
+            for name, record in sorted(records.items())
+        ),
+    )
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_node.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_node.py
@@ -11,6 +11,7 @@
 from peridotsill_jobs import _catalog
 from peridotsill_jobs import _controller
 from peridotsill_jobs import _lease
+from peridotsill_jobs import _live_settings
 from peridotsill_jobs import _logs
 from peridotsill_jobs import _settings
 from peridotsill_jobs import _submissions
@@ -34,8 +35,7 @@
     """One process that serves callers and may hold the lease."""
 
     def __init__(self, *, settings: _settings.JobNodeSettings) -> None:
-        self._settings = settings
-        self._live = _settings.LiveSettings(settings)
+        self._settings = _live_settings.LiveSettings(settings)
         self._ports = _settings.make_ports(settings)
         self._counters = peridotsill.Counters()
         self._leaving = threading.Event()
@@ -111,16 +111,16 @@
             name="scheduler",
         ).start()
         self._callers.start()
-        _logs.log("node:started", node=self._settings.node)
+        _logs.log("node:started", node=self._settings.current.node)
 
     def apply(self, settings: _settings.JobNodeSettings) -> None:
         """Take over what may change of new settings; log the rest."""
-        self._live.replace(settings)
+        self._settings.replace(settings)
 
     def _schedule(self) -> None:
         controller = _controller.Controller(
             parts=_controller.ControllerParts(
-                settings=self._live,
+                settings=self._settings,
                 ports=self._ports,
                 catalog=self._catalog,
                 lease=self._lease,
@@ -137,11 +137,11 @@
         served for the notice time.
         """
         began = time.monotonic()
-        _logs.log("node:leaving", node=self._settings.node)
+        _logs.log("node:leaving", node=self._settings.current.node)
         self._leaving.set()
         self._callers.close_gently()
         self._lease.release()
-        grace = self._live.current.bounds.exit_grace_ms / 1000.0
+        grace = self._settings.current.bounds.exit_grace_ms / 1000.0
         time.sleep(min(_NOTICE_SECONDS, grace / 2))
         left = grace - _EXIT_MARGIN_SECONDS - (time.monotonic() - began)
         self._callers.stop(max(0.0, left))
@@ -149,7 +149,7 @@
             listener.stop(0.0)
         self._catalog.stop()
         self._committer.stop()
-        _logs.log("node:stopped", node=self._settings.node)
+        _logs.log("node:stopped", node=self._settings.current.node)
 
 
 def _listener(
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_records.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_records.py
@@ -39,6 +39,12 @@
     return f"{table}/{urllib.parse.quote(queue, safe='')}.{shard}/"
 
 
+def job_of_progress(key: str) -> tuple[str, str]:
+    """Return the queue and the job's id of a ``progress`` row's key."""
+    queue, job_id = key.split("/", 3)[2:]
+    return queue, job_id
+
+
 def row_key(table: str, queue: str, job_id: str) -> str:
     """Return the key of a job's row in one of the tables."""
     if table == PROGRESS:
@@ -136,7 +142,7 @@
         _reopen(job, int(value["opened"]))
         tasks = {task.key: task for task in job.tasks}
         for key, fields in value["tasks"].items():
-            _restore_task(tasks[key], fields)
+            _restore_task(tasks[key], _task_record(*fields))
     except (KeyError, TypeError, ValueError) as error:
         raise peridotsill.exceptions.InvalidResource(
             (f"tasks: {error!r}",)
@@ -152,14 +158,63 @@
         peridotsill_scheduler.open_occurrences(job, due)
 
 
+@attrs.frozen(kw_only=True)
+class TaskRecord:
+    """A task as a ``progress`` row holds it."""
+
+    phase: peridotsill_scheduler.TaskPhase
+    run: int
+    runner: str
+    lifetime: int
+    failures: int
+    settled_run: int
+    checkpoint: str
+
+
+def parse_tasks(value: dict[str, typing.Any]) -> dict[str, TaskRecord]:
+    """Return the tasks of a ``progress`` row by their names.
+
+    Raises:
+        InvalidResource: If one has another shape.
+    """
+    try:
+        return {
+            name: _task_record(*fields)
+            for name, fields in value["tasks"].items()
+        }
+    except (AttributeError, KeyError, TypeError, ValueError) as error:
+        raise peridotsill.exceptions.InvalidResource(
+            (f"tasks: {error!r}",)
+        ) from error
+
+
+def _task_record(
+    phase: str,
+    run: int,
+    runner: str,
+    lifetime: int,
+    failures: int,
+    settled_run: int,
+    checkpoint: str,
+) -> TaskRecord:
+    return TaskRecord(
+        phase=_Phase(phase),
+        run=int(run),
+        runner=str(runner),
+        lifetime=int(lifetime),
+        failures=int(failures),
+        settled_run=int(settled_run),
+        checkpoint=str(checkpoint),
+    )
+
+
 def _restore_task(
-    task: peridotsill_scheduler.Task, fields: list[typing.Any]
+    task: peridotsill_scheduler.Task, record: TaskRecord
 ) -> None:
-    phase, run, runner, lifetime, failures, settled, checkpoint = fields
-    task.phase = _Phase(phase)
-    task.run = int(run)
-    task.runner = str(runner)
-    task.lifetime = int(lifetime)
-    task.failures = int(failures)
-    task.settled_run = int(settled)
-    task.checkpoint = str(checkpoint)
+    task.phase = record.phase
+    task.run = record.run
+    task.runner = record.runner
+    task.lifetime = record.lifetime
+    task.failures = record.failures
+    task.settled_run = record.settled_run
+    task.checkpoint = record.checkpoint
--- a/packages/peridotsill_node/src/peridotsill_node/_cli.py
+++ b/packages/peridotsill_node/src/peridotsill_node/_cli.py
@@ -19,20 +19,15 @@
 import rich.table
 import typer
 
+from peridotsill_node import _cli_output
 from peridotsill_node import _service_cli
 import peridotsill_operators
 from peridotsill_operators import exceptions as operator_exceptions
 
-_EXIT_FAILED = 1
-_EXIT_USAGE = 2
-_EXIT_UNKNOWN = 4
-_EXIT_CONFLICT = 5
-_EXIT_UNREACHABLE = 6
-_EXIT_TIMEOUT = 7
 _EXIT_CODES: dict[type[Exception], int] = {
-    operator_exceptions.NotFound: _EXIT_UNKNOWN,
-    operator_exceptions.VersionConflict: _EXIT_CONFLICT,
-    operator_exceptions.NodeUnreachable: _EXIT_UNREACHABLE,
+    operator_exceptions.NotFound: _cli_output.EXIT_UNKNOWN,
+    operator_exceptions.VersionConflict: _cli_output.EXIT_CONFLICT,
+    operator_exceptions.NodeUnreachable: _cli_output.EXIT_UNREACHABLE,
 }
 _POLL_SECONDS = 0.2
 
@@ -109,15 +104,7 @@
         self, data: object, columns: list[str], rows: list[list[str]]
     ) -> None:
         """Print a table, or the data as JSON."""
-        if self.output == "json":
-            typer.echo(peridotsill.encode(data).decode())
-            return
-        table = rich.table.Table(box=None, pad_edge=False)
-        for column in columns:
-            table.add_column(column, overflow="fold")
-        for row in rows:
-            table.add_row(*row)
-        rich.console.Console(soft_wrap=True).print(table)
+        _cli_output.show(self.output, data, columns, rows)
 
 
 @app.callback()
@@ -137,7 +124,7 @@
         token = peridotsill.load_token(token_file)
     except peridotsill.exceptions.SettingsError as error:
         typer.echo(str(error), err=True)
-        raise typer.Exit(_EXIT_USAGE) from error
+        raise typer.Exit(_cli_output.EXIT_USAGE) from error
     addresses = [part for each in node for part in each.split(",")]
     context.obj = _Context(addresses=addresses, token=token, output=output)
 
@@ -148,7 +135,7 @@
         yield
     except peridotsill.exceptions.PeridotsillError as error:
         typer.echo(f"peridotsill: {error}", err=True)
-        code = _EXIT_CODES.get(type(error), _EXIT_FAILED)
+        code = _EXIT_CODES.get(type(error), _cli_output.EXIT_FAILED)
         raise typer.Exit(code) from error
 
 
@@ -311,7 +298,7 @@
         ctx.show(found, columns, rows)
         if found.missing:
             typer.echo(found.missing, err=True)
-            raise typer.Exit(_EXIT_UNKNOWN)
+            raise typer.Exit(_cli_output.EXIT_UNKNOWN)
 
 
 @app.command("cancel")
@@ -361,7 +348,7 @@
                 return
             time.sleep(_POLL_SECONDS)
     typer.echo(f"wave {name} is not done after {seconds:g} s", err=True)
-    raise typer.Exit(_EXIT_TIMEOUT)
+    raise typer.Exit(_cli_output.EXIT_TIMEOUT)
 
 
 def _wave(ctx: _Context, name: str) -> peridotsill.Wave:
@@ -470,7 +457,7 @@
             return
         time.sleep(_POLL_SECONDS)
     typer.echo(f"{name} is not there after {seconds:g} s", err=True)
-    raise typer.Exit(_EXIT_TIMEOUT)
+    raise typer.Exit(_cli_output.EXIT_TIMEOUT)
 
 
 @vm_app.command("drain")
@@ -543,7 +530,7 @@
             return
         time.sleep(_POLL_SECONDS)
     typer.echo(f"not in force everywhere after {seconds:g} s", err=True)
-    raise typer.Exit(_EXIT_TIMEOUT)
+    raise typer.Exit(_cli_output.EXIT_TIMEOUT)
 
 
 @config_app.command("status")
--- a/packages/peridotsill_node/src/peridotsill_node/_service_cli.py
+++ b/packages/peridotsill_node/src/peridotsill_node/_service_cli.py
@@ -14,15 +14,11 @@
 import attrs
 import peridotsill
 import peridotsill.exceptions
-import rich.console
-import rich.table
 import typer
 
 import peridotsill_jobs
+from peridotsill_node import _cli_output
 
-_EXIT_USAGE = 2
-_EXIT_UNKNOWN = 4
-_EXIT_UNREACHABLE = 6
 _SUBJECT_FIELDS = ("job", "vm", "runner", "wave", "node")
 _PLUMBING = frozenset({"task_uuid", "task_level", "timestamp", "message_type"})
 
@@ -49,7 +45,7 @@
 @attrs.frozen(kw_only=True)
 class _Shown:
     inspector: peridotsill_jobs.Inspector | None
-    as_json: bool
+    form: str
 
 
 @service_app.callback()
@@ -58,7 +54,7 @@
 ) -> None:
     output = getattr(context.obj, "output", "table")
     if context.invoked_subcommand == "explain":
-        context.obj = _Shown(inspector=None, as_json=output == "json")
+        context.obj = _Shown(inspector=None, form=output)
         return
     try:
         importlib.import_module(adapter)
@@ -66,12 +62,12 @@
         ports = peridotsill_jobs.make_ports(loaded)
     except (ImportError, ValueError) as error:
         typer.echo(f"--adapter {adapter!r}: {error}", err=True)
-        raise typer.Exit(_EXIT_USAGE) from error
+        raise typer.Exit(_cli_output.EXIT_USAGE) from error
     except peridotsill.exceptions.SettingsError as error:
         typer.echo(str(error), err=True)
-        raise typer.Exit(_EXIT_USAGE) from error
+        raise typer.Exit(_cli_output.EXIT_USAGE) from error
     inspector = peridotsill_jobs.Inspector(ports=ports)
-    context.obj = _Shown(inspector=inspector, as_json=output == "json")
+    context.obj = _Shown(inspector=inspector, form=output)
 
 
 @contextlib.contextmanager
@@ -84,21 +80,13 @@
         yield context.obj.inspector
     except peridotsill.exceptions.PeridotsillError as error:
         typer.echo(str(error), err=True)
-        raise typer.Exit(_EXIT_UNREACHABLE) from error
+        raise typer.Exit(_cli_output.EXIT_UNREACHABLE) from error
 
 
 def _show(
     context: typer.Context, data: object, columns: str, rows: list[list[str]]
 ) -> None:
-    if context.obj.as_json:
-        typer.echo(peridotsill.encode(data).decode())
-        return
-    table = rich.table.Table(box=None, pad_edge=False)
-    for column in columns.split():
-        table.add_column(column, overflow="fold")
-    for row in rows:
-        table.add_row(*row)
-    rich.console.Console(soft_wrap=True).print(table)
+    _cli_output.show(context.obj.form, data, columns.split(), rows)
 
 
 @service_app.command()
@@ -108,7 +96,7 @@
         found = inspector.scheduler()
     if found is None:
         typer.echo("no node has scheduled yet", err=True)
-        raise typer.Exit(_EXIT_UNKNOWN)
+        raise typer.Exit(_cli_output.EXIT_UNKNOWN)
     row = [found.holder or "nobody", str(found.epoch)]
     _show(context, found, "node epoch", [row])
 
@@ -146,7 +134,7 @@
         found = inspector.job(queue, job_id)
     if found is None:
         typer.echo(f"{job_id}: nothing of it was started", err=True)
-        raise typer.Exit(_EXIT_UNKNOWN)
+        raise typer.Exit(_cli_output.EXIT_UNKNOWN)
     rows = [
         [each.name, each.phase, str(each.run), each.runner, str(each.failures)]
         for each in found.tasks
@@ -192,7 +180,7 @@
     )
     if not found:
         typer.echo(f"{subject}: no line names it", err=True)
-        raise typer.Exit(_EXIT_UNKNOWN)
+        raise typer.Exit(_cli_output.EXIT_UNKNOWN)
     rows = [
         [
             f"{line.get('timestamp', 0.0):.3f}",
@@ -211,7 +199,7 @@
         text = path.read_text(errors="replace")
     except OSError as error:
         typer.echo(f"{path}: {error.strerror}", err=True)
-        raise typer.Exit(_EXIT_USAGE) from error
+        raise typer.Exit(_cli_output.EXIT_USAGE) from error
     for line in text.splitlines():
         # Other programs may write to the same file.
         with contextlib.suppress(ValueError):
--- a/tests/features/steps/controller_steps.py
+++ b/tests/features/steps/controller_steps.py
@@ -18,9 +18,9 @@
 from peridotsill_jobs import _feeds
 from peridotsill_jobs import _lease
 from peridotsill_jobs import _links
+from peridotsill_jobs import _live_settings
 from peridotsill_jobs import _ports
 from peridotsill_jobs import _records
-from peridotsill_jobs import _settings
 import peridotsill_platform.exceptions
 import peridotsill_scheduler as scheduler
 
@@ -117,7 +117,7 @@
     lease.try_acquire()
     made = _controller.Controller(
         parts=_controller.ControllerParts(
-            settings=_settings.LiveSettings(stubs.node_settings()),
+            settings=_live_settings.LiveSettings(stubs.node_settings()),
             ports=ports,
             catalog=catalog,
             lease=lease,
@@ -210,23 +210,27 @@
     _list(context, runner, ended=[_end(1, run, kind.split()[0])])
 
 
-@when("the start of run 2 has no known outcome")
-def _unknown(context):
+def _start_outcome(context, runner, run, outcome):
     context.controller._handle(
         _links.OrderOutcome(
-            runner="i-2",
+            runner=runner,
             lifetime=1,
             name=_TASK,
-            run=2,
+            run=run,
             is_start=True,
-            result=_links.OrderResult.UNKNOWN,
-            reason="no answer",
+            result=outcome,
+            reason="",
             at=time.monotonic(),
-            clean=False,
+            clean=outcome is _links.OrderResult.DONE,
         )
     )
 
 
+@when("the start of run 2 has no known outcome")
+def _unknown(context):
+    _start_outcome(context, "i-2", 2, _links.OrderResult.UNKNOWN)
+
+
 @when('runner "i-2" lists nothing')
 def _nothing(context):
     worker = context.controller._workers.get("i-2", 1)
@@ -454,19 +458,7 @@
 
 @when("the start of run 1 is answered as done")
 def _answered_done(context):
-    context.controller._handle(
-        _links.OrderOutcome(
-            runner="i-1",
-            lifetime=1,
-            name=_TASK,
-            run=1,
-            is_start=True,
-            result=_links.OrderResult.DONE,
-            reason="",
-            at=time.monotonic(),
-            clean=True,
-        )
-    )
+    _start_outcome(context, "i-1", 1, _links.OrderResult.DONE)
 
 
 @when('runner "i-1" has nothing running')
--- a/tests/features/steps/maintenance_steps.py
+++ b/tests/features/steps/maintenance_steps.py
@@ -14,8 +14,8 @@
 from peridotsill_jobs import _commands
 from peridotsill_jobs import _feeds
 from peridotsill_jobs import _fleet
+from peridotsill_jobs import _live_settings
 from peridotsill_jobs import _ports
-from peridotsill_jobs import _settings
 from peridotsill_jobs import exceptions
 import peridotsill_scheduler as scheduler
 
@@ -74,7 +74,7 @@
     context.keys = unittest.mock.Mock(wave_status_prefix="status//")
     context.made = _fleet.Fleet(
         parts=_fleet.FleetParts(
-            settings=_settings.LiveSettings(settings),
+            settings=_live_settings.LiveSettings(settings),
             catalog=context.catalog,
             table=context.rows,
             keys=context.keys,
--- a/tests/model/starts.py
+++ b/tests/model/starts.py
@@ -53,9 +53,8 @@
     """A holder, or former holder, of the lease, and what it knows.
 
     ``gone`` is one that has found out that it lost the lease;
-    ``to_order`` says that a start is recorded and not ordered yet;
-    ``unsure`` that the recorded start may be on its way; ``stopped``
-    that its stop was answered.
+    ``to_order`` says that a start is recorded and not ordered yet, and
+    ``stopped`` that its stop was answered.
     """
 
     epoch: int
@@ -63,7 +62,6 @@
     gone: bool = False
     row: Row = Row()
     to_order: bool = False
-    unsure: bool = False
     stopped: bool = False
 
 
@@ -119,9 +117,12 @@
     steps: int
 
 
-def _put(items: tuple, index: int, **changes: object) -> tuple:
-    changed = attrs.evolve(items[index], **changes)
-    return (*items[:index], changed, *items[index + 1 :])
+def _put(items: tuple, index: int, item: object) -> tuple:
+    return (*items[:index], item, *items[index + 1 :])
+
+
+def _change(items: tuple, index: int, **changes: object) -> tuple:
+    return _put(items, index, attrs.evolve(items[index], **changes))
 
 
 class Model:
@@ -168,7 +169,7 @@
 
     def _scheduler(self, state: State, index: int, **changes: object) -> State:
         return attrs.evolve(
-            state, schedulers=_put(state.schedulers, index, **changes)
+            state, schedulers=_change(state.schedulers, index, **changes)
         )
 
     def _take_over(self, state: State, index: int) -> State:
@@ -177,7 +178,6 @@
             index,
             leads=True,
             row=state.row,
-            unsure=state.row.phase is Phase.STARTED,
         )
 
     def _act(
@@ -215,7 +215,6 @@
             index,
             row=state.row,
             to_order=False,
-            unsure=state.row.phase is Phase.STARTED,
             stopped=False,
         )
 
@@ -233,7 +232,7 @@
             lifetime=runner.lifetime,
         )
         yield from self._write(
-            state, index, started, to_order=True, unsure=True, stopped=False
+            state, index, started, to_order=True, stopped=False
         )
 
     def _order(self, state: State, index: int, scheduler: Scheduler) -> State:
@@ -267,12 +266,12 @@
             return
         fence = max(runner.fence, scheduler.epoch)
         state = attrs.evolve(
-            state, runners=_put(state.runners, row.runner, fence=fence)
+            state, runners=_change(state.runners, row.runner, fence=fence)
         )
         if runner.done == row.run:
             yield from self._note_end(state, index, row)
         elif runner.running == row.run:
-            yield self._scheduler(state, index, unsure=False)
+            yield self._scheduler(state, index)
         elif scheduler.stopped or not self._has(Mechanism.STOP_FIRST):
             yield from self._free(state, index, row)
         else:
@@ -296,15 +295,13 @@
         self, state: State, index: int, row: Row
     ) -> collections.abc.Iterator[State]:
         waiting = attrs.evolve(row, phase=Phase.WAITING)
-        yield from self._write(
-            state, index, waiting, unsure=False, stopped=False
-        )
+        yield from self._write(state, index, waiting, stopped=False)
 
     def _note_end(
         self, state: State, index: int, row: Row
     ) -> collections.abc.Iterator[State]:
         done = attrs.evolve(row, phase=Phase.DONE)
-        for found in self._write(state, index, done, unsure=False):
+        for found in self._write(state, index, done):
             late = state.late and found.row.phase is Phase.DONE
             wrong = "started after its end" if late else ""
             yield attrs.evolve(found, wrong=wrong)
@@ -314,7 +311,7 @@
         running = 0 if runner.running <= row.run else runner.running
         stopped = attrs.evolve(
             state,
-            runners=_put(
+            runners=_change(
                 state.runners,
                 row.runner,
                 barred=max(runner.barred, row.run),
@@ -342,7 +339,7 @@
             crashed = attrs.evolve(fresh, cut=runner.cut)
             yield attrs.evolve(
                 state,
-                runners=_swap(state.runners, number, crashed),
+                runners=_put(state.runners, number, crashed),
             )
         if not runner.was_cut:
             yield self._runner(state, number, cut=True, was_cut=True)
@@ -352,7 +349,7 @@
 
     def _runner(self, state: State, number: int, **changes: object) -> State:
         return attrs.evolve(
-            state, runners=_put(state.runners, number, **changes)
+            state, runners=_change(state.runners, number, **changes)
         )
 
     def _lapse(self, state: State, number: int) -> State:
@@ -409,7 +406,3 @@
         if self._has(Mechanism.LIFETIME) and order.lifetime != runner.lifetime:
             return True
         return self._has(Mechanism.FENCE) and order.epoch < runner.fence
-
-
-def _swap(items: tuple, index: int, item: object) -> tuple:
-    return (*items[:index], item, *items[index + 1 :])
--- a/tests/run_tests.py
+++ b/tests/run_tests.py
@@ -110,7 +110,7 @@
     except (OSError, ValueError):
         return []
     return [
-        (element["name"], element.get("status", "untested"))
+        (element["name"].strip(), element.get("status", "untested"))
         for feature in data
         for element in feature.get("elements", [])
         if element["type"] == "scenario"
