--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_settings.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_settings.py
@@ -16,7 +16,7 @@
 
     ``max_lease_ms`` is the longest lease of a run; ``handover_ms`` has to
     pass between VM commands of two nodes; ``maintenance_ms`` is how long
-    a VM is gone for its upkeep; ``exit_grace_ms`` is the time from SIGTERM
+    a VM is gone for its maintenance; ``exit_grace_ms`` is the time from SIGTERM
     to SIGKILL.
     """
 
