Leave the lease to the more capable nodes

A node of half a core and 10 Mbit/s takes the lease, reads all rows for 3.1 s, and its commits time out. After the next cut the lease goes round eight such nodes in 12 s: reading the rows fills the link, the renewals behind it time out, and the next one takes over. No task is started from 11 s to 30 s.

Change: the lease's row tells the highest capability of any holder, in cores that the node's link can feed; a node of less than half of it waits 0.9 s longer.

Ruled out: a fault in the store (it answered the other nodes), a livelock in the scheduler's loop (it had not begun). A longer lease would only make the pauses longer; fewer bytes to read would still leave a tenth of the processor.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_lease.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_lease.py
@@ -23,6 +23,14 @@
 _MARGIN_SECONDS = 0.15
 # Pause of a node that watches another's lease.
 _WATCH_SECONDS = 0.35
+# A free lease is left to more capable nodes for this long: two of their
+# looks at it, and the way.
+_YIELD_SECONDS = 0.9
+# A node with less than this part of the most capable one gives way to it.
+_CAPABLE_PART = 0.5
+# What the most capable node is taken for before the first lease, in cores:
+# the least that schedules some hundred runners without falling behind.
+_USUAL_CAPABILITY = 1.0
 
 
 @attrs.frozen(kw_only=True)
@@ -31,6 +39,7 @@
     holder: str
     epoch: int
     since: float
+    strongest: float = 0.0
 
 
 class Lease:
@@ -39,14 +48,29 @@
     A holder's orders carry the epoch, which rises with each takeover. A
     node takes over when the row's version stood still for the lease's
     time on its own clock, so that no two clocks are compared.
+
+    The row also tells the highest capability of any holder so far. A node
+    of much less waits a moment longer, as a takeover on a slow link or
+    processor may last longer than the lease.
+
+    Args:
+        node: This node's name.
+        table: Where the row is.
+        capability: What this node can schedule, in cores.
     """
 
     def __init__(
-        self, *, node: str, table: peridotsill_platform.Table
+        self,
+        *,
+        node: str,
+        table: peridotsill_platform.Table,
+        capability: float = _USUAL_CAPABILITY,
     ) -> None:
         self._node = node
         self._table = table
+        self._capability = capability
         self._seen: _Seen | None = None
+        self._strongest = capability
         self._epoch = 0
         self._valid_until = float("-inf")
         self._unanswered_at: float | None = None
@@ -88,10 +112,9 @@
         found = self._read()
         if found is None:
             return False
-        # A row in this node's own name is that of its last process.
-        taken = found.holder not in ("", self._node)
-        if taken and self._fresh(found):
+        if self._age(found) < self._wait_seconds(found):
             return False
+        self._strongest = max(found.strongest, self._capability)
         return self._write(found.version, found.epoch + 1)
 
     def renew(self) -> bool:
@@ -114,13 +137,22 @@
             self._commit(seen.version, "", self._epoch)
             _logs.log("lease:released", epoch=self._epoch)
 
-    def _fresh(self, found: _Seen) -> bool:
+    def _age(self, found: _Seen) -> float:
+        """Return for how long this version has been seen, in seconds."""
         seen = self._seen
         if seen is None or seen.version != found.version:
             self._seen = found
-            return True
-        age = _clock.awake_seconds() - seen.since
-        return age < LEASE_SECONDS
+            return 0.0
+        return _clock.awake_seconds() - seen.since
+
+    def _wait_seconds(self, found: _Seen) -> float:
+        """Return for how long the row has to stand still before it is free."""
+        # A row in this node's own name is that of its last process.
+        taken = found.holder not in ("", self._node)
+        strongest = found.strongest or _USUAL_CAPABILITY
+        weak = self._capability < strongest * _CAPABLE_PART
+        lease = LEASE_SECONDS if taken else 0.0
+        return lease + (_YIELD_SECONDS if weak else 0.0)
 
     def _read(self) -> _Seen | None:
         match self._table.read((_records.LEASE_KEY,)):
@@ -134,6 +166,7 @@
                     holder=str(value.get("holder", "")),
                     epoch=int(value.get("epoch", 0)),
                     since=since,
+                    strongest=float(value.get("strongest", 0.0)),
                 )
             case result.Failure(error):
                 _logs.log("lease:unreadable", reason=str(error))
@@ -189,7 +222,12 @@
             key=_records.LEASE_KEY, version=version
         )
         write = peridotsill_platform.Write(
-            key=_records.LEASE_KEY, value={"holder": holder, "epoch": epoch}
+            key=_records.LEASE_KEY,
+            value={
+                "holder": holder,
+                "epoch": epoch,
+                "strongest": self._strongest,
+            },
         )
         return self._table.commit(
             peridotsill_platform.Transaction(checks=(check,), writes=(write,))
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_node.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_node.py
@@ -52,6 +52,7 @@
             node=settings.node,
             # Half a lease leaves time for another try.
             table=self._ports.patient_table(_lease.LEASE_SECONDS / 2),
+            capability=settings.resources.capability,
         )
         app = _app.JobApp(
             catalog=self._catalog,
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_settings.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_settings.py
@@ -26,12 +26,37 @@
     exit_grace_ms: float = peridotsill.bounded(minimum=0, default=6000.0)
 
 
+# What a scheduler that keeps one core busy sends and receives, in Mbit/s.
+_MBPS_PER_CORE = 50.0
+
+
+@attrs.frozen(kw_only=True)
+class HostResources:
+    """What a node's VM gives it.
+
+    ``cores`` counts the cores and ``core_share`` is the part of each that
+    the node may use; ``link_mbps`` is the VM's link in Mbit/s.
+    """
+
+    cores: float = peridotsill.bounded(minimum=0.01, default=1.0)
+    core_share: float = peridotsill.bounded(minimum=0.001, default=1.0)
+    link_mbps: float = peridotsill.bounded(minimum=0.01, default=1000.0)
+
+    @property
+    def capability(self) -> float:
+        """What the node can schedule, in cores that its link can feed."""
+        return min(
+            self.cores * self.core_share, self.link_mbps / _MBPS_PER_CORE
+        )
+
+
 @attrs.frozen(kw_only=True)
 class JobNodeSettings:
     """Everything that a job node has to know before it starts.
 
     ``platform`` names the adapter; ``table``, ``vm_service`` and
-    ``advisor`` are base addresses, the last one may be empty.
+    ``advisor`` are base addresses, the last one may be empty. Of nodes
+    with different ``resources`` the more capable ones schedule.
     """
 
     node: str
@@ -45,6 +70,7 @@
     advisor: str = ""
     threads: int = peridotsill.bounded(minimum=2, maximum=500, default=24)
     order_policy: str = "payoff_density"
+    resources: HostResources = HostResources()
     bounds: Bounds = Bounds()
 
 
--- a/tests/emulator/stubs.py
+++ b/tests/emulator/stubs.py
@@ -1,6 +1,10 @@
 """What scenarios of one process put in place of a node's surroundings."""
 
+import peridotsill
+from returns import result
+
 import peridotsill_jobs
+import peridotsill_platform.exceptions
 
 
 def node_settings():
@@ -15,3 +19,31 @@
         table="",
         vm_service="",
     )
+
+
+class MemoryTable:
+    """A table in memory that demands each checked row's version."""
+
+    def __init__(self):
+        self.rows = {}
+        self.version = 0
+
+    def commit(self, transaction):
+        for check in transaction.checks:
+            if self.rows.get(check.key, (None, 0))[1] != check.version:
+                return result.Failure(
+                    peridotsill_platform.exceptions.Conflict((check.key,))
+                )
+        self.version += 1
+        for write in transaction.writes:
+            self.rows[write.key] = (write.value, self.version)
+        return result.Success(self.version)
+
+    def read(self, keys):
+        return result.Success(
+            tuple(
+                peridotsill.Row(key=k, value=v[0], version=v[1])
+                for k, v in self.rows.items()
+                if k in keys and v[0] is not None
+            )
+        )
--- /dev/null
+++ b/tests/features/lease.feature
@@ -0,0 +1,30 @@
+Feature: The more capable nodes hold the scheduler's lease
+
+  Scenario: A less capable node leaves a lapsed lease to the others
+    Given a lease that a node of 2 cores has held and lost
+    When nodes of 0.2 and 2 cores watch it
+    Then the node of 2 cores takes it after 1.6 s
+
+  Scenario: A less capable node takes a lease that no other takes
+    Given a lease that a node of 2 cores has held and lost
+    When nodes of 0.2 and 0.2 cores watch it
+    Then a node of 0.2 cores takes it after 2.5 s
+
+  Scenario: Nodes that are all alike give way to nobody
+    Given a lease that a node of 0.2 cores has held and lost
+    When nodes of 0.2 and 0.2 cores watch it
+    Then a node of 0.2 cores takes it after 1.6 s
+
+  Scenario: The first lease of all is left to a node of the usual size
+    Given a lease that nobody has held
+    When nodes of 0.2 and 1 cores watch it
+    Then the node of 1 cores takes it after 0 s
+
+  Scenario: A lease that was given back is left to a node of the usual size
+    Given a lease that a node of 2 cores has held and given back
+    When nodes of 0.2 and 2 cores watch it
+    Then the node of 2 cores takes it after 0 s
+
+  Scenario: A slow link makes a node less capable, however fast it is
+    Then a node of 3 cores at 0.7 with a link of 200 Mbit/s counts as 2.1
+    And a node of 3 cores at 0.7 with a link of 10 Mbit/s counts as 0.2
--- a/tests/features/steps/controller_steps.py
+++ b/tests/features/steps/controller_steps.py
@@ -11,7 +11,6 @@
 from behave import when
 from emulator import stubs
 import peridotsill
-from returns import result
 
 from peridotsill_jobs import _advice
 from peridotsill_jobs import _controller
@@ -21,7 +20,6 @@
 from peridotsill_jobs import _live_settings
 from peridotsill_jobs import _ports
 from peridotsill_jobs import _records
-import peridotsill_platform.exceptions
 import peridotsill_scheduler as scheduler
 
 _JOB = "00000000000000aa"
@@ -31,34 +29,6 @@
 )
 
 
-class _Table:
-    """A table in memory that demands each checked row's version."""
-
-    def __init__(self):
-        self.rows = {}
-        self.version = 0
-
-    def commit(self, transaction):
-        for check in transaction.checks:
-            if self.rows.get(check.key, (None, 0))[1] != check.version:
-                return result.Failure(
-                    peridotsill_platform.exceptions.Conflict((check.key,))
-                )
-        self.version += 1
-        for write in transaction.writes:
-            self.rows[write.key] = (write.value, self.version)
-        return result.Success(self.version)
-
-    def read(self, keys):
-        return result.Success(
-            tuple(
-                peridotsill.Row(key=k, value=v[0], version=v[1])
-                for k, v in self.rows.items()
-                if k in keys and v[0] is not None
-            )
-        )
-
-
 def _entry(runner):
     return _ports.RunnerEntry(
         id=runner,
@@ -110,7 +80,7 @@
     catalog.queue.return_value = _QUEUE
     catalog.config = None
     catalog.waves = ()
-    context.store = _Table()
+    context.store = stubs.MemoryTable()
     ports = unittest.mock.Mock(table=context.store, advisor=None)
     ports.patient_table.return_value = context.store
     lease = _lease.Lease(node="n", table=context.store)
@@ -418,7 +388,7 @@
 
 @given("a node whose scheduler fails the first time")
 def _failing(context):
-    table = _Table()
+    table = stubs.MemoryTable()
     context.lease = _lease.Lease(node="n", table=table)
     context.epochs = []
     stopped = threading.Event()
--- /dev/null
+++ b/tests/features/steps/lease_steps.py
@@ -0,0 +1,88 @@
+"""Steps on who takes the scheduler's lease, on a clock that is set."""
+
+import unittest.mock
+
+from behave import given
+from behave import then
+from behave import when
+from emulator import stubs
+
+from peridotsill_jobs import _lease
+from peridotsill_jobs import _settings
+
+# Pause between two looks at the lease, in seconds of the set clock.
+_STEP_SECONDS = 0.1
+_STEPS = 60
+
+
+class _Clock:
+    """A clock in place of both of the module's, and its time."""
+
+    def __init__(self, context):
+        self.now = 100.0
+        for name in ("awake_seconds", "real_seconds"):
+            patch = unittest.mock.patch.object(
+                _lease._clock, name, lambda: self.now
+            )
+            patch.start()
+            context.add_cleanup(patch.stop)
+
+
+def _node(context, name, capability):
+    return _lease.Lease(node=name, table=context.rows, capability=capability)
+
+
+@given("a lease that nobody has held")
+def _free(context):
+    context.rows = stubs.MemoryTable()
+    context.clock = _Clock(context)
+
+
+@given("a lease that a node of {cores:g} cores has held and lost")
+def _lapsed(context, cores):
+    _free(context)
+    context.last = _node(context, "last", cores)
+    while not context.last.try_acquire():
+        context.clock.now += _STEP_SECONDS
+
+
+@given("a lease that a node of {cores:g} cores has held and given back")
+def _released(context, cores):
+    _lapsed(context, cores)
+    context.last.release()
+
+
+@when("nodes of {first:g} and {second:g} cores watch it")
+def _watch(context, first, second):
+    # The less capable one always looks first.
+    nodes = [
+        (cores, _node(context, f"node-{number}", cores))
+        for number, cores in enumerate((first, second))
+    ]
+    began = context.clock.now
+    for _ in range(_STEPS):
+        for cores, node in nodes:
+            if node.try_acquire():
+                context.taken_by = cores
+                context.taken_after = context.clock.now - began
+                return
+        context.clock.now += _STEP_SECONDS
+    raise AssertionError("nobody took the lease")
+
+
+@then("{_:w} node of {cores:g} cores takes it after {seconds:g} s")
+def _taken(context, _, cores, seconds):
+    assert context.taken_by == cores, context.taken_by
+    late = context.taken_after - seconds
+    assert -1e-6 <= late <= _STEP_SECONDS + 1e-6, context.taken_after
+
+
+@then(
+    "a node of {cores:g} cores at {share:g} with a link of {mbps:g} Mbit/s"
+    " counts as {capability:g}"
+)
+def _counts(context, cores, share, mbps, capability):
+    resources = _settings.HostResources(
+        cores=cores, core_share=share, link_mbps=mbps
+    )
+    assert abs(resources.capability - capability) < 1e-6, resources
