Let the scheduler's node go on after an outage of the table

For every node the lease's row has stood still for longer than the lease then, so at its return whoever calls first takes over, and the holder, which is alive, has to stop. Each such takeover reads all rows and reports again, rests VM commands for three seconds and loses what was learned.

Change: after two looks in a row without an answer, the time that the row stood still is cut, so that the holder has 0.9 s to renew first. One lost answer changes nothing.

Ruled out: counting only answered time, as on a lossy store the count would hardly ever reach the lease's time.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_lease.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_lease.py
@@ -28,6 +28,12 @@
 _YIELD_SECONDS = 0.9
 # A node with less than this part of the most capable one gives way to it.
 _CAPABLE_PART = 0.5
+# So many looks in a row without an answer are an outage of the table; one
+# may be a lost answer.
+_OUTAGE_LOOKS = 2
+# After an outage the holder has this long to renew before others take over:
+# the longest renewal that may be under way, and its next try.
+_RETURN_SECONDS = 0.9
 # What the most capable node is taken for before the first lease, in cores:
 # the least that schedules some hundred runners without falling behind.
 _USUAL_CAPABILITY = 1.0
@@ -71,6 +77,7 @@
         self._capability = capability
         self._seen: _Seen | None = None
         self._strongest = capability
+        self._unread_looks = 0
         self._epoch = 0
         self._valid_until = float("-inf")
         self._unanswered_at: float | None = None
@@ -111,6 +118,7 @@
             return False
         found = self._read()
         if found is None:
+            self._unread_looks += 1
             return False
         if self._age(found) < self._wait_seconds(found):
             return False
@@ -138,12 +146,24 @@
             _logs.log("lease:released", epoch=self._epoch)
 
     def _age(self, found: _Seen) -> float:
-        """Return for how long this version has been seen, in seconds."""
+        """Return for how long this version has stood still, in seconds.
+
+        An outage of the table counts only in part: the holder could not
+        renew either, and to keep it costs less than a takeover.
+        """
+        now = _clock.awake_seconds()
+        outage = self._unread_looks >= _OUTAGE_LOOKS
+        self._unread_looks = 0
         seen = self._seen
         if seen is None or seen.version != found.version:
             self._seen = found
             return 0.0
-        return _clock.awake_seconds() - seen.since
+        if outage:
+            latest = now - LEASE_SECONDS + _RETURN_SECONDS
+            self._seen = seen = attrs.evolve(
+                seen, since=max(seen.since, latest)
+            )
+        return now - seen.since
 
     def _wait_seconds(self, found: _Seen) -> float:
         """Return for how long the row has to stand still before it is free."""
--- a/tests/features/lease.feature
+++ b/tests/features/lease.feature
@@ -25,6 +25,21 @@
     When nodes of 0.2 and 2 cores watch it
     Then the node of 2 cores takes it after 0 s
 
+  Scenario: After an outage of the table its holder goes on
+    Given a lease that a node of 2 cores holds and renews
+    When the table is away for 4 s, and the holder's next try is 0.8 s later
+    Then nobody has taken the lease, and the holder has it
+
+  Scenario: After an outage of the table a holder that is gone is replaced
+    Given a lease that a node of 2 cores has held and lost
+    When the table is away for 4 s, and a node of 2 cores watches it
+    Then it takes it 0.9 s after the table's return
+
+  Scenario: One lost answer does not put a takeover off
+    Given a lease that a node of 2 cores has held and lost
+    When a node of 2 cores watches it and loses its third answer
+    Then the node of 2 cores takes it after 1.6 s
+
   Scenario: A slow link makes a node less capable, however fast it is
     Then a node of 3 cores at 0.7 with a link of 200 Mbit/s counts as 2.1
     And a node of 3 cores at 0.7 with a link of 10 Mbit/s counts as 0.2
