Use a VM again whose maintenance had been done before

A repeated command that finds nothing to do leaves the runner as it is; the runner stayed closed for tasks for good. The repeat itself came from an answered command that was not recorded until the wave's next VM.

Change: a VM is opened whenever its operation ends, answered commands are recorded at the next decision, and a shortage of VMs is logged once a second with each pool's needs, which led to the cause.

Ruled out: room (the VM was empty), the task's backoff, the lease of its run.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_fleet.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_fleet.py
@@ -28,6 +28,8 @@
 _BUSY_SECONDS = 1.0
 # A VM that could not be cleared in this time is given back to its pool.
 _CLEAR_SECONDS = 6.0
+# A shortage of VMs is logged once in this time.
+_SHORTAGE_SECONDS = 1.0
 # Arrivals are kept for this long.
 _ARRIVAL_SECONDS = 60.0
 # The list may lag behind a move's answer by this much; a move that is done
@@ -88,6 +90,7 @@
         ] = {}
         self._not_before: dict[str, float] = {}
         self._next_at = 0.0
+        self._shortage_logged_at = float("-inf")
 
     def note_arrival(self, pool: str, work: float, at: float) -> None:
         """Note a job's work in core-seconds, for the pool's demand."""
@@ -166,9 +169,11 @@
         self._parts.release(tasks, "VM taken away")
 
     def _end(self, vm: str) -> None:
-        operation = self._operations.pop(vm)
+        del self._operations[vm]
+        # A VM that was away comes back with another runner. If it is the
+        # same one, the command repeated what had been done already.
         worker = self._worker_of(vm)
-        if worker is not None and operation.phase is not _Phase.AWAY:
+        if worker is not None:
             worker.held_back = ""
 
     def _worker_of(self, vm: str) -> _workers.Worker | None:
@@ -346,6 +351,7 @@
             for each in supplies
         ]
         needs = {each.name: each for each in supplies}
+        self._log_shortage(supplies, now)
         for move in peridotsill_scheduler.plan_moves(supplies):
             need = needs[move.target].need
             _logs.log(
@@ -364,6 +370,32 @@
             self._begin(command, now)
         self._advance(now)
 
+    def _log_shortage(
+        self,
+        supplies: list[peridotsill_scheduler.PoolSupply],
+        now: float,
+    ) -> None:
+        """Log who lacks VMs and who has some, at most once a second."""
+        wanted = {
+            each.name: peridotsill_scheduler.wanted_vms(each)
+            for each in supplies
+        }
+        short = any(wanted[each.name] > each.size for each in supplies)
+        if not short or now < self._shortage_logged_at + _SHORTAGE_SECONDS:
+            return
+        self._shortage_logged_at = now
+        _logs.log(
+            "vm:shortage",
+            pools={
+                each.name: {
+                    "wanted": wanted[each.name],
+                    "size": each.size,
+                    "idle": len(each.idle),
+                }
+                for each in supplies
+            },
+        )
+
     # Waves.
 
     def _follow_waves(self, now: float) -> None:
@@ -381,6 +413,8 @@
                     unfinished=sorted(wave.unfinished),
                 )
             wave.order = order
+            if wave.unrecorded:
+                self._wave_rows.save(wave)
             self._show_wave(wave)
 
     def _show_wave(self, wave: _waves.Wave) -> None:
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_waves.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_waves.py
@@ -18,14 +18,16 @@
     """A wave and its VMs.
 
     ``begun`` names the VMs that were, or may have been, commanded, and
-    ``done`` those whose command was answered. ``seen_at`` is in steady
-    seconds. ``shown`` is the state that operators were told last.
+    ``done`` those whose command was answered; ``recorded`` is what the
+    row says of those. ``seen_at`` is in steady seconds. ``shown`` is the
+    state that operators were told last.
     """
 
     order: _ports.WaveOrder
     seen_at: float
     begun: set[str] = attrs.field(factory=set)
     done: set[str] = attrs.field(factory=set)
+    recorded: set[str] = attrs.field(factory=set)
     shown: str = ""
     row_version: int = 0
 
@@ -34,6 +36,11 @@
         """The VMs whose command may still be carried out."""
         return self.begun - self.done
 
+    @property
+    def unrecorded(self) -> set[str]:
+        """The VMs that a new scheduler would maintain once more."""
+        return self.done - self.recorded
+
 
 class WaveRows:
     """Reads and writes the progress of waves.
@@ -52,7 +59,8 @@
                 if rows:
                     value = rows[0].value
                     wave.begun |= _names(value, "begun")
-                    wave.done |= _names(value, "done")
+                    wave.recorded = _names(value, "done")
+                    wave.done |= wave.recorded
                     wave.row_version = rows[0].version
                 return True
             case result.Failure(error):
@@ -80,6 +88,7 @@
         match outcome:
             case result.Success(revision):
                 wave.row_version = int(revision)
+                wave.recorded = set(value["done"])
                 return True
             case result.Failure(error):
                 _logs.log(
--- a/tests/features/maintenance.feature
+++ b/tests/features/maintenance.feature
@@ -34,3 +34,17 @@
     And the list of VMs lags and shows all of them as up
     And the fleet decides 10 times more
     Then only one VM was commanded to be maintained
+
+  Scenario: A VM whose maintenance had been done before is used again
+    Given a wave over "a1" to "a4" with at most 1 at once
+    And an earlier scheduler recorded "a3" as begun
+    When the fleet decides
+    And the command is answered as done, though it was done before
+    Then the runner of "a3" may be given tasks again
+
+  Scenario: What is done of a wave is recorded before the next VM begins
+    Given a wave over "a3" to "a3" with at most 1 at once
+    When the fleet decides
+    And the command is answered as done
+    And the fleet decides
+    Then the wave's row says that "a3" is done
--- a/tests/features/steps/maintenance_steps.py
+++ b/tests/features/steps/maintenance_steps.py
@@ -41,17 +41,27 @@
     )
 
 
+class _Workers(list):
+    """Workers that are found by their runner."""
+
+    def find(self, runner):
+        return next((w for w in self if w.entry.id == runner), None)
+
+
 class _Table:
     """A table that takes every commit and holds one wave's row."""
 
     def __init__(self):
         self.row = None
+        self.written = {}
 
     def read(self, keys):
         rows = () if self.row is None else (self.row,)
         return result.Success(rows)
 
     def commit(self, transaction):
+        for write in transaction.writes:
+            self.written[write.key] = write.value
         return result.Success(2)
 
 
@@ -79,7 +89,7 @@
             table=context.rows,
             keys=context.keys,
             documents=unittest.mock.Mock(),
-            workers=[_worker(name) for name in names],
+            workers=_Workers(map(_worker, names)),
             commander=commander,
             evict=unittest.mock.Mock(),
             release=unittest.mock.Mock(),
@@ -185,6 +195,25 @@
     _list_vms(context, _clock.awake_seconds() + 0.5)
 
 
+@when("the command is answered as done, though it was done before")
+def _done_before(context):
+    _answer(context, None)
+    later = _clock.awake_seconds() + 2.5
+    _list_vms(context, later)
+
+
+@then('the runner of "{vm}" may be given tasks again')
+def _open_again(context, vm):
+    worker = context.made._worker_of(vm)
+    assert not worker.held_back, worker.held_back
+
+
+@then('the wave\'s row says that "{vm}" is done')
+def _recorded(context, vm):
+    row = context.rows.written["control//wave-1"]
+    assert row["done"] == [vm], row
+
+
 @then("no VM was commanded twice")
 def _once(context):
     vms = [command.vm for command in context.sent]
