--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_fleet.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_fleet.py
@@ -28,6 +28,9 @@
 _BUSY_SECONDS = 1.0
 # A VM that could not be cleared in this time is given back to its pool.
 _CLEAR_SECONDS = 6.0
+# A VM is cleared to be lent only if its tasks should end within this time,
+# which is about what a move takes.
+_SOON_SECONDS = 1.5
 # A shortage of VMs is logged once in this time.
 _SHORTAGE_SECONDS = 1.0
 # Arrivals are kept for this long.
@@ -309,17 +312,15 @@
         estimator: peridotsill_scheduler.Estimator,
         now: float,
     ) -> peridotsill_scheduler.PoolSupply:
-        idle = tuple(
-            record.name
-            for record in records
-            if self._free(record, now) and self._is_idle(record)
-        )
+        free = [each for each in records if self._free(each, now)]
+        idle = tuple(each.name for each in free if self._is_idle(each))
         cores = [record.capacity.cores for record in records]
         return peridotsill_scheduler.PoolSupply(
             name=pool,
             standby=self._standby(pool),
             size=len(records),
             idle=idle,
+            busy=self._busy(free, estimator, now),
             vm_cores=sum(cores) / len(cores) if cores else 1.0,
             need=peridotsill_scheduler.pool_need(
                 jobs.get(pool, ()),
@@ -335,6 +336,28 @@
         worker = self._worker_of(record.name)
         return worker is not None and not worker.placed
 
+    def _busy(
+        self,
+        records: list[_ports.VmRecord],
+        estimator: peridotsill_scheduler.Estimator,
+        now: float,
+    ) -> tuple[str, ...]:
+        """Return the VMs that will soon be idle, the soonest first."""
+        idle_in: dict[str, float] = {}
+        for record in records:
+            worker = self._worker_of(record.name)
+            if worker is None or not worker.placed:
+                continue
+            left = max(
+                peridotsill_scheduler.seconds_left(
+                    each.job, each.task, estimator, now
+                )
+                for each in worker.placed.values()
+            )
+            if left < _SOON_SECONDS:
+                idle_in[record.name] = left
+        return tuple(sorted(idle_in, key=lambda name: idle_in[name]))
+
     def _lend(
         self,
         supplies: list[peridotsill_scheduler.PoolSupply],
@@ -344,15 +367,15 @@
         supplies = [
             attrs.evolve(
                 each,
-                idle=tuple(
-                    vm for vm in each.idle if vm not in self._operations
-                ),
+                idle=self._untaken(each.idle),
+                busy=self._untaken(each.busy),
             )
             for each in supplies
         ]
         needs = {each.name: each for each in supplies}
         self._log_shortage(supplies, now)
-        for move in peridotsill_scheduler.plan_moves(supplies):
+        policy = self._parts.settings.current.lending_policy
+        for move in peridotsill_scheduler.plan_moves(policy, supplies):
             need = needs[move.target].need
             _logs.log(
                 "vm:lend",
@@ -370,6 +393,9 @@
             self._begin(command, now)
         self._advance(now)
 
+    def _untaken(self, vms: tuple[str, ...]) -> tuple[str, ...]:
+        return tuple(vm for vm in vms if vm not in self._operations)
+
     def _log_shortage(
         self,
         supplies: list[peridotsill_scheduler.PoolSupply],
@@ -391,6 +417,7 @@
                     "wanted": wanted[each.name],
                     "size": each.size,
                     "idle": len(each.idle),
+                    "busy": len(each.busy),
                 }
                 for each in supplies
             },
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_live_settings.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_live_settings.py
@@ -9,7 +9,7 @@
 
 # What a running node takes over from a changed file; the rest names its
 # addresses and neighbours and needs a new process.
-_CHANGEABLE = frozenset({"bounds", "order_policy"})
+_CHANGEABLE = frozenset({"bounds", "lending_policy", "order_policy"})
 
 
 class LiveSettings:
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_settings.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_settings.py
@@ -8,6 +8,7 @@
 import peridotsill.exceptions
 
 from peridotsill_jobs import _ports
+import peridotsill_scheduler
 
 
 @attrs.frozen(kw_only=True)
@@ -70,6 +71,7 @@
     advisor: str = ""
     threads: int = peridotsill.bounded(minimum=2, maximum=500, default=24)
     order_policy: str = "payoff_density"
+    lending_policy: str = "clearing"
     resources: HostResources = HostResources()
     bounds: Bounds = Bounds()
 
@@ -82,13 +84,29 @@
     """
     try:
         text = pathlib.Path(path).read_bytes()
-        return peridotsill.decode(text, JobNodeSettings, strict=False)
+        settings = peridotsill.decode(text, JobNodeSettings, strict=False)
     except OSError as error:
         raise peridotsill.exceptions.SettingsError(
             (f"{path}: {error.strerror}",)
         ) from error
     except peridotsill.exceptions.InvalidResource as error:
         raise peridotsill.exceptions.SettingsError(error.problems) from error
+    problems = _unknown_policies(settings)
+    if problems:
+        raise peridotsill.exceptions.SettingsError(problems)
+    return settings
+
+
+def _unknown_policies(settings: JobNodeSettings) -> tuple[str, ...]:
+    known = {
+        "order_policy": peridotsill_scheduler.order_policies(),
+        "lending_policy": peridotsill_scheduler.lending_policies(),
+    }
+    return tuple(
+        f"{field}: {getattr(settings, field)!r} is none of {', '.join(names)}"
+        for field, names in known.items()
+        if getattr(settings, field) not in names
+    )
 
 
 PortsFactory = collections.abc.Callable[
--- a/packages/peridotsill_scheduler/src/peridotsill_scheduler/__init__.py
+++ b/packages/peridotsill_scheduler/src/peridotsill_scheduler/__init__.py
@@ -6,7 +6,10 @@
 from peridotsill_scheduler._estimates import job_work
 from peridotsill_scheduler._estimates import objective_seconds
 from peridotsill_scheduler._estimates import remaining_work
+from peridotsill_scheduler._estimates import seconds_left
 from peridotsill_scheduler._lending import Arrival
+from peridotsill_scheduler._lending import lending_policies
+from peridotsill_scheduler._lending import lending_policy
 from peridotsill_scheduler._lending import Move
 from peridotsill_scheduler._lending import plan_moves
 from peridotsill_scheduler._lending import pool_need
@@ -75,6 +78,8 @@
     "VmView",
     "chain_seconds",
     "job_work",
+    "lending_policies",
+    "lending_policy",
     "may_end",
     "objective_seconds",
     "open_occurrences",
@@ -90,6 +95,7 @@
     "ready_tasks",
     "refresh_state",
     "remaining_work",
+    "seconds_left",
     "tasks_of",
     "wanted_vms",
 ]
--- a/packages/peridotsill_scheduler/src/peridotsill_scheduler/_estimates.py
+++ b/packages/peridotsill_scheduler/src/peridotsill_scheduler/_estimates.py
@@ -98,6 +98,23 @@
     )
 
 
+def seconds_left(
+    job: _progress.Job,
+    task: _progress.Task,
+    estimator: Estimator,
+    now: float,
+) -> float:
+    """Return the seconds until a task on a VM should end.
+
+    Infinite for a long-lived task; 0 for one that is overdue.
+    """
+    if task.step.long_lived:
+        return float("inf")
+    expected = estimator.task_seconds(job.spec.queue, task.step)
+    spent = now - task.started_at if task.started_at else 0.0
+    return max(0.0, expected - spent)
+
+
 def chain_seconds(
     job: _progress.Job, estimator: Estimator, *, only_remaining: bool = False
 ) -> float:
--- a/packages/peridotsill_scheduler/src/peridotsill_scheduler/_lending.py
+++ b/packages/peridotsill_scheduler/src/peridotsill_scheduler/_lending.py
@@ -18,6 +18,9 @@
 _FILL = 0.85
 # VMs that a pool keeps in any case, for the jobs that come between peaks.
 _MIN_VMS = 2
+# The threshold policy's parts of a pool's cores in use.
+_FULL_PART = 0.9
+_HALF_PART = 0.5
 # Surplus VMs that a lending pool keeps.
 _RESERVE_VMS = 1
 
@@ -36,27 +39,39 @@
 
     ``long_lived`` is reserved by long-lived tasks, ``running`` by all
     others; ``rate`` is the work that arrives each second and ``waiting``
-    the work, in core-seconds, that waits and can still be in time.
+    the work, in core-seconds, that waits and can still be in time. The
+    part of ``running`` whose jobs are late already is ``running_late``.
     """
 
     long_lived: float
     running: float
     rate: float
     waiting: float
+    running_late: float = 0.0
 
     @property
     def cores(self) -> float:
         """The cores that would serve all of it in time."""
-        flow = self.rate + self.waiting / _DRAIN_SECONDS
-        return self.long_lived + max(self.running, flow)
+        return self.long_lived + max(self.running, self._flow)
+
+    @property
+    def cores_in_time(self) -> float:
+        """The cores without those that late jobs use now."""
+        running = self.running - self.running_late
+        return self.long_lived + max(running, self._flow)
+
+    @property
+    def _flow(self) -> float:
+        return self.rate + self.waiting / _DRAIN_SECONDS
 
 
 @attrs.frozen(kw_only=True)
 class PoolSupply:
     """A pool's VMs; ``idle`` names those that could leave at once.
 
-    ``size`` counts the VMs on their way to the pool too. ``vm_cores`` is
-    the mean of the pool's VMs.
+    ``busy`` names those whose tasks will soon have ended, the soonest
+    first. ``size`` counts the VMs on their way to the pool too.
+    ``vm_cores`` is the mean of the pool's VMs.
     """
 
     name: str
@@ -65,6 +80,7 @@
     idle: tuple[str, ...]
     vm_cores: float
     need: PoolNeed
+    busy: tuple[str, ...] = ()
 
 
 @attrs.frozen(kw_only=True)
@@ -83,18 +99,20 @@
     estimator: _estimates.Estimator,
 ) -> PoolNeed:
     """Add up what a pool's jobs need."""
-    long_lived = running = waiting = 0.0
+    long_lived = running = waiting = running_late = 0.0
     for job in jobs:
         demand = _demand(job, now, estimator)
         long_lived += demand.long_lived
         running += demand.running
         waiting += demand.waiting
+        running_late += demand.running_late
     recent = [each.work for each in arrivals if now - each.at < _RATE_SECONDS]
     return PoolNeed(
         long_lived=long_lived,
         running=running,
         rate=sum(recent) / _RATE_SECONDS,
         waiting=waiting,
+        running_late=running_late,
     )
 
 
@@ -123,7 +141,11 @@
             count = phases[_progress.TaskPhase.WAITING]
             waiting += cores * seconds * count
     return PoolNeed(
-        long_lived=long_lived, running=running, rate=0.0, waiting=waiting
+        long_lived=long_lived,
+        running=running,
+        rate=0.0,
+        waiting=waiting,
+        running_late=0.0 if in_time else running,
     )
 
 
@@ -138,23 +160,128 @@
 
 def wanted_vms(pool: PoolSupply) -> int:
     """Return how many VMs a pool needs for its present work."""
+    return _vms_for(pool, pool.need.cores)
+
+
+def _vms_for(pool: PoolSupply, cores: float) -> int:
     if pool.standby:
         return 0
-    cores = pool.need.cores / _FILL
-    return max(_MIN_VMS, math.ceil(cores / max(pool.vm_cores, 1.0)))
+    vms = cores / _FILL / max(pool.vm_cores, 1.0)
+    return max(_MIN_VMS, math.ceil(vms))
+
+
+LendingPolicy = collections.abc.Callable[
+    [collections.abc.Sequence[PoolSupply]], list[Move]
+]
+_policies: dict[str, LendingPolicy] = {}
+
+
+def lending_policy(
+    name: str,
+) -> collections.abc.Callable[[LendingPolicy], LendingPolicy]:
+    """Return a decorator that registers a lending policy."""
+
+    def register(policy: LendingPolicy) -> LendingPolicy:
+        _policies[name] = policy
+        return policy
+
+    return register
+
+
+def lending_policies() -> tuple[str, ...]:
+    """Return the names of the registered policies."""
+    return tuple(sorted(_policies))
 
 
 def plan_moves(
+    policy: str, pools: collections.abc.Sequence[PoolSupply]
+) -> list[Move]:
+    """Return the moves that a policy wants now."""
+    return _policies[policy](pools)
+
+
+@lending_policy("none")
+def _no_moves(pools: collections.abc.Sequence[PoolSupply]) -> list[Move]:
+    """Leave every VM where it is; a baseline."""
+    return []
+
+
+@lending_policy("threshold")
+def _by_threshold(pools: collections.abc.Sequence[PoolSupply]) -> list[Move]:
+    """Move a VM from a pool that is half used to one that is full.
+
+    A baseline that looks at what runs, not at what waits or arrives.
+    """
+    used = {pool.name: _used_part(pool) for pool in pools}
+    full = [
+        pool
+        for pool in pools
+        if not pool.standby and used[pool.name] > _FULL_PART
+    ]
+    idle = {
+        pool.name: list(pool.idle)
+        for pool in pools
+        if pool.standby
+        or (used[pool.name] < _HALF_PART and pool.size > _MIN_VMS)
+    }
+    moves: list[Move] = []
+    for target in full:
+        source = next((name for name, vms in idle.items() if vms), None)
+        if source is None:
+            return moves
+        vm = idle[source].pop()
+        moves.append(Move(vm=vm, source=source, target=target.name))
+    return moves
+
+
+def _used_part(pool: PoolSupply) -> float:
+    cores = pool.size * pool.vm_cores
+    if not cores:
+        return 1.0
+    return (pool.need.long_lived + pool.need.running) / cores
+
+
+@lending_policy("reactive")
+def _by_need(pools: collections.abc.Sequence[PoolSupply]) -> list[Move]:
+    """Bring idle VMs to the pools that lack them; a baseline."""
+    return _bring(
+        pools,
+        {each.name: wanted_vms(each) for each in pools},
+        {each.name: each.idle for each in pools},
+    )
+
+
+@lending_policy("clearing")
+def _by_need_in_time(
+    pools: collections.abc.Sequence[PoolSupply],
+) -> list[Move]:
+    """Bring VMs, also busy ones, to the jobs that can be in time.
+
+    After a peak that was too high the pool's VMs are full with jobs that
+    are late already, while the next pool's jobs become late too. So what
+    late jobs use counts as no need here, and VMs are cleared by starting
+    nothing more on them.
+    """
+    return _bring(
+        pools,
+        {each.name: _vms_for(each, each.need.cores_in_time) for each in pools},
+        {each.name: each.idle + each.busy for each in pools},
+    )
+
+
+def _bring(
     pools: collections.abc.Sequence[PoolSupply],
+    wanted: dict[str, int],
+    movable: dict[str, tuple[str, ...]],
 ) -> list[Move]:
-    """Return the moves that bring VMs to the pools that lack them.
+    """Bring VMs to the pools that have fewer than ``wanted``.
 
-    VMs of standby pools go first; then idle VMs of pools that have more
-    than they need. The pool that lacks most is served first.
+    VMs of standby pools go first; then those of pools that have more than
+    they want, in the order given. The pool that lacks most is served
+    first.
     """
-    wanted = {pool.name: wanted_vms(pool) for pool in pools}
     size = {pool.name: pool.size for pool in pools}
-    idle = {pool.name: list(pool.idle) for pool in pools}
+    left = {name: list(vms) for name, vms in movable.items()}
     moves: list[Move] = []
     while True:
         target = max(
@@ -164,10 +291,10 @@
         )
         if target is None or wanted[target.name] <= size[target.name]:
             return moves
-        source = _source(pools, wanted, size, idle, target)
+        source = _source(pools, wanted, size, left, target)
         if source is None:
             return moves
-        vm = idle[source.name].pop()
+        vm = left[source.name].pop(0)
         size[source.name] -= 1
         size[target.name] += 1
         moves.append(Move(vm=vm, source=source.name, target=target.name))
@@ -177,12 +304,12 @@
     pools: collections.abc.Sequence[PoolSupply],
     wanted: dict[str, int],
     size: dict[str, int],
-    idle: dict[str, list[str]],
+    left: dict[str, list[str]],
     target: PoolSupply,
 ) -> PoolSupply | None:
     best: PoolSupply | None = None
     for pool in pools:
-        if pool is target or not idle[pool.name]:
+        if pool is target or not left[pool.name]:
             continue
         if pool.standby:
             return pool
--- a/tests/benches/capacity.py
+++ b/tests/benches/capacity.py
@@ -19,6 +19,7 @@
 import psutil
 from standins import fleet
 
+from benches import job_nodes
 from peridotsill_node import _availability
 from peridotsill_node import _lending
 from peridotsill_node import _placement
@@ -349,6 +350,20 @@
     return found
 
 
+def job_node_slopes(sizes: tuple[int, ...]) -> list[Slope]:
+    """Measure idle job nodes by their number, over 24 VMs."""
+    costs = [job_nodes.measure(size) for size in sizes]
+    return [
+        line(name, unit, "nodes", {c.nodes: getattr(c, field) for c in costs})
+        for name, unit, field in (
+            ("idle job node processor", "cores", "node_cpu"),
+            ("idle scheduler processor", "cores", "scheduler_cpu"),
+            ("idle job node memory", "bytes", "memory_bytes"),
+            ("idle job node traffic", "bytes/s", "node_traffic"),
+        )
+    ]
+
+
 def main() -> None:
     parser = argparse.ArgumentParser()
     parser.add_argument("--json", default="docs/measured/capacity.json")
@@ -359,6 +374,7 @@
     slopes += decision_record_slopes()
     slopes += node_slopes((3, 6, 12, 24))
     slopes += row_slopes((500, 2000, 4000))
+    slopes += job_node_slopes((3, 6, 9))
     slopes.append(
         line("change in force", "seconds", "nodes", config_seconds())
     )
--- a/tests/benches/run.py
+++ b/tests/benches/run.py
@@ -19,6 +19,7 @@
 
 from benches import jobs
 from benches import lending
+from benches import peaks
 from benches import slots
 
 matplotlib.use("Agg")
@@ -79,11 +80,47 @@
             source="issue 5.6: no more than first-fit",
         )
     )
+    met, met_bounds = peak_bounds()
     data = {
         "lending": [attrs.asdict(each) for each in loans],
         "jobs": [attrs.asdict(each) for each in placed],
+        "peaks": [attrs.asdict(each) for each in met],
     }
-    return data, bounds
+    return data, bounds + met_bounds
+
+
+# Loads of the stable part and their seconds; half of the turns do for the
+# highest, which takes the most time.
+_PEAKS = {
+    "turns of 4 s, twice a pool": peaks.TRAFFIC_SECONDS,
+    "turns of 8 s, five times a pool": peaks.TRAFFIC_SECONDS / 2,
+    "no turns": peaks.TRAFFIC_SECONDS,
+}
+
+
+def peak_bounds() -> tuple[list[peaks.Outcome], list[Bound]]:
+    """Compare lending with its baselines, with peaks and without."""
+    outcomes = []
+    bounds = []
+    for load, seconds in _PEAKS.items():
+        by_policy = {
+            policy: peaks.measure(
+                load, policy, "payoff_density", seconds=seconds
+            )
+            for policy in peaks.lending_policies()
+        }
+        outcomes += by_policy.values()
+        ours = by_policy.pop("clearing")
+        bounds.append(
+            Bound(
+                name=f"{load}: payoff earned, against the best baseline",
+                value=ours.earned,
+                limit=max(each.earned for each in by_policy.values()),
+                at_least=True,
+                source="issue 11.1: no lending, threshold rule, by need",
+            )
+        )
+    return outcomes, bounds
 
 
 def latency() -> dict[str, float]:
@@ -226,6 +263,7 @@
         axes[1].set_title("added latency, ms")
         figure.tight_layout()
         figure.savefig(_FOLDER / "slots.svg", metadata={"Date": None})
+    plot_peaks([e for e in data["peaks"] if e["order"] == "payoff_density"])
     figure, axes = pyplot.subplots(1, 2, figsize=(9, 3.2))
     for axis, deployment in zip(axes, ("gidgee", "consortium")):
         rows = [e for e in data["lending"] if e["deployment"] == deployment]
@@ -238,12 +276,38 @@
     figure.savefig(_FOLDER / "lending.svg", metadata={"Date": None})
 
 
+def plot_peaks(rows: list[dict[str, typing.Any]]) -> None:
+    """Draw the payoff that each lending policy earned on each load."""
+    loads = list(dict.fromkeys(row["load"] for row in rows))
+    policies = list(dict.fromkeys(row["lending"] for row in rows))
+    figure, axis = pyplot.subplots(figsize=(9, 3.2))
+    height = 0.8 / len(policies)
+    for number, policy in enumerate(policies):
+        earned = {
+            row["load"]: row["earned"]
+            for row in rows
+            if row["lending"] == policy
+        }
+        axis.barh(
+            [place + number * height for place in range(len(loads))],
+            [earned[load] for load in loads],
+            height=height,
+            label=policy,
+        )
+    axis.set_yticks(range(len(loads)), loads)
+    axis.set_title("part of the payoff that was earned")
+    axis.legend()
+    figure.tight_layout()
+    figure.savefig(_FOLDER / "peaks.svg", metadata={"Date": None})
+
+
 def main() -> int:
     parser = argparse.ArgumentParser()
     parser.add_argument("--stable", action="store_true")
     options = parser.parse_args()
     data, bounds = stable()
     if not options.stable:
+        data["peaks"] = [attrs.asdict(each) for each in peaks.measure_all()]
         more, more_bounds = measured()
         data.update(more)
         bounds += more_bounds
--- a/tests/features/controller.feature
+++ b/tests/features/controller.feature
@@ -74,3 +74,8 @@
     When another scheduler has recorded run 2 of it on runner "i-2"
     And a round is made
     Then nothing is started, and the task is run 2 on runner "i-2"
+
+  Scenario: Settings that name an unknown policy are refused by name
+    Given a settings file of a node with order policy "fastest"
+    When the node reads it
+    Then it is refused, and the known order policies are named
--- a/tests/features/maintenance.feature
+++ b/tests/features/maintenance.feature
@@ -48,3 +48,13 @@
     And the command is answered as done
     And the fleet decides
     Then the wave's row says that "a3" is done
+
+  Scenario: A VM is cleared to be lent only if its tasks end soon
+    Given "a1" runs a task of 1 s, "a2" of 0.5 s and "a3" of 9 s
+    When a pool lacks VMs
+    Then "a2" and then "a1" may be cleared for it
+
+  Scenario: A VM with a long-lived task is not cleared to be lent
+    Given "a1" runs a task of 1 s, "a2" of 0.5 s and "a3" a long-lived one
+    When a pool lacks VMs
+    Then "a2" and then "a1" may be cleared for it
--- a/tests/features/scheduler.feature
+++ b/tests/features/scheduler.feature
@@ -44,6 +44,20 @@
     When "a" needs 10 VMs and "b" needs 6
     Then 0 VMs move to "a", 0 of them from standby
 
+  Scenario: VMs that are full with late jobs are cleared for the next peak
+    Given a pool "a" of 6 VMs full with tasks of jobs that are late
+    And a pool "b" of 2 VMs that needs 10
+    When VMs are lent with policy "reactive"
+    Then no VM moves
+    When VMs are lent with policy "clearing"
+    Then 3 VMs move to "b", the soonest idle first
+
+  Scenario: VMs that are full with jobs in time are left to their pool
+    Given a pool "a" of 6 VMs full with tasks of jobs in time
+    And a pool "b" of 2 VMs that needs 10
+    When VMs are lent with policy "clearing"
+    Then no VM moves
+
   Scenario: Long-lived tasks leave one by one
     Given a long-lived step of 4 tasks of which 1 may be away
     When all its tasks are at work
--- a/tests/features/steps/controller_steps.py
+++ b/tests/features/steps/controller_steps.py
@@ -1,6 +1,9 @@
 """Steps on the scheduler's loop, with stubs for everything outside it."""
 
+import json
+import pathlib
 import queue
+import tempfile
 import threading
 import time
 import unittest.mock
@@ -20,6 +23,7 @@
 from peridotsill_jobs import _live_settings
 from peridotsill_jobs import _ports
 from peridotsill_jobs import _records
+from peridotsill_jobs import _settings
 import peridotsill_scheduler as scheduler
 
 _JOB = "00000000000000aa"
@@ -493,3 +497,26 @@
 @then("it goes on to its round within {seconds:d} s")
 def _goes_on(context, seconds):
     assert context.gathered_seconds < seconds, context.gathered_seconds
+
+
+@given('a settings file of a node with order policy "{policy}"')
+def _settings_file(context, policy):
+    plain = peridotsill.to_plain(stubs.node_settings())
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    context.file = pathlib.Path(folder.name, "node.json")
+    context.file.write_text(json.dumps({**plain, "order_policy": policy}))
+
+
+@when("the node reads it")
+def _read_settings(context):
+    try:
+        _settings.load_job_settings(str(context.file))
+    except peridotsill.exceptions.SettingsError as error:
+        context.refused = str(error)
+
+
+@then("it is refused, and the known order policies are named")
+def _settings_refused(context):
+    for name in ("order_policy", *scheduler.order_policies()):
+        assert name in context.refused, context.refused
--- a/tests/features/steps/maintenance_steps.py
+++ b/tests/features/steps/maintenance_steps.py
@@ -228,3 +228,47 @@
 @then("only one VM was commanded to be maintained")
 def _only_one(context):
     assert len(_maintained(context)) == 1, context.sent
+
+
+def _run_on(context, name, seconds, long_lived=False):
+    step = scheduler.Step(
+        index=0,
+        task_count=1,
+        estimated_seconds=seconds,
+        long_lived=long_lived,
+    )
+    spec = scheduler.JobSpec(id="j", queue="q", payload="", steps=(step,))
+    task = scheduler.Task(occurrence=0, step=step, index=0)
+    worker = context.made._worker_of(name)
+    worker.placed = {0: unittest.mock.Mock(task=task, job=_Job(spec))}
+
+
+@attrs.frozen
+class _Job:
+    spec: scheduler.JobSpec
+
+
+@given('"a1" runs a task of 1 s, "a2" of 0.5 s and "a3" of 9 s')
+def _tasks(context):
+    for name, seconds in (("a1", 1.0), ("a2", 0.5), ("a3", 9.0)):
+        _run_on(context, name, seconds)
+
+
+@given('"a1" runs a task of 1 s, "a2" of 0.5 s and "a3" a long-lived one')
+def _with_long_lived(context):
+    _tasks(context)
+    _run_on(context, "a3", 0.1, long_lived=True)
+
+
+@when("a pool lacks VMs")
+def _lacking(context):
+    context.supplies = context.made._supplies(
+        {}, scheduler.Estimator(), _clock.awake_seconds()
+    )
+
+
+@then('"a2" and then "a1" may be cleared for it')
+def _may_clear(context):
+    pool = next(each for each in context.supplies if each.name == "a")
+    assert pool.busy == ("a2", "a1"), pool.busy
+    assert pool.idle == ("a4",), pool.idle
--- a/tests/features/steps/scheduler_steps.py
+++ b/tests/features/steps/scheduler_steps.py
@@ -185,11 +185,12 @@
 @when('"a" needs {count:d} VMs and "b" needs {other:d}')
 def _needs(context, count, other):
     context.moves = scheduler.plan_moves(
+        "reactive",
         [
             _supply("a", 6, count),
             _supply("b", 6, other),
             _supply("s", context.standby, 0, standby=True),
-        ]
+        ],
     )
 
 
@@ -497,3 +498,64 @@
     step = scheduler.Step(index=0, task_count=1, estimated_seconds=declared)
     found = context.estimator.task_seconds("q", step)
     assert abs(found - seconds) < 1e-9, found
+
+
+@given('a pool "a" of {count:d} VMs full with tasks of jobs that are late')
+def _late_pool(context, count):
+    _full_pool(context, count, arrived_at=0.0)
+
+
+@given('a pool "a" of {count:d} VMs full with tasks of jobs in time')
+def _timely_pool(context, count):
+    _full_pool(context, count, arrived_at=99.9)
+
+
+def _full_pool(context, count, arrived_at):
+    job = _job("j", count, 32, 1.0, arrived_at)
+    for task in job.tasks:
+        task.phase = scheduler.TaskPhase.RUNNING
+    need = scheduler.pool_need([job], [], 100.0, scheduler.Estimator())
+    context.supplies = [
+        scheduler.PoolSupply(
+            name="a",
+            standby=False,
+            size=count,
+            idle=(),
+            busy=tuple(f"a{number}" for number in range(count)),
+            vm_cores=32.0,
+            need=need,
+        )
+    ]
+
+
+@given('a pool "b" of {count:d} VMs that needs {needed:d}')
+def _short_pool(context, count, needed):
+    need = scheduler.PoolNeed(
+        long_lived=0.0, running=0.0, rate=needed * 27.0, waiting=0.0
+    )
+    context.supplies.append(
+        scheduler.PoolSupply(
+            name="b",
+            standby=False,
+            size=count,
+            idle=(),
+            vm_cores=32.0,
+            need=need,
+        )
+    )
+
+
+@when('VMs are lent with policy "{policy}"')
+def _lent(context, policy):
+    context.moves = scheduler.plan_moves(policy, context.supplies)
+
+
+@then("no VM moves")
+def _no_move(context):
+    assert not context.moves, context.moves
+
+
+@then('{count:d} VMs move to "b", the soonest idle first')
+def _cleared(context, count):
+    found = [(move.vm, move.target) for move in context.moves]
+    assert found == [(f"a{n}", "b") for n in range(count)], found
