--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_lease.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_lease.py
@@ -22,7 +22,7 @@
 _RETRY_SECONDS = 0.05
 # How long a node that leaves tries to give the lease back; after the
 # lease's own time nothing is gained by it.
-RELEASE_SECONDS = 1.5
+_RELEASE_SECONDS = 1.5
 # What the holder leaves of its lease unused, against the renewal's own way.
 _MARGIN_SECONDS = 0.15
 # Pause of a node that watches another's lease.
@@ -38,8 +38,8 @@
 # After an outage the holder has this long to renew before others take over:
 # the longest renewal that may be under way, and its next try.
 _RETURN_SECONDS = 0.9
-# What the most capable node is taken for before the first lease, in cores:
-# the least that schedules some hundred runners without falling behind.
+# What the most capable node is taken for before the first lease, in cores;
+# 350 runners kept 0.65 of a core busy (docs/CAPACITY.md).
 _USUAL_CAPABILITY = 1.0
 
 
@@ -151,25 +151,30 @@
             seen = self._seen
         if not held or seen is None:
             return
-        version = seen.version
-        until = _clock.awake_seconds() + RELEASE_SECONDS
-        while _clock.awake_seconds() < until:
-            match self._commit(version, "", self._epoch):
-                case result.Success():
-                    _logs.log("lease:released", epoch=self._epoch)
-                    return
-                case result.Failure(error):
-                    _logs.log(
-                        "lease:unwritten",
-                        epoch=self._epoch,
-                        reason=str(error),
-                    )
-            found = self._read()
-            if found is not None:
-                if (found.holder, found.epoch) != (self._node, self._epoch):
-                    return
-                version = found.version
-            time.sleep(_RETRY_SECONDS)
+        version: int | None = seen.version
+        until = _clock.awake_seconds() + _RELEASE_SECONDS
+        while version is not None and _clock.awake_seconds() < until:
+            version = self._try_release(version)
+
+    def _try_release(self, version: int) -> int | None:
+        """Return the row's version for another try, None if it is settled."""
+        match self._commit(version, "", self._epoch):
+            case result.Success():
+                _logs.log("lease:released", epoch=self._epoch)
+                return None
+            case result.Failure(error):
+                _logs.log(
+                    "lease:unwritten", epoch=self._epoch, reason=str(error)
+                )
+        time.sleep(_RETRY_SECONDS)
+        found = self._read()
+        if found is None:
+            return version
+        if (found.holder, found.epoch) == (self._node, self._epoch):
+            return found.version
+        # An earlier try was done after all, or another node has taken it.
+        _logs.log("lease:released", epoch=self._epoch, holder=found.holder)
+        return None
 
     def _age(self, found: _Seen) -> float:
         """Return for how long this version has stood still, in seconds.
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_settings.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_settings.py
@@ -27,7 +27,8 @@
     exit_grace_ms: float = peridotsill.bounded(minimum=0, default=6000.0)
 
 
-# What a scheduler that keeps one core busy sends and receives, in Mbit/s.
+# The link in Mbit/s that goes with a core of scheduling: a takeover reads
+# some megabytes at once, for which 10 Mbit/s were too little.
 _MBPS_PER_CORE = 50.0
 
 
--- a/packages/peridotsill_scheduler/src/peridotsill_scheduler/_lending.py
+++ b/packages/peridotsill_scheduler/src/peridotsill_scheduler/_lending.py
@@ -18,7 +18,8 @@
 _FILL = 0.85
 # VMs that a pool keeps in any case, for the jobs that come between peaks.
 _MIN_VMS = 2
-# The threshold policy's parts of a pool's cores in use.
+# Parts of a pool's cores in use at which the threshold policy acts; the
+# usual figures of such rules.
 _FULL_PART = 0.9
 _HALF_PART = 0.5
 # Surplus VMs that a lending pool keeps.
