Call all runners from one thread

Cause: the scheduler had two threads for each of 540 runners. Each call also paid for a pool manager (about 0.5 ms).

Change: `CallLoop` serves many kept connections from one thread, with httptools as the parser. `RunnerLink` becomes a state machine on it; the adapter only makes calls and reads results. An answer that can't be read, of whatever kind, fails its call; before, some ended the looking thread. A runner whose VM was just moved or taken for maintenance is left alone.

--- a/packages/peridotsill/src/peridotsill/__init__.py
+++ b/packages/peridotsill/src/peridotsill/__init__.py
@@ -1,5 +1,10 @@
 """Core of peridotsill: resources, settings, decisions and plumbing."""
 
+from peridotsill._call_loop import CallLoop
+from peridotsill._call_loop import CallResult
+from peridotsill._call_loop import JsonCall
+from peridotsill._call_loop import JsonConnection
+from peridotsill._call_loop import Timer
 from peridotsill._codec import bounded
 from peridotsill._codec import decode
 from peridotsill._codec import decode_plain
@@ -77,6 +82,8 @@
     "RESOURCE_KINDS",
     "Address",
     "Answer",
+    "CallLoop",
+    "CallResult",
     "Candidate",
     "Change",
     "ChangeType",
@@ -96,7 +103,9 @@
     "JobUse",
     "Journal",
     "JsonApp",
+    "JsonCall",
     "JsonClient",
+    "JsonConnection",
     "JsonRequest",
     "Ledger",
     "LedgerKind",
@@ -123,6 +132,7 @@
     "SlotReply",
     "SlotResult",
     "TextEnum",
+    "Timer",
     "Timing",
     "View",
     "Vm",
--- a/packages/peridotsill/src/peridotsill/_json_http.py
+++ b/packages/peridotsill/src/peridotsill/_json_http.py
@@ -89,7 +89,7 @@
                 f"{self._base}{path}: {type(error).__name__}",
                 sent=not isinstance(error, _NEVER_SENT),
             ) from error
-        return _result_of(answer)
+        return answer_data(answer.status, answer.data)
 
     def close(self) -> None:
         """Close the kept connections."""
@@ -101,14 +101,20 @@
             pool.clear()
 
 
-def _result_of(answer: typing.Any) -> typing.Any:
+def answer_data(status: int, content: bytes) -> typing.Any:
+    """Return the plain data of a JSON answer.
+
+    Raises:
+        PeerUnavailable: If the content is not JSON.
+        PeerRefused: If the status is 400 or above.
+    """
     try:
-        data = _codec.decode_plain(answer.data) if answer.data else {}
+        data = _codec.decode_plain(content) if content else {}
     except exceptions.InvalidResource as error:
         raise exceptions.PeerUnavailable("the answer is not JSON") from error
-    if answer.status >= http.HTTPStatus.BAD_REQUEST:
+    if status >= http.HTTPStatus.BAD_REQUEST:
         body = data if isinstance(data, dict) else {"detail": str(data)}
-        raise exceptions.PeerRefused(answer.status, body)
+        raise exceptions.PeerRefused(status, body)
     return data
 
 
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/__init__.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/__init__.py
@@ -15,7 +15,8 @@
 from peridotsill_jobs._ports import PlatformPorts
 from peridotsill_jobs._ports import ReportedEnd
 from peridotsill_jobs._ports import ReportedRun
-from peridotsill_jobs._ports import Runner
+from peridotsill_jobs._ports import RunnerCall
+from peridotsill_jobs._ports import RunnerCalls
 from peridotsill_jobs._ports import RunnerEntry
 from peridotsill_jobs._ports import RunnerReport
 from peridotsill_jobs._ports import RunnerState
@@ -45,7 +46,8 @@
     "PlatformPorts",
     "ReportedEnd",
     "ReportedRun",
-    "Runner",
+    "RunnerCall",
+    "RunnerCalls",
     "RunnerEntry",
     "RunnerReport",
     "RunnerState",
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_controller.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_controller.py
@@ -4,6 +4,7 @@
 import queue
 import threading
 import time
+import traceback
 
 import attrs
 import peridotsill
@@ -72,6 +73,7 @@
             lease=parts.lease,
             counters=parts.counters,
         )
+        self._calls = peridotsill.CallLoop(failed=_log_failed_step)
         self._workers = _workers.Workers(connect=self._connect)
         self._feeds = _feeds.Feeds(ports=parts.ports, post=self._inbox.put)
         self._estimator = peridotsill_scheduler.Estimator()
@@ -104,7 +106,8 @@
         link = _links.RunnerLink(
             parts=_links.LinkParts(
                 entry=entry,
-                connect=self._parts.ports.connect,
+                loop=self._calls,
+                calls=self._parts.ports.runner_calls(entry),
                 lease=self._parts.lease,
                 max_lease_seconds=self._max_lease_seconds,
                 post=self._inbox.put,
@@ -145,6 +148,7 @@
             revision = self._load()
             if revision is None:
                 return
+            self._calls.start()
             self._feeds.start(revision)
             while not self._ended:
                 self._take_events()
@@ -159,6 +163,7 @@
         if self._advice is not None:
             self._advice.stop()
         self._workers.stop()
+        self._calls.stop()
 
     def _load(self) -> int | None:
         while not self._ended:
@@ -396,3 +401,8 @@
         for task in job.tasks:
             if task.active:
                 self._workers.adopt(job, task)
+
+
+def _log_failed_step(error: Exception) -> None:
+    lines = traceback.format_exception(error)
+    _logs.log("calls:failed", traceback="".join(lines))
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_fleet.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_fleet.py
@@ -169,6 +169,7 @@
         tasks = [(each.job, each.task) for each in worker.placed.values()]
         worker.placed.clear()
         worker.held_back = "its VM is away"
+        worker.link.rest(True)
         self._parts.release(tasks, "VM taken away")
 
     def _end(self, vm: str) -> None:
@@ -178,6 +179,7 @@
         worker = self._worker_of(vm)
         if worker is not None:
             worker.held_back = ""
+            worker.link.rest(False)
 
     def _worker_of(self, vm: str) -> _workers.Worker | None:
         record = self._vms.get(vm)
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_links.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_links.py
@@ -1,8 +1,8 @@
-"""The scheduler's connection to one runner: a looker and an order giver."""
+"""The scheduler's connections to one runner: one looks, one gives orders."""
 
+import collections
 import collections.abc
-import queue
-import threading
+import typing
 
 import attrs
 import peridotsill
@@ -91,12 +91,14 @@
 class LinkParts:
     """What a link works with.
 
-    ``post`` takes `OrderOutcome` and `Looked`. If the runner has seen a
-    newer scheduler, ``lease`` is told.
+    ``loop`` runs the link, and ``calls`` makes its calls. ``post`` takes
+    `OrderOutcome` and `Looked`. If the runner has seen a newer scheduler,
+    ``lease`` is told.
     """
 
     entry: _ports.RunnerEntry
-    connect: collections.abc.Callable[[_ports.RunnerEntry], _ports.Runner]
+    loop: peridotsill.CallLoop
+    calls: _ports.RunnerCalls
     lease: _lease.Lease
     max_lease_seconds: float
     post: collections.abc.Callable[[OrderOutcome | Looked], None]
@@ -118,18 +120,39 @@
 _Order = _ports.StartOrder | _Stop | _Pace
 
 
+@attrs.define(kw_only=True, eq=False)
+class _Starting:
+    """The tries of one start; ``clean`` as in `OrderOutcome`."""
+
+    order: _ports.StartOrder
+    tries_left: int = _START_TRIES
+    clean: bool = True
+
+
+_T = typing.TypeVar("_T")
+# Returns what a runner said, or raises `RunnerError`.
+_Reader = collections.abc.Callable[[], _T]
+
+
 class RunnerLink:
-    """Two threads that talk to one lifetime of a runner."""
+    """Looks at one lifetime of a runner, and gives it orders in turn.
+
+    Everything but the requests of the scheduler runs in the loop's thread.
+    """
 
     def __init__(self, *, parts: LinkParts) -> None:
         self._parts = parts
-        self._lookout = parts.connect(parts.entry)
-        self._orders_to = parts.connect(parts.entry)
-        self._orders: queue.SimpleQueue[_Order | None] = queue.SimpleQueue()
+        self._calls = parts.calls
+        self._lookout = self._connection()
+        self._orders_to = self._connection()
+        self._orders: collections.deque[_Order] = collections.deque()
+        self._ordering = False
+        self._looking = False
+        self._resting = False
+        self._stopped = False
         self._wait_seconds = _WAIT_SECONDS
         self._withdrawn: set[_Stop] = set()
-        self._stopped = threading.Event()
-        self._committed = threading.Condition()
+        self._awaits_commit: peridotsill.Timer | None = None
         self._last_seen = 0
         self._reported = 0
         self._clock_ms = 0.0
@@ -138,6 +161,11 @@
         self._answered_at = float("-inf")
         self._lease_seconds = run_lease_seconds(parts.max_lease_seconds)
 
+    def _connection(self) -> peridotsill.JsonConnection:
+        return peridotsill.JsonConnection(
+            loop=self._parts.loop, address=self._parts.entry.address
+        )
+
     @property
     def entry(self) -> _ports.RunnerEntry:
         """The registry's row with which the link was made."""
@@ -172,17 +200,19 @@
         return now_ms > self._lease_until_ms
 
     def start(self) -> None:
-        """Start both threads."""
-        name = self._parts.entry.id
-        for run in (self._look_loop, self._order_loop):
-            threading.Thread(target=run, daemon=True, name=name).start()
+        """Begin to look at the runner."""
+        self._parts.loop.run_soon(self._look)
 
     def stop(self) -> None:
-        """End both threads after their current calls."""
-        self._stopped.set()
-        self._orders.put(None)
-        with self._committed:
-            self._committed.notify_all()
+        """Close the connections; orders that were not sent are dropped."""
+        self._stopped = True
+        self._parts.loop.run_soon(self._close)
+
+    def rest(self, resting: bool) -> None:
+        """Don't look at the runner while its VM is known to be away."""
+        self._resting = resting
+        if not resting:
+            self._parts.loop.run_soon(self._look)
 
     def watch_closely(self, close: bool) -> None:
         """Look more often, for the tails of serving tasks."""
@@ -190,13 +220,13 @@
 
     def commit_ends(self, last_seen: int) -> None:
         """Let the runner forget the ends up to ``last_seen``."""
-        with self._committed:
-            self._last_seen = max(self._last_seen, last_seen)
-            self._committed.notify_all()
+        if last_seen > self._last_seen:
+            self._last_seen = last_seen
+            self._parts.loop.run_soon(self._committed)
 
     def order_start(self, order: _ports.StartOrder) -> None:
         """Send a start; its lease is set when it leaves."""
-        self._orders.put(order)
+        self._give(order)
 
     def order_stop(self, name: _ports.TaskName, run: int) -> None:
         """Send a stop; a start of the run that was not sent yet is not.
@@ -205,13 +235,17 @@
         """
         stop = _Stop(name=name, run=run)
         self._withdrawn.add(stop)
-        self._orders.put(stop)
+        self._give(stop)
 
     def order_pace(
         self, name: _ports.TaskName, run: int, percent: int
     ) -> None:
         """Send a pace once; the next decision repeats it if need be."""
-        self._orders.put(_Pace(name=name, run=run, percent=percent))
+        self._give(_Pace(name=name, run=run, percent=percent))
+
+    def _give(self, order: _Order) -> None:
+        self._orders.append(order)
+        self._parts.loop.run_soon(self._next_order)
 
     def _until_ms(self) -> float | None:
         """Return a new lease's end on the runner's clock.
@@ -226,38 +260,105 @@
         self._lease_until_ms = max(self._lease_until_ms, until)
         return float(int(until))
 
-    def _look_loop(self) -> None:
-        while not self._stopped.is_set():
-            lapsed = self._parts.lease.lapsed_seconds
-            if lapsed > LOOK_WITHOUT_LEASE_SECONDS:
-                self._stopped.wait(_RETRY_SECONDS)
-                continue
-            if not self._look():
-                self._stopped.wait(_RETRY_SECONDS)
+    def _close(self) -> None:
         self._lookout.close()
+        self._orders_to.close()
 
-    def _look(self) -> bool:
-        self._await_commit()
+    def _ask(
+        self,
+        connection: peridotsill.JsonConnection,
+        asked: _ports.RunnerCall[_T],
+        take: collections.abc.Callable[[_Reader[_T]], None],
+    ) -> None:
+        """Call the runner; ``take`` gets the reader of what it said."""
+
+        def done(outcome: peridotsill.CallResult) -> None:
+            if not self._stopped:
+                take(lambda: self._read(asked, outcome))
+
+        connection.call(asked.call, done)
+
+    def _read(
+        self, asked: _ports.RunnerCall[_T], outcome: peridotsill.CallResult
+    ) -> _T:
+        try:
+            return asked.read(outcome)
+        except exceptions.RunnerError:
+            raise
+        except Exception as error:
+            # A link that raised would never look again.
+            _logs.log(
+                "runner:unreadable", runner=self.entry.id, reason=repr(error)
+            )
+            raise exceptions.RunnerUnavailable(
+                repr(error), sent=True
+            ) from error
+
+    # Looks.
+
+    def _look(self) -> None:
+        """Look, if nothing else is to be waited for first."""
+        if self._looking or self._stopped or self._resting:
+            return
+        lapsed = self._parts.lease.lapsed_seconds
+        if lapsed > LOOK_WITHOUT_LEASE_SECONDS:
+            self._look_later()
+            return
+        if self._last_seen < self._reported and not self._awaits_commit:
+            # The next look tells the runner to forget them.
+            self._awaits_commit = self._parts.loop.later(
+                _COMMIT_WAIT_SECONDS, self._look
+            )
+            return
+        self._send_look()
+
+    def _committed(self) -> None:
+        if self._awaits_commit and self._last_seen >= self._reported:
+            self._look()
+
+    def _look_later(self) -> None:
+        self._looking = True
+        self._parts.loop.later(_RETRY_SECONDS, self._look_again)
+
+    def _look_again(self) -> None:
+        self._looking = False
+        self._look()
+
+    def _send_look(self) -> None:
+        if self._awaits_commit:
+            self._awaits_commit.cancel()
+            self._awaits_commit = None
         until = self._until_ms()
         trusted = until is not None and self._reported <= self._last_seen
         wait = self._wait_seconds if trusted else 0.0
         asked_at = _clock.awake_seconds()
-        try:
-            report = self._lookout.look(
+        self._looking = True
+        self._ask(
+            self._lookout,
+            self._calls.look(
                 fence=self._parts.lease.epoch,
                 last_seen=self._last_seen,
                 lease_until_ms=until,
                 wait_seconds=wait,
                 timeout_seconds=wait + _LOOK_TIMEOUT_SECONDS,
-            )
+            ),
+            lambda read: self._looked(read, asked_at),
+        )
+
+    def _looked(
+        self, read: _Reader[_ports.RunnerReport], asked_at: float
+    ) -> None:
+        try:
+            report = read()
         except exceptions.Fenced as error:
             self._parts.lease.lose(str(error))
-            return False
+            self._look_later()
         except exceptions.RunnerError as error:
             self._log_silence(error)
-            return False
-        self._take(report, asked_at)
-        return True
+            self._look_later()
+        else:
+            self._take(report, asked_at)
+            self._look_again()
 
     def _take(self, report: _ports.RunnerReport, asked_at: float) -> None:
         now = _clock.awake_seconds()
@@ -293,86 +394,114 @@
                 reason=str(error),
             )
 
-    def _await_commit(self) -> None:
-        """Wait until the ends reported so far are committed, for a while."""
-        with self._committed:
-            self._committed.wait_for(
-                lambda: (
-                    self._stopped.is_set() or self._last_seen >= self._reported
-                ),
-                _COMMIT_WAIT_SECONDS,
+    # Orders.
+
+    def _next_order(self) -> None:
+        """Send the next order, if none is under way."""
+        if self._ordering or self._stopped or not self._orders:
+            return
+        self._ordering = True
+        match self._orders.popleft():
+            case _ports.StartOrder() as order:
+                self._send_start(_Starting(order=order))
+            case _Stop() as order:
+                self._send_stop(order)
+            case _Pace() as order:
+                self._send_pace(order)
+
+    def _ordered(self) -> None:
+        self._ordering = False
+        if self._orders:
+            self._parts.loop.run_soon(self._next_order)
+
+    def _send_start(self, starting: _Starting) -> None:
+        order = starting.order
+        until = self._until_ms()
+        if until is None or not self._parts.lease.held:
+            self._end_start(
+                starting, "the lease or the runner's clock is not known"
             )
+            return
+        if _Stop(name=order.name, run=order.run) in self._withdrawn:
+            self._end_start(starting, "withdrawn")
+            return
+        starting.tries_left -= 1
+        leased = attrs.evolve(order, lease_until_ms=until)
+        self._ask(
+            self._orders_to,
+            self._calls.start(leased, _ORDER_TIMEOUT_SECONDS),
+            lambda read: self._started(starting, read),
+        )
 
-    def _order_loop(self) -> None:
-        while True:
-            order = self._orders.get()
-            if order is None or self._stopped.is_set():
-                break
-            match order:
-                case _ports.StartOrder():
-                    self._send_start(order)
-                case _Stop():
-                    self._send_stop(order)
-                case _Pace():
-                    self._send_pace(order)
-        self._orders_to.close()
-
-    def _send_start(self, order: _ports.StartOrder) -> None:
-        clean = True
-        reason = ""
-        for _ in range(_START_TRIES):
-            until = self._until_ms()
-            if until is None or not self._parts.lease.held:
-                reason = "the lease or the runner's clock is not known"
-                break
-            if _Stop(name=order.name, run=order.run) in self._withdrawn:
-                reason = "withdrawn"
-                break
-            leased = attrs.evolve(order, lease_until_ms=until)
-            try:
-                self._orders_to.start(leased, _ORDER_TIMEOUT_SECONDS)
-                self._report(order, True, OrderResult.DONE, "", clean)
-                return
-            except exceptions.Fenced as error:
-                self._parts.lease.lose(str(error))
-                reason = str(error)
-                break
-            except exceptions.RunnerUnavailable as error:
-                clean = clean and not error.sent
-                reason = str(error)
-            except exceptions.RunnerError as error:
-                self._report(
-                    order, True, OrderResult.REFUSED, str(error), clean
-                )
-                return
+    def _started(self, starting: _Starting, read: _Reader[float]) -> None:
+        order, clean = starting.order, starting.clean
+        try:
+            read()
+        except exceptions.Fenced as error:
+            self._parts.lease.lose(str(error))
+            self._end_start(starting, str(error))
+        except exceptions.RunnerUnavailable as error:
+            starting.clean = clean and not error.sent
+            if starting.tries_left:
+                self._send_start(starting)
+            else:
+                self._end_start(starting, str(error))
+        except exceptions.RunnerError as error:
+            self._report(order, True, OrderResult.REFUSED, str(error), clean)
+            self._ordered()
+        else:
+            self._report(order, True, OrderResult.DONE, "", clean)
+            self._ordered()
+
+    def _end_start(self, starting: _Starting, reason: str) -> None:
+        """Report a start that was not answered, or not sent at all."""
+        clean = starting.clean
         result = OrderResult.NOT_SENT if clean else OrderResult.UNKNOWN
-        self._report(order, True, result, reason, clean)
+        self._report(starting.order, True, result, reason, clean)
+        self._ordered()
 
     def _send_stop(self, order: _Stop) -> None:
         self._withdrawn.discard(order)
-        try:
-            self._orders_to.stop(
+        self._ask(
+            self._orders_to,
+            self._calls.stop(
                 order.name,
                 order.run,
                 self._parts.lease.epoch,
                 _ORDER_TIMEOUT_SECONDS,
-            )
-            self._report(order, False, OrderResult.DONE, "", True)
+            ),
+            lambda read: self._stop_answered(order, read),
+        )
+
+    def _stop_answered(self, order: _Stop, read: _Reader[float]) -> None:
+        try:
+            read()
         except exceptions.Fenced as error:
             self._parts.lease.lose(str(error))
         except exceptions.OrderRefused as error:
             self._report(order, False, OrderResult.REFUSED, str(error), True)
         except exceptions.RunnerError as error:
             self._report(order, False, OrderResult.UNKNOWN, str(error), False)
+        else:
+            self._report(order, False, OrderResult.DONE, "", True)
+        self._ordered()
 
     def _send_pace(self, order: _Pace) -> None:
-        try:
-            self._orders_to.pace(
+        self._ask(
+            self._orders_to,
+            self._calls.pace(
                 order.name,
                 order.run,
                 order.percent,
                 self._parts.lease.epoch,
-            )
+                _ORDER_TIMEOUT_SECONDS,
+            ),
+            lambda read: self._paced(order, read),
+        )
+
+    def _paced(self, order: _Pace, read: _Reader[float]) -> None:
+        try:
+            read()
         except exceptions.Fenced as error:
             self._parts.lease.lose(str(error))
         except exceptions.RunnerError as error:
@@ -382,6 +511,7 @@
                 task=order.name.task,
                 reason=str(error),
             )
+        self._ordered()
 
     def _report(
         self,
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_ports.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_ports.py
@@ -157,20 +157,33 @@
     ticket: str = ""
 
 
-class Runner(typing.Protocol):
-    """Calls to one lifetime of a runner; all are safe to repeat.
+_T = typing.TypeVar("_T")
 
-    Each raises `RunnerUnavailable`, `Fenced`, `WrongLifetime` or
-    `OrderRefused`.
+
+@attrs.frozen(kw_only=True)
+class RunnerCall(typing.Generic[_T]):
+    """A call to a runner, and how its result is read.
+
+    ``read`` returns what the runner said, or raises `RunnerUnavailable`,
+    `Fenced`, `WrongLifetime` or `OrderRefused`.
     """
 
-    def start(self, order: StartOrder, timeout_seconds: float) -> float:
-        """Start a run and return the runner's clock in milliseconds."""
+    call: peridotsill.JsonCall
+    read: collections.abc.Callable[[peridotsill.CallResult], _T]
+
+
+class RunnerCalls(typing.Protocol):
+    """Makes the calls to one lifetime of a runner; all may be repeated."""
+
+    def start(
+        self, order: StartOrder, timeout_seconds: float
+    ) -> RunnerCall[float]:
+        """Start a run; returns the runner's clock in milliseconds."""
 
     def stop(
         self, name: TaskName, run: int, fence: int, timeout_seconds: float
-    ) -> float:
-        """Stop a run and return the runner's clock in milliseconds."""
+    ) -> RunnerCall[float]:
+        """Stop a run; returns the runner's clock in milliseconds."""
 
     def look(
         self,
@@ -180,18 +193,22 @@
         lease_until_ms: float | None,
         wait_seconds: float,
         timeout_seconds: float,
-    ) -> RunnerReport:
+    ) -> RunnerCall[RunnerReport]:
         """Extend leases, forget ends up to ``last_seen``, and report.
 
         Waits up to ``wait_seconds`` for an end.
         """
 
-    def pace(self, name: TaskName, run: int, percent: int, fence: int) -> None:
+    def pace(
+        self,
+        name: TaskName,
+        run: int,
+        percent: int,
+        fence: int,
+        timeout_seconds: float,
+    ) -> RunnerCall[float]:
         """Let a run work at a share of its speed, 0 to 100 percent."""
 
-    def close(self) -> None:
-        """Close the connections."""
-
 
 class VmService(typing.Protocol):
     """The platform's list of VMs and the commands that move them."""
@@ -277,7 +294,8 @@
 class PlatformPorts:
     """Everything that the job service gets from a platform.
 
-    ``table_within`` returns the same table with a timeout in seconds.
+    ``table_within`` returns the same table with a timeout in seconds, and
+    ``runner_calls`` makes the calls to one lifetime of a runner.
     ``deadline_header`` is the header in which callers say how many
     milliseconds they wait.
     """
@@ -286,7 +304,7 @@
     table_within: peridotsill_platform.TableWithin
     keys: Keys
     documents: Documents
-    connect: collections.abc.Callable[[RunnerEntry], Runner]
+    runner_calls: collections.abc.Callable[[RunnerEntry], RunnerCalls]
     vms: VmService
     deadline_header: str
     advisor: Advisor | None = None
--- /dev/null
+++ b/tests/features/calls.feature
@@ -0,0 +1,55 @@
+Feature: JSON calls to many peers from one thread
+
+  Scenario: One connection serves calls one after another
+    Given a peer that answers every call
+    When it is called 5 times
+    Then every call was answered
+    And the peer has seen 1 connection
+
+  Scenario: A peer that closes after each answer is connected to anew
+    Given a peer that answers every call and closes
+    When it is called 3 times
+    Then every call was answered
+    And the peer has seen 3 connections
+
+  Scenario: A connection that went silent is replaced after one call
+    Given a peer whose first connection goes silent after an answer
+    When it is called 3 times
+    Then call 2 failed as one that may have arrived
+    And call 3 was answered
+
+  Scenario: A call to nobody certainly did not arrive
+    Given an address at which nobody listens
+    When it is called 1 time
+    Then call 1 failed as one that never arrived
+
+  Scenario Outline: An answer that can't be read fails its call only
+    Given a peer whose first answer is <answer>
+    When it is called 2 times
+    Then call 1 failed as one that may have arrived
+    And call 2 was answered
+
+    Examples:
+      | answer         |
+      | not HTTP       |
+      | not JSON       |
+      | cut short      |
+      | of endless size |
+      | two in one     |
+
+  Scenario: An error status comes with its body
+    Given a peer whose first answer is a refusal
+    When it is called 1 time
+    Then call 1 was refused with status 409 and reason "old"
+
+  Scenario: A step that raises ends neither the thread nor other calls
+    Given a peer that answers every call
+    When a step of the loop raises
+    And it is called 2 times
+    Then every call was answered
+    And the error was reported
+
+  Scenario: A large request is sent whole to a peer that reads slowly
+    Given a peer that reads slowly
+    When it is called with a body of 6 MB
+    Then every call was answered
--- a/tests/features/steps/controller_steps.py
+++ b/tests/features/steps/controller_steps.py
@@ -14,6 +14,7 @@
 from behave import when
 from emulator import stubs
 import peridotsill
+import returns.result
 
 from peridotsill_jobs import _advice
 from peridotsill_jobs import _controller
@@ -74,6 +75,9 @@
     def order_pace(self, name, run, percent):
         self.paces.append((name, run, percent))
 
+    def rest(self, resting):
+        self.resting = resting
+
     def stop(self):
         return None
 
@@ -288,19 +292,25 @@
 
 def _link(context, *running):
     lease = unittest.mock.Mock(epoch=1, lapsed_seconds=-1.0, held=True)
-    runner = unittest.mock.Mock()
+    calls = unittest.mock.Mock()
     context.link = _links.RunnerLink(
         parts=_links.LinkParts(
             entry=_entry("i-1"),
-            connect=lambda entry: runner,
+            loop=unittest.mock.Mock(),
+            calls=calls,
             lease=lease,
             max_lease_seconds=3.0,
             post=lambda event: None,
         )
     )
-    runner.look.return_value = _ports.RunnerReport(
+    calls.look.return_value.read.return_value = _ports.RunnerReport(
         lifetime=1, clock_ms=1000.0, running=running, ended=()
     )
+    answers = [returns.result.Success({})]
+    context.link._lookout = unittest.mock.Mock()
+    context.link._lookout.call.side_effect = lambda call, done: (
+        answers and done(answers.pop())
+    )
     context.link._look()
 
 
