Take a new job's age from no other node's time of day

Cause: a job's age was the scheduler's time of day less the accepting node's.

Change: a job that comes through the watch has just arrived. Only what a new scheduler finds in the rows is dated by the time of day, as nothing else tells it. The scenario failed before with a clock 30 s behind.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_book.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_book.py
@@ -101,7 +101,7 @@
     def _restore(
         self, row: peridotsill.Row, progress: dict[str, peridotsill.Row]
     ) -> None:
-        job = self._admit(row)
+        job = self._admit(row, found=True)
         if job is None:
             return
         made = progress.get(
@@ -123,7 +123,17 @@
         else:
             self._begun.add(job.key)
 
-    def _admit(self, row: peridotsill.Row) -> peridotsill_scheduler.Job | None:
+    def _admit(
+        self, row: peridotsill.Row, *, found: bool = False
+    ) -> peridotsill_scheduler.Job | None:
+        """Return a row's job, making it if it is new.
+
+        Args:
+            row: A row of ``jobs``.
+            found: Whether it may be old. Only then its age is taken from
+                the accepting node's time of day, which may be off from
+                this node's by seconds.
+        """
         try:
             submission = _records.parse_submission(row)
         except peridotsill.exceptions.InvalidResource as error:
@@ -134,7 +144,9 @@
         if known is not None:
             return known
         queue = self._catalog.queue(spec.queue) or submission.queue
-        age = (_clock.unix_ms() - submission.arrived_ms) / 1000.0
+        age = 0.0
+        if found:
+            age = (_clock.unix_ms() - submission.arrived_ms) / 1000.0
         job = peridotsill_scheduler.Job(
             spec=spec,
             queue=queue,
--- a/tests/features/controller.feature
+++ b/tests/features/controller.feature
@@ -79,3 +79,13 @@
     Given a settings file of a node with order policy "fastest"
     When the node reads it
     Then it is refused, and the known order policies are named
+
+  Scenario Outline: A new job is new, whatever the accepting node's clock says
+    Given a scheduler with a task of run 1 on runner "i-1"
+    When a job is submitted at a node whose time of day is <off> s off
+    Then the job has just arrived
+
+    Examples:
+      | off |
+      | 30  |
+      | -30 |
--- a/tests/features/steps/controller_steps.py
+++ b/tests/features/steps/controller_steps.py
@@ -291,7 +291,9 @@
 
 
 def _link(context, *running):
-    lease = unittest.mock.Mock(epoch=1, lapsed_seconds=-1.0, held=True)
+    lease = unittest.mock.Mock(
+        epoch=1, lapsed_seconds=-1.0, held=True, lost=False
+    )
     calls = unittest.mock.Mock()
     context.link = _links.RunnerLink(
         parts=_links.LinkParts(
@@ -530,3 +532,24 @@
 def _settings_refused(context):
     for name in ("order_policy", *scheduler.order_policies()):
         assert name in context.refused, context.refused
+
+
+@when("a job is submitted at a node whose time of day is {off:d} s off")
+def _submitted_off(context, off):
+    submission = _records.Submission(
+        spec=attrs.evolve(context.job.spec, id="00000000000000bb"),
+        queue=_QUEUE,
+        arrived_ms=(time.time() + off) * 1000,
+    )
+    row = peridotsill.Row(
+        key=_records.row_key(_records.JOBS, "q", "00000000000000bb"),
+        value=_records.submission_value(submission),
+        version=2,
+    )
+    context.arrived, _ = context.controller._book.take(row)
+
+
+@then("the job has just arrived")
+def _just_arrived(context):
+    age = time.monotonic() - context.arrived.arrived_at
+    assert 0 <= age < 1, age
