Wait once for a lost runner over schedulers that leave in order

Change: a node that gives the lease back grants no leases of runs from then on, and leaves in the lease's row how long each runner that does not answer has yet to be waited for. The next holder goes on from there, and waits 3.9 s for any other. A holder that had not read the rows, or was killed, leaves nothing, and 9.9 s stand.

Seven scenarios in waits.feature; against the old code six can't run, as the row held no waits.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_controller.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_controller.py
@@ -74,7 +74,10 @@
             counters=parts.counters,
         )
         self._calls = peridotsill.CallLoop(failed=_log_failed_step)
-        self._workers = _workers.Workers(connect=self._connect)
+        self._workers = _workers.Workers(
+            connect=self._connect,
+            inherited_waits=parts.lease.inherited_waits,
+        )
         self._feeds = _feeds.Feeds(ports=parts.ports, post=self._inbox.put)
         self._estimator = peridotsill_scheduler.Estimator()
         self._runs = _runs.Runs(
@@ -183,6 +186,9 @@
             self._note_arrival(job)
         for job in self._book.cancelled:
             self._runs.cancel(job)
+        self._parts.lease.leave_waits(
+            lambda: self._workers.waits(self._max_lease_seconds)
+        )
         _logs.log(
             "scheduler:began", epoch=self._parts.lease.epoch, jobs=len(jobs)
         )
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_lease.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_lease.py
@@ -4,6 +4,7 @@
 import threading
 import time
 import traceback
+import typing
 
 import attrs
 from returns import result
@@ -43,6 +44,11 @@
 _USUAL_CAPABILITY = 1.0
 
 
+# For runners that could not be reached, the seconds until all leases that
+# were granted there have run out.
+Waits = collections.abc.Mapping[str, float]
+
+
 @attrs.frozen(kw_only=True)
 class _Seen:
     version: int
@@ -50,6 +56,7 @@
     epoch: int
     since: float
     strongest: float = 0.0
+    waits: Waits | None = None
 
 
 class Lease:
@@ -63,6 +70,9 @@
     of much less waits a moment longer, as a takeover on a slow link or
     processor may last longer than the lease.
 
+    A holder that gives the lease back leaves its `Waits` in the row, so that
+    a runner that is gone is not waited for anew by each holder.
+
     Args:
         node: This node's name.
         table: Where the row is.
@@ -88,6 +98,23 @@
         self._lock = threading.Lock()
         self._released = False
         self._lost = True
+        self._waits: Waits | None = None
+        self._waits_left: collections.abc.Callable[[], Waits] | None = None
+
+    @property
+    def inherited_waits(self) -> Waits | None:
+        """What the last holder left when it gave the lease back.
+
+        None if it did not, or did not know; then it may have granted leases
+        until some time after its own ran out.
+        """
+        return self._waits
+
+    def leave_waits(
+        self, waits_left: collections.abc.Callable[[], Waits]
+    ) -> None:
+        """Name the function that tells the waits when the lease ends."""
+        self._waits_left = waits_left
 
     @property
     def epoch(self) -> int:
@@ -127,6 +154,8 @@
         if self._age(found) < self._wait_seconds(found):
             return False
         self._strongest = max(found.strongest, self._capability)
+        self._waits = found.waits
+        self._waits_left = None
         return self._write(found.version, found.epoch + 1)
 
     def renew(self) -> bool:
@@ -151,14 +180,16 @@
             seen = self._seen
         if not held or seen is None:
             return
+        # From here on this node grants no leases any more.
+        waits = self._waits_left() if self._waits_left else None
         version: int | None = seen.version
         until = _clock.awake_seconds() + _RELEASE_SECONDS
         while version is not None and _clock.awake_seconds() < until:
-            version = self._try_release(version)
+            version = self._try_release(version, waits)
 
-    def _try_release(self, version: int) -> int | None:
+    def _try_release(self, version: int, waits: Waits | None) -> int | None:
         """Return the row's version for another try, None if it is settled."""
-        match self._commit(version, "", self._epoch):
+        match self._commit(version, "", self._epoch, waits):
             case result.Success():
                 _logs.log("lease:released", epoch=self._epoch)
                 return None
@@ -218,6 +249,7 @@
                     epoch=int(value.get("epoch", 0)),
                     since=since,
                     strongest=float(value.get("strongest", 0.0)),
+                    waits=_waits_of(value),
                 )
             case result.Failure(error):
                 _logs.log("lease:unreadable", reason=str(error))
@@ -267,7 +299,11 @@
             self._unanswered_at = None
 
     def _commit(
-        self, version: int, holder: str, epoch: int
+        self,
+        version: int,
+        holder: str,
+        epoch: int,
+        waits: Waits | None = None,
     ) -> peridotsill_platform.CommitResult:
         check = peridotsill_platform.Check(
             key=_records.LEASE_KEY, version=version
@@ -278,6 +314,7 @@
                 "holder": holder,
                 "epoch": epoch,
                 "strongest": self._strongest,
+                "waits": None if waits is None else dict(waits),
             },
         )
         return self._table.commit(
@@ -285,6 +322,16 @@
         )
 
 
+def _waits_of(value: dict[str, typing.Any]) -> Waits | None:
+    """Return a row's waits; None if it holds none that can be trusted."""
+    waits = value.get("waits")
+    if value.get("holder") or not isinstance(waits, dict):
+        return None
+    if not all(isinstance(each, (int, float)) for each in waits.values()):
+        return None
+    return waits
+
+
 def compete(
     lease: Lease,
     stopped: threading.Event,
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_links.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_links.py
@@ -44,6 +44,18 @@
 CLOCK_FACTOR = 0.98
 
 
+def lapse_seconds(longest: float, *, given_back: bool) -> float:
+    """Return how long the last holder's leases of runs may last yet.
+
+    Args:
+        longest: The platform's longest lease, in seconds.
+        given_back: Whether the holder gave up its own lease in order, and
+            grants none since; else it may have gone on for a while.
+    """
+    granted = run_lease_seconds(longest) / CLOCK_FACTOR
+    return granted + (0.0 if given_back else LOOK_WITHOUT_LEASE_SECONDS)
+
+
 def run_lease_seconds(longest: float) -> float:
     """Return the lease that a look grants, given the platform's longest."""
     return min(_LEASE_SECONDS, longest * _LEASE_PART)
@@ -195,9 +207,14 @@
         """
         if not self.reached or self.silent_seconds <= _TRUSTED_SECONDS:
             return False
+        return self.seconds_to_lapse <= 0
+
+    @property
+    def seconds_to_lapse(self) -> float:
+        """How long the leases that were granted so far may last yet."""
         passed = (_clock.awake_seconds() - self._clock_at) * 1000.0
         now_ms = self._clock_ms + passed * CLOCK_FACTOR
-        return now_ms > self._lease_until_ms
+        return (self._lease_until_ms - now_ms) / 1000.0 / CLOCK_FACTOR
 
     def start(self) -> None:
         """Begin to look at the runner."""
@@ -252,9 +269,12 @@
 
         None if the runner has not answered lately: what is sent to it may
         still arrive, and the leases of what it lost would never run out.
+        None too when the lease was given back: the next holder counts on it.
         """
         if not self.reached or self.silent_seconds > _TRUSTED_SECONDS:
             return None
+        if self._parts.lease.lost:
+            return None
         passed = (_clock.awake_seconds() - self._clock_at) * 1000.0
         until = self._clock_ms + passed + self._lease_seconds * 1000.0
         self._lease_until_ms = max(self._lease_until_ms, until)
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_workers.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_workers.py
@@ -6,6 +6,7 @@
 import attrs
 
 from peridotsill_jobs import _clock
+from peridotsill_jobs import _lease
 from peridotsill_jobs import _links
 from peridotsill_jobs import _logs
 from peridotsill_jobs import _ports
@@ -140,7 +141,12 @@
 
 
 class Workers:
-    """All runners that are listed or still hold tasks."""
+    """All runners that are listed or still hold tasks.
+
+    Args:
+        connect: Returns a started link to a runner.
+        inherited_waits: What the last holder of the lease left, or None.
+    """
 
     def __init__(
         self,
@@ -148,8 +154,10 @@
         connect: collections.abc.Callable[
             [_ports.RunnerEntry], _links.RunnerLink
         ],
+        inherited_waits: _lease.Waits | None = None,
     ) -> None:
         self._connect = connect
+        self._inherited_waits = inherited_waits
         self._workers: dict[str, Worker] = {}
         self._missing: dict[str, list[JobTask]] = {}
         self._began_at = _clock.awake_seconds()
@@ -285,29 +293,51 @@
         it may have gone on without its lease, and the last grant.
         """
         ended: list[JobTask] = []
-        now = _clock.awake_seconds()
-        unknown_until = (
-            self._began_at
-            + _links.LOOK_WITHOUT_LEASE_SECONDS
-            + _links.run_lease_seconds(max_lease_seconds) / _links.CLOCK_FACTOR
-        )
         for worker in self._workers.values():
             if not worker.placed and not worker.abandoned:
                 continue
             if worker.link.reached:
                 over = worker.link.leases_lapsed
             else:
-                over = now > unknown_until
+                left = self._unreached_wait(worker.entry.id, max_lease_seconds)
+                over = left < 0
             if over:
                 ended += [(p.job, p.task) for p in worker.placed.values()]
                 worker.placed.clear()
                 worker.abandoned.clear()
-        if now > unknown_until:
-            for tasks in self._missing.values():
-                ended += tasks
-            self._missing.clear()
+        for runner in tuple(self._missing):
+            if self._unreached_wait(runner, max_lease_seconds) < 0:
+                ended += self._missing.pop(runner)
         return ended
 
+    def _unreached_wait(self, runner: str, max_lease_seconds: float) -> float:
+        """Return how long leases of earlier holders may last on a runner."""
+        waits = self._inherited_waits
+        given_back = waits is not None
+        wait = _links.lapse_seconds(max_lease_seconds, given_back=given_back)
+        if waits is not None:
+            wait = waits.get(runner, wait)
+        return self._began_at + wait - _clock.awake_seconds()
+
+    def waits(self, max_lease_seconds: float) -> dict[str, float]:
+        """Return what the next holder of the lease has to wait for.
+
+        That is for each runner that may hold tasks and does not answer how
+        long its leases may last, provided that no more are granted.
+        """
+        unreached = set(self._missing)
+        found: dict[str, float] = {}
+        for worker in tuple(self._workers.values()):
+            if not worker.placed and not worker.abandoned:
+                continue
+            if not worker.link.reached:
+                unreached.add(worker.entry.id)
+            elif worker.link.silent_seconds > _SILENT_SECONDS:
+                found[worker.entry.id] = worker.link.seconds_to_lapse
+        for runner in unreached:
+            found[runner] = self._unreached_wait(runner, max_lease_seconds)
+        return {runner: max(0.0, left) for runner, left in found.items()}
+
     def forsaken(self) -> list[JobTask]:
         """Return the tasks on silent runners that may run twice at once.
 
--- /dev/null
+++ b/tests/features/waits.feature
@@ -0,0 +1,51 @@
+Feature: How long a new scheduler waits for runners that it can't reach
+
+  Scenario: After a lease that ran out, for all that its holder may have granted
+    Given a holder of the lease that was killed
+    And a task on a runner that does not answer
+    When another node takes the lease
+    Then the task is given up after 9.9 s
+
+  Scenario: After a lease that was given back, for the last grant only
+    Given a holder of the lease that reached all runners and gave it back
+    And a task on a runner that does not answer
+    When another node takes the lease
+    Then the task is given up after 3.9 s
+
+  Scenario: A wait goes on over holders that leave one after another
+    Given a holder of the lease that was killed
+    And a task on a runner that does not answer
+    When another node takes the lease
+    And it gives the lease back after 3 s
+    And another node takes the lease
+    And it gives the lease back after 3 s
+    And another node takes the lease
+    Then the task is given up after 3.9 s
+
+  Scenario: A wait begins anew after a holder that had not read the rows
+    Given a holder of the lease that was killed
+    And a task on a runner that does not answer
+    When another node takes the lease
+    And it gives the lease back before it has read the rows
+    And another node takes the lease
+    Then the task is given up after 9.9 s
+
+  Scenario: A runner that went silent is waited for until its leases lapse
+    Given a holder of the lease that reached all runners and gave it back
+    And a task on a runner that does not answer
+    When another node takes the lease
+    And the runner answers once and goes silent
+    And it gives the lease back after 3 s
+    And another node takes the lease
+    Then the task is given up after 0.9 s
+
+  Scenario: What is left in the row by another writer is not believed
+    Given a lease that was given back with waits of no number
+    And a task on a runner that does not answer
+    When another node takes the lease
+    Then the task is given up after 9.9 s
+
+  Scenario: A node that gave the lease back grants no leases of runs
+    Given a link to a runner under a lease that is given back
+    When the runner is looked at once more
+    Then no lease of runs was granted
