Empty a wave's VMs one after another of their long-lived tasks

Up to 61 VMs are cleared at once, and each took what its jobs' allowances left at that moment, in no order: every VM lost some tasks and few lost all.

Change: the VM with the fewest tasks is cleared first, and a VM is given back only if it has lost no task for 6 s. A job's tasks at work are looked up once for all VMs that are cleared, not once for each task.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_fleet.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_fleet.py
@@ -26,7 +26,7 @@
 _PERIOD_SECONDS = 0.2
 # A VM that was busy for the VM service is left alone for this long.
 _BUSY_SECONDS = 1.0
-# A VM that could not be cleared in this time is given back to its pool.
+# A VM that has not lost a task in this time is given back to its pool.
 _CLEAR_SECONDS = 6.0
 # A VM is cleared to be lent only if its tasks should end within this time,
 # which is about what a move takes.
@@ -48,11 +48,16 @@
 
 @attrs.define(kw_only=True, eq=False)
 class _Operation:
-    """A command under way; ``repeats`` one that may be at work already."""
+    """A command under way; ``repeats`` one that may be at work already.
+
+    ``since`` is when its phase began, or the VM last lost a task. The VM
+    had ``tasks_left`` then.
+    """
 
     command: _commands.Command
     phase: _Phase
     since: float
+    tasks_left: float = float("inf")
     wave: str = ""
     runner: str = ""
     repeats: bool = False
@@ -214,30 +219,50 @@
         self._lend(supplies, now)
 
     def _advance(self, now: float) -> None:
-        """Go on with the VMs that are being cleared."""
-        for name, operation in tuple(self._operations.items()):
-            if operation.phase is not _Phase.CLEARING:
-                continue
-            worker = self._worker_of(name)
-            if worker is None or not worker.placed:
+        """Go on with the VMs that are being cleared.
+
+        The one with the fewest tasks goes first: a job may miss few tasks
+        at once, and spread over all VMs that would empty none of them.
+        """
+        clearing = []
+        for name, operation in self._operations.items():
+            if operation.phase is _Phase.CLEARING:
+                worker = self._worker_of(name)
+                count = len(worker.placed) if worker else 0
+                clearing.append((count, name, operation, worker))
+        clearing.sort(key=lambda each: each[:2])
+        at_work: dict[tuple[str, str], frozenset[str]] = {}
+        for count, name, operation, worker in clearing:
+            if worker is None or not count:
                 self._call(operation, now)
-            elif now - operation.since > _CLEAR_SECONDS:
-                _logs.log("vm:not_cleared", vm=name)
+                continue
+            if count < operation.tasks_left:
+                operation.tasks_left = count
+                operation.since = now
+            if now - operation.since > _CLEAR_SECONDS:
+                _logs.log("vm:not_cleared", vm=name, tasks=count)
                 self._not_before[name] = now + _BUSY_SECONDS
                 self._end(name)
             else:
-                self._evict_from(worker)
+                self._evict_from(worker, at_work)
 
-    def _evict_from(self, worker: _workers.Worker) -> None:
+    def _evict_from(
+        self,
+        worker: _workers.Worker,
+        at_work: dict[tuple[str, str], frozenset[str]],
+    ) -> None:
         for placed in tuple(worker.placed.values()):
             task = placed.task
             if not task.step.long_lived:
                 continue
             if task.phase is not peridotsill_scheduler.TaskPhase.RUNNING:
                 continue
-            at_work = self._parts.workers.at_work(placed.job)
-            if peridotsill_scheduler.may_end(placed.job, task, at_work):
+            key = placed.job.key
+            if key not in at_work:
+                at_work[key] = self._parts.workers.at_work(placed.job)
+            if peridotsill_scheduler.may_end(placed.job, task, at_work[key]):
                 self._parts.evict(worker, placed)
+                at_work[key] -= {task.key}
 
     def _call(self, operation: _Operation, now: float) -> None:
         if not self._record(operation):
--- a/tests/features/maintenance.feature
+++ b/tests/features/maintenance.feature
@@ -58,3 +58,31 @@
     Given "a1" runs a task of 1 s, "a2" of 0.5 s and "a3" a long-lived one
     When a pool lacks VMs
     Then "a2" and then "a1" may be cleared for it
+
+  Scenario: Of the VMs of a wave the one with the fewest tasks is cleared first
+    Given a wave over "a1" to "a2" with at most 2 at once
+    And the wave is due in 2 s
+    And job "x" of long-lived tasks, 1 of which may be away, on "a1", "a2", "a3"
+    And job "y" of long-lived tasks, 1 of which may be away, on "a1", "a3"
+    When the fleet decides
+    Then the tasks ended are those of job "x" on "a2" and of job "y" on "a1"
+
+  Scenario: A VM that goes on losing its tasks is cleared to the end
+    Given a wave over "a1" to "a1" with at most 1 at once
+    And job "x" of long-lived tasks, 1 of which may be away, on "a1", "a3"
+    And job "y" of long-lived tasks, 1 of which may be away, on "a1", "a3"
+    When the fleet decides
+    And 5 s pass and job "x" has left "a1"
+    And 5 s pass
+    Then the runner of "a1" is still held back
+    When 5 s pass and job "y" has left "a1"
+    Then "a1" was commanded to be maintained
+
+  Scenario: A VM that can't be cleared is given back
+    Given a wave over "a1" to "a1" with at most 1 at once
+    And job "x" of long-lived tasks, 1 of which may be away, on "a1", "a3"
+    When the fleet decides
+    And 5 s pass
+    And 2 s pass
+    Then the runner of "a1" may be given tasks again
+    And "a1" was not commanded to be maintained
--- a/tests/features/steps/maintenance_steps.py
+++ b/tests/features/steps/maintenance_steps.py
@@ -47,6 +47,14 @@
     def find(self, runner):
         return next((w for w in self if w.entry.id == runner), None)
 
+    def at_work(self, job):
+        return frozenset(
+            placed.task.key
+            for worker in self
+            for placed in worker.placed.values()
+            if placed.job is job
+        )
+
 
 class _Table:
     """A table that takes every commit and holds one wave's row."""
@@ -118,6 +126,12 @@
     )
 
 
+@given("the wave is due in {seconds:d} s")
+def _wave_due(context, seconds):
+    wave = context.catalog.waves[0]
+    context.catalog.waves = (attrs.evolve(wave, deadline_seconds=seconds),)
+
+
 @given('an earlier scheduler recorded "{vm}" as begun')
 def _begun(context, vm):
     context.rows.row = peridotsill.Row(
@@ -272,3 +286,68 @@
     pool = next(each for each in context.supplies if each.name == "a")
     assert pool.busy == ("a2", "a1"), pool.busy
     assert pool.idle == ("a4",), pool.idle
+
+
+@given('job "{name}" of long-lived tasks, 1 of which may be away, on {vms}')
+def _long_lived(context, name, vms):
+    names = [each.strip().strip('"') for each in vms.split(",")]
+    step = scheduler.Step(
+        index=0, task_count=len(names), long_lived=True, may_miss=1
+    )
+    queue = scheduler.Queue(name="q", host="h", prefix="/", pool="a")
+    spec = scheduler.JobSpec(id=name, queue="q", payload="", steps=(step,))
+    job = scheduler.Job(spec=spec, queue=queue, arrived_at=0.0)
+    scheduler.open_occurrences(job, 0.0)
+    for vm, task in zip(names, job.tasks):
+        task.phase = scheduler.TaskPhase.RUNNING
+        worker = context.made._parts.workers.find(f"r-{vm}")
+        worker.placed[(name, task.key)] = unittest.mock.Mock(
+            job=job, task=task, vm=vm
+        )
+
+
+@then(
+    'the tasks ended are those of job "{one}" on "{vm}" '
+    'and of job "{other}" on "{second}"'
+)
+def _ended_tasks(context, one, vm, other, second):
+    calls = context.made._parts.evict.call_args_list
+    found = {(each.args[1].job.spec.id, each.args[1].vm) for each in calls}
+    assert found == {(one, vm), (other, second)}, found
+
+
+def _let_pass(context, seconds):
+    now = _clock.awake_seconds() + seconds
+    patch = unittest.mock.patch.object(_clock, "awake_seconds", lambda: now)
+    patch.start()
+    context.add_cleanup(patch.stop)
+
+
+@when("{seconds:d} s pass")
+def _pass(context, seconds):
+    _let_pass(context, seconds)
+    _decide(context)
+
+
+@when('{seconds:d} s pass and job "{name}" has left "{vm}"')
+def _pass_and_leave(context, seconds, name, vm):
+    placed = context.made._parts.workers.find(f"r-{vm}").placed
+    for key in [each for each in placed if each[0] == name]:
+        del placed[key]
+    _pass(context, seconds)
+
+
+@then('"{vm}" was commanded to be maintained')
+def _was_maintained(context, vm):
+    assert vm in _maintained(context), context.sent
+
+
+@then('"{vm}" was not commanded to be maintained')
+def _was_not_maintained(context, vm):
+    assert vm not in _maintained(context), context.sent
+
+
+@then('the runner of "{vm}" is still held back')
+def _held_back(context, vm):
+    worker = context.made._parts.workers.find(f"r-{vm}")
+    assert worker.held_back, worker.held_back
