Split the link to a runner into looks, orders and grants

`_grants.py` holds the runner's clock and the leases, `_looks.py` the looks, `_orders.py` the orders, `_asking.py` a connection and the reading of answers.

The runner's clock and the time at which it was told are one value now. They are written in the loop's thread and read in the scheduler's; as two values only the order of the assignments kept a runner that answers after a long silence from being taken for one whose leases had run out. Two mutants had gone blind since the look after the first answer grants a lease; the stub answers one look again.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_controller.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_controller.py
@@ -10,13 +10,16 @@
 import peridotsill
 
 from peridotsill_jobs import _advice
+from peridotsill_jobs import _asking
 from peridotsill_jobs import _book
 from peridotsill_jobs import _catalog
 from peridotsill_jobs import _clock
 from peridotsill_jobs import _commands
 from peridotsill_jobs import _feeds
 from peridotsill_jobs import _fleet
+from peridotsill_jobs import _grants
 from peridotsill_jobs import _lease
+from peridotsill_jobs import _link_events
 from peridotsill_jobs import _links
 from peridotsill_jobs import _live_settings
 from peridotsill_jobs import _logs
@@ -42,8 +45,8 @@
     _feeds.JobRows
     | _feeds.RegistrySeen
     | _feeds.VmsSeen
-    | _links.Looked
-    | _links.OrderOutcome
+    | _link_events.Looked
+    | _link_events.OrderOutcome
     | _commands.CommandOutcome
     | _advice.Advised
 )
@@ -107,12 +110,15 @@
 
     def _connect(self, entry: _ports.RunnerEntry) -> _links.RunnerLink:
         link = _links.RunnerLink(
-            parts=_links.LinkParts(
+            parts=_asking.LinkParts(
                 entry=entry,
                 loop=self._calls,
                 calls=self._parts.ports.runner_calls(entry),
                 lease=self._parts.lease,
-                max_lease_seconds=self._max_lease_seconds,
+                grants=_grants.Grants(
+                    lease=self._parts.lease,
+                    max_lease_seconds=self._max_lease_seconds,
+                ),
                 post=self._inbox.put,
             )
         )
@@ -220,9 +226,9 @@
             case _advice.Advised():
                 if self._advice is not None:
                     self._advice.take(event)
-            case _links.Looked():
+            case _link_events.Looked():
                 self._runs.take_look(event)
-            case _links.OrderOutcome():
+            case _link_events.OrderOutcome():
                 self._runs.take_outcome(event)
 
     def _take_job(self, row: peridotsill.Row) -> None:
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_runs.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_runs.py
@@ -4,7 +4,7 @@
 
 from peridotsill_jobs import _book
 from peridotsill_jobs import _clock
-from peridotsill_jobs import _links
+from peridotsill_jobs import _link_events
 from peridotsill_jobs import _logs
 from peridotsill_jobs import _pacer
 from peridotsill_jobs import _ports
@@ -45,7 +45,7 @@
         self._estimator = estimator
         self._counters = counters
 
-    def take_look(self, looked: _links.Looked) -> None:
+    def take_look(self, looked: _link_events.Looked) -> None:
         """Take a runner's report: what ended, and what runs."""
         worker = self._workers.get(looked.runner, looked.lifetime)
         if worker is None:
@@ -240,7 +240,7 @@
                 self._wait_again(job, task)
 
     def _compare_running(
-        self, worker: _workers.Worker, looked: _links.Looked
+        self, worker: _workers.Worker, looked: _link_events.Looked
     ) -> None:
         running = {
             (each.name.job, each.name.task, each.run): each
@@ -319,7 +319,7 @@
         )
         worker.link.order_stop(found.name, found.run)
 
-    def take_outcome(self, outcome: _links.OrderOutcome) -> None:
+    def take_outcome(self, outcome: _link_events.OrderOutcome) -> None:
         """Take what came of an order."""
         worker = self._workers.get(outcome.runner, outcome.lifetime)
         if worker is None:
@@ -342,10 +342,10 @@
         self,
         worker: _workers.Worker,
         placed: _workers.Placed,
-        outcome: _links.OrderOutcome,
+        outcome: _link_events.OrderOutcome,
     ) -> None:
         """Stop a run until the answer is known."""
-        if outcome.result is _links.OrderResult.UNKNOWN:
+        if outcome.result is _link_events.OrderResult.UNKNOWN:
             worker.link.order_stop(outcome.name, outcome.run)
             return
         # A run that is not there is refused from now on.
@@ -355,7 +355,7 @@
         self,
         worker: _workers.Worker,
         placed: _workers.Placed,
-        outcome: _links.OrderOutcome,
+        outcome: _link_events.OrderOutcome,
     ) -> None:
         job, task = placed.job, placed.task
         result = outcome.result
@@ -369,13 +369,13 @@
             outcome=str(result),
             reason=outcome.reason,
         )
-        if result is _links.OrderResult.DONE:
+        if result is _link_events.OrderResult.DONE:
             placed.confirmed_at = outcome.at
             if task.phase is _Phase.ASSIGNED:
                 task.phase = _Phase.RUNNING
                 task.started_at = outcome.at
             return
-        if result is _links.OrderResult.REFUSED:
+        if result is _link_events.OrderResult.REFUSED:
             self._take_refusal(worker, job, task, outcome.reason)
         if outcome.clean and outcome.reason != "old":
             del worker.placed[(job.spec.id, task.key)]
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_workers.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_workers.py
@@ -6,6 +6,7 @@
 import attrs
 
 from peridotsill_jobs import _clock
+from peridotsill_jobs import _grants
 from peridotsill_jobs import _lease
 from peridotsill_jobs import _links
 from peridotsill_jobs import _logs
@@ -314,7 +315,7 @@
         """Return how long leases of earlier holders may last on a runner."""
         waits = self._inherited_waits
         given_back = waits is not None
-        wait = _links.lapse_seconds(max_lease_seconds, given_back=given_back)
+        wait = _grants.lapse_seconds(max_lease_seconds, given_back=given_back)
         if waits is not None:
             wait = waits.get(runner, wait)
         return self._began_at + wait - _clock.awake_seconds()
--- a/tests/features/steps/calls_steps.py
+++ b/tests/features/steps/calls_steps.py
@@ -22,7 +22,7 @@
     "not JSON": _OK.replace(b'{"a": 1}', b'{"a": 1 '),
     "cut short": _OK[:-4],
     "of endless size": _OK.replace(b"Length: 8", b"Length: 900000000"),
-    "two in one": _OK[:-8] + b"[1 2 3 4" + _OK,
+    "two in one": b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n" + _OK,
     "a refusal": (
         b'HTTP/1.1 409 Conflict\r\nContent-Length: 16\r\n\r\n{"reason":"old"}'
     ),
--- a/tests/features/steps/controller_steps.py
+++ b/tests/features/steps/controller_steps.py
@@ -17,10 +17,13 @@
 import returns.result
 
 from peridotsill_jobs import _advice
+from peridotsill_jobs import _asking
 from peridotsill_jobs import _book
 from peridotsill_jobs import _controller
 from peridotsill_jobs import _feeds
+from peridotsill_jobs import _grants
 from peridotsill_jobs import _lease
+from peridotsill_jobs import _link_events
 from peridotsill_jobs import _links
 from peridotsill_jobs import _live_settings
 from peridotsill_jobs import _ports
@@ -156,7 +159,7 @@
 
 def _list(context, runner, *, running=(), ended=()):
     context.controller._handle(
-        _links.Looked(
+        _link_events.Looked(
             runner=runner,
             lifetime=1,
             asked_at=time.monotonic() + 60,
@@ -191,7 +194,7 @@
 
 def _start_outcome(context, runner, run, outcome):
     context.controller._handle(
-        _links.OrderOutcome(
+        _link_events.OrderOutcome(
             runner=runner,
             lifetime=1,
             name=_TASK,
@@ -200,14 +203,14 @@
             result=outcome,
             reason="",
             at=time.monotonic(),
-            clean=outcome is _links.OrderResult.DONE,
+            clean=outcome is _link_events.OrderResult.DONE,
         )
     )
 
 
 @when("the start of run 2 has no known outcome")
 def _unknown(context):
-    _start_outcome(context, "i-2", 2, _links.OrderResult.UNKNOWN)
+    _start_outcome(context, "i-2", 2, _link_events.OrderResult.UNKNOWN)
 
 
 @when('runner "i-2" lists nothing')
@@ -297,24 +300,28 @@
     )
     calls = unittest.mock.Mock()
     context.link = _links.RunnerLink(
-        parts=_links.LinkParts(
+        parts=_asking.LinkParts(
             entry=_entry("i-1"),
             loop=unittest.mock.Mock(),
             calls=calls,
             lease=lease,
-            max_lease_seconds=3.0,
+            grants=_grants.Grants(lease=lease, max_lease_seconds=3.0),
             post=lambda event: None,
         )
     )
     calls.look.return_value.read.return_value = _ports.RunnerReport(
         lifetime=1, clock_ms=1000.0, running=running, ended=()
     )
-    answers = [returns.result.Success({})]
-    context.link._lookout = unittest.mock.Mock()
-    context.link._lookout.call.side_effect = lambda call, done: (
-        answers and done(answers.pop())
-    )
-    context.link._look()
+    looker = context.link._looker
+    looker._asker._connection = unittest.mock.Mock()
+
+    def answer_once(call, done):
+        # Another look would grant a lease of its own.
+        looker.rest(True)
+        done(returns.result.Success({}))
+
+    looker._asker._connection.call.side_effect = answer_once
+    looker._look()
 
 
 @then("its leases have not run out yet")
@@ -445,7 +452,7 @@
 
 @when("the start of run 1 is answered as done")
 def _answered_done(context):
-    _start_outcome(context, "i-1", 1, _links.OrderResult.DONE)
+    _start_outcome(context, "i-1", 1, _link_events.OrderResult.DONE)
 
 
 @when('runner "i-1" has nothing running')
--- a/tests/features/steps/waits_steps.py
+++ b/tests/features/steps/waits_steps.py
@@ -8,7 +8,9 @@
 from emulator import stubs
 import returns.result
 
+from peridotsill_jobs import _asking
 from peridotsill_jobs import _clock
+from peridotsill_jobs import _grants
 from peridotsill_jobs import _lease
 from peridotsill_jobs import _links
 from peridotsill_jobs import _ports
@@ -98,16 +100,19 @@
 
 def _connect(context, entry):
     context.link = _links.RunnerLink(
-        parts=_links.LinkParts(
+        parts=_asking.LinkParts(
             entry=entry,
             loop=unittest.mock.Mock(),
             calls=unittest.mock.Mock(),
             lease=context.lease,
-            max_lease_seconds=_MAX_LEASE_SECONDS,
+            grants=_grants.Grants(
+                lease=context.lease, max_lease_seconds=_MAX_LEASE_SECONDS
+            ),
             post=lambda event: None,
         )
     )
-    context.link._lookout = unittest.mock.Mock()
+    context.looker = context.link._looker
+    context.looker._asker._connection = unittest.mock.Mock()
     return context.link
 
 
@@ -145,9 +150,10 @@
         running=(_ports.ReportedRun(name=name, run=1, checkpoint=""),),
         ended=(),
     )
-    context.link._calls.look.return_value.read.return_value = report
+    calls = context.looker._parts.calls
+    calls.look.return_value.read.return_value = report
     answers = [returns.result.Success({})]
-    context.link._lookout.call.side_effect = lambda call, done: (
+    context.looker._asker._connection.call.side_effect = lambda call, done: (
         answers and done(answers.pop())
     )
 
@@ -155,7 +161,7 @@
 @when("the runner answers once and goes silent")
 def _answers_once(context):
     _answer(context)
-    context.link._look()
+    context.looker._look()
 
 
 @then("the task is given up after {seconds:g} s")
@@ -173,18 +179,18 @@
     _killed(context)
     _connect(context, _entry())
     _answer(context)
-    context.link._look()
+    context.looker._look()
     context.lease.release()
 
 
 @when("the runner is looked at once more")
 def _look_again(context):
-    context.link._looking = False
-    context.link._calls.look.reset_mock()
-    context.link._look()
+    context.looker._looking = False
+    context.looker._parts.calls.look.reset_mock()
+    context.looker._look()
 
 
 @then("no lease of runs was granted")
 def _no_grant(context):
-    asked = context.link._calls.look.call_args.kwargs
+    asked = context.looker._parts.calls.look.call_args.kwargs
     assert asked["lease_until_ms"] is None, asked
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -201,7 +201,7 @@
     Mutant(
         promise="starts: leases of an earlier scheduler are counted",
         package="peridotsill_jobs",
-        module="_links.py",
+        module="_grants.py",
         old=(
             "            granted = self._lease_seconds * 1000.0 if r"
             "eport.running else 0.0"
@@ -213,7 +213,7 @@
     Mutant(
         promise="starts: a runner that has just answered keeps its leases",
         package="peridotsill_jobs",
-        module="_links.py",
+        module="_grants.py",
         old=(
             "        if not self.reached or self.silent_seconds <= _"
             "TRUSTED_SECONDS:"
@@ -222,6 +222,45 @@
         feature="controller",
         scenario="A runner that has just answered",
     ),
+    Mutant(
+        promise="leases: a node that gave the lease back grants none",
+        package="peridotsill_jobs",
+        module="_grants.py",
+        old="        if self._lease.lost:\n            return None\n",
+        new="",
+        feature="waits",
+        scenario="A node that gave the lease back",
+    ),
+    Mutant(
+        promise="leases: a holder that was killed may have granted some",
+        package="peridotsill_jobs",
+        module="_grants.py",
+        old="(0.0 if given_back else LOOK_WITHOUT_LEASE_SECONDS)",
+        new="0.0",
+        feature="waits",
+        scenario="After a lease that ran out",
+    ),
+    Mutant(
+        promise="calls: an answer to nothing is not taken for the next one",
+        package="peridotsill",
+        module="_call_loop.py",
+        old="        if self._complete > 1 or self._unsent:",
+        new="        if False:",
+        feature="calls",
+        scenario="An answer that can't be read fails",
+    ),
+    Mutant(
+        promise="takeover: a job that is over is not begun again",
+        package="peridotsill_jobs",
+        module="_book.py",
+        old=(
+            "        if row.key in self._settled:\n"
+            "            return None, False\n"
+        ),
+        new="",
+        feature="controller",
+        scenario="What was over before a takeover",
+    ),
     Mutant(
         promise="capacity: what was started again elsewhere stays reserved",
         package="peridotsill_jobs",
