--- a/tests/features/calls.feature
+++ b/tests/features/calls.feature
@@ -53,3 +53,21 @@
     Given a peer that reads slowly
     When it is called with a body of 6 MB
     Then every call was answered
+
+  Scenario Outline: A runner's answer of no known shape is no answer
+    When a runner answers a <call> with <answer>
+    Then the call counts as one that may have been carried out
+
+    Examples:
+      | call  | answer                                              |
+      | start | {"clock_ms": "soon"}                                |
+      | start | [1, 2]                                              |
+      | stop  | {"clock_ms": {}}                                    |
+      | pace  | "ok"                                                |
+      | look  | {}                                                  |
+      | look  | {"clock_ms": 1, "running": 3}                       |
+      | look  | {"clock_ms": 1, "running": [[]]}                    |
+      | look  | {"clock_ms": 1, "ended": [[1, "a.0.0.0", 1]]}       |
+      | look  | {"clock_ms": 1, "ended": [[1, "a", 1, "eaten", ""]]} |
+      | look  | {"clock_ms": 1, "ended": [null]}                    |
+      | look  | {"clock_ms": 1, "born": "now"}                      |
--- a/tests/features/steps/calls_steps.py
+++ b/tests/features/steps/calls_steps.py
@@ -1,10 +1,12 @@
 """Steps on calls from one thread, against peers of raw sockets."""
 
 import contextlib
+import json
 import queue
 import socket
 import threading
 import time
+import unittest.mock
 
 from behave import given
 from behave import then
@@ -13,6 +15,11 @@
 import peridotsill.exceptions
 from returns import result
 
+from peridotsill_adapter import _runners
+import peridotsill_jobs
+from peridotsill_jobs import _asking
+import peridotsill_jobs.exceptions
+
 _PATIENCE_SECONDS = 10.0
 _TIMEOUT_SECONDS = 0.5
 _OK = b"HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\n" + b'{"a": 1}'
@@ -229,3 +236,46 @@
 def _reported(context):
     kinds = [type(each) for each in context.errors]
     assert kinds == [ZeroDivisionError], context.errors
+
+
+def _runner_call(name):
+    entry = unittest.mock.Mock(id="i-1", address="127.0.0.1:1")
+    calls = _runners.runner_calls(entry)
+    task = peridotsill_jobs.TaskName(job="a", task="0.0.0")
+    if name == "start":
+        order = peridotsill_jobs.StartOrder(
+            name=task, run=1, payload="", lease_until_ms=1.0, fence=1
+        )
+        return entry, calls.start(order, 1.0)
+    if name == "stop":
+        return entry, calls.stop(task, 1, 1, 1.0)
+    if name == "pace":
+        return entry, calls.pace(task, 1, 50, 1, 1.0)
+    return entry, calls.look(
+        fence=1,
+        last_seen=0,
+        lease_until_ms=None,
+        wait_seconds=0.0,
+        timeout_seconds=1.0,
+    )
+
+
+@when("a runner answers a {name} with {answer}")
+def _runner_answers(context, name, answer):
+    entry, asked = _runner_call(name)
+    parts = unittest.mock.Mock(entry=entry)
+    asker = _asking.Asker(parts=parts)
+    asker._connection = unittest.mock.Mock()
+    asker.ask(asked, lambda read: setattr(context, "read", read))
+    _, done = asker._connection.call.call_args.args
+    done(result.Success(json.loads(answer)))
+
+
+@then("the call counts as one that may have been carried out")
+def _may_have_been(context):
+    try:
+        found = context.read()
+    except peridotsill_jobs.exceptions.RunnerUnavailable as error:
+        assert error.sent, error
+    else:
+        raise AssertionError(f"read as {found!r}")
