--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_fleet.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_fleet.py
@@ -21,6 +21,8 @@
 
 _Step = peridotsill_scheduler.MaintenanceStep
 _Kind = _commands.CommandKind
+# Steps at which a VM takes one of its wave's places.
+_OUT = (_Step.CLEARING, _Step.BEGUN)
 
 # Period of the decisions about VMs; short against a move.
 _PERIOD_SECONDS = 0.2
@@ -466,6 +468,7 @@
                     wave=order.name,
                     vms=len(order.vms),
                     unfinished=sorted(wave.unfinished),
+                    done=sorted(wave.done),
                 )
             wave.order = order
             if wave.unrecorded:
@@ -536,6 +539,7 @@
             seconds_left=wave.seen_at + wave.order.deadline_seconds - now,
             maintenance_seconds=bounds.maintenance_ms / 1000.0,
         )
+        out = sorted(view.name for view in views if view.step in _OUT)
         for view in chosen:
             _logs.log(
                 "wave:take",
@@ -543,6 +547,8 @@
                 vm=view.name,
                 pool=view.pool,
                 tasks=view.task_count,
+                out=out,
+                max_parallel=wave.order.max_parallel,
             )
             self._begin_maintenance(wave, view.name, now)
         self._advance(now)
