--- a/tests/emulator/world.py
+++ b/tests/emulator/world.py
@@ -16,10 +16,17 @@
     """A platform with pools of VMs, each with one runner.
 
     A task's time is read from the job's ``spec``: a JSON object with
-    ``seconds`` and ``poison``.
+    ``seconds`` and ``poison``. A VM is away for ``move_seconds`` when it is
+    moved, and for ``maintenance_seconds`` when it is maintained.
     """
 
-    def __init__(self, *, move_seconds=0.6, max_lease_ms=6000.0):
+    def __init__(
+        self,
+        *,
+        move_seconds=0.6,
+        maintenance_seconds=2.0,
+        max_lease_ms=6000.0,
+    ):
         self.store = store.Store()
         self.log = rules.RunLog()
         self.runners = {}
@@ -30,6 +37,7 @@
         self.waves = {}
         self.max_lease_ms = max_lease_ms
         self.move_seconds = move_seconds
+        self.maintenance_seconds = maintenance_seconds
         self.port = 0
         self.lock = threading.RLock()
         self.commands = []
@@ -156,7 +164,10 @@
             record["id"] = ""
             if pool is not None:
                 record["pool"] = pool
-            threading.Timer(self.move_seconds, self._back, (vm, wave)).start()
+            seconds = (
+                self.move_seconds if wave is None else self.maintenance_seconds
+            )
+            threading.Timer(seconds, self._back, (vm, wave)).start()
             return 200, ""
 
     def _count_wave(self, number, vm):
--- a/tests/features/maintenance.feature
+++ b/tests/features/maintenance.feature
@@ -86,3 +86,50 @@
     And 2 s pass
     Then the runner of "a1" may be given tasks again
     And "a1" was not commanded to be maintained
+
+  # Guards against LIMIT after a hand-over: a VM too many in maintenance, as
+  # the new scheduler took a VM that was still away for one that was back.
+  Scenario: A VM that an earlier scheduler had maintained is out until it is back
+    Given a wave over "a1" to "a4" with at most 1 at once
+    And an earlier scheduler recorded "a3" as begun and done
+    And the list of VMs shows "a3" in maintenance
+    When the fleet decides 10 times more
+    Then no VM was commanded to be maintained
+    When the list of VMs shows "a3" up, 2.5 s later
+    And the fleet decides 10 times more
+    Then only one VM was commanded to be maintained
+
+  # The same, with a list that is older than the earlier scheduler's command.
+  Scenario: A VM that an earlier scheduler had maintained is out though the list lags
+    Given a wave over "a1" to "a4" with at most 1 at once
+    And an earlier scheduler recorded "a3" as begun and done
+    When the fleet decides 10 times more
+    Then no VM was commanded to be maintained
+
+  # Guards against LIMIT: a VM too many, chosen before the row was read again.
+  Scenario: A VM that another scheduler recorded meanwhile takes a place
+    Given a wave over "a1" to "a4" with at most 1 at once
+    And another scheduler records "a3" as begun once this one has read the row
+    When the fleet decides 10 times more
+    Then only one VM was commanded to be maintained
+
+  Scenario: A VM that is known to be back is not waited for after a hand-over
+    Given a wave over "a1" to "a4" with at most 1 at once
+    And an earlier scheduler recorded "a3" as begun, done and back
+    When the fleet decides
+    Then only one VM was commanded to be maintained
+
+  Scenario: That a VM is back is recorded
+    Given a wave over "a3" to "a3" with at most 1 at once
+    When the fleet decides
+    And the command is answered as done
+    And the list of VMs shows "a3" up, 2.5 s later
+    And the fleet decides
+    Then the wave's row says that "a3" is back
+
+  Scenario: A VM that has gone for good does not take a place for ever
+    Given a wave over "a1" to "a4" with at most 1 at once
+    And an earlier scheduler recorded "a3" as begun
+    And "a3" has gone from the list of VMs
+    When 3 s pass
+    Then only one VM was commanded to be maintained
--- a/tests/features/steps/maintenance_steps.py
+++ b/tests/features/steps/maintenance_steps.py
@@ -7,8 +7,6 @@
 from behave import then
 from behave import when
 from emulator import stubs
-import peridotsill
-from returns import result
 
 from peridotsill_jobs import _clock
 from peridotsill_jobs import _commands
@@ -17,9 +15,11 @@
 from peridotsill_jobs import _live_settings
 from peridotsill_jobs import _ports
 from peridotsill_jobs import exceptions
+import peridotsill_platform
 import peridotsill_scheduler as scheduler
 
 _POOLS = ("a", "b")
+_WAVE_KEY = "control//wave-1"
 
 
 def _record(name):
@@ -56,23 +56,6 @@
         )
 
 
-class _Table:
-    """A table that takes every commit and holds one wave's row."""
-
-    def __init__(self):
-        self.row = None
-        self.written = {}
-
-    def read(self, keys):
-        rows = () if self.row is None else (self.row,)
-        return result.Success(rows)
-
-    def commit(self, transaction):
-        for write in transaction.writes:
-            self.written[write.key] = write.value
-        return result.Success(2)
-
-
 @given('a fleet with idle VMs "a1" to "a4" in pool "a" and none in "b"')
 def _make_fleet(context):
     names = [f"a{number}" for number in range(1, 5)]
@@ -88,7 +71,7 @@
     commander = unittest.mock.Mock()
     commander.send.side_effect = context.sent.append
     settings = stubs.node_settings()
-    context.rows = _Table()
+    context.rows = stubs.MemoryTable()
     context.keys = unittest.mock.Mock(wave_status_prefix="status//")
     context.made = _fleet.Fleet(
         parts=_fleet.FleetParts(
@@ -132,11 +115,50 @@
     context.catalog.waves = (attrs.evolve(wave, deadline_seconds=seconds),)
 
 
+def _write_wave(context, **value):
+    """Write the wave's row as another scheduler does."""
+    write = peridotsill_platform.Write(key=_WAVE_KEY, value=value)
+    context.rows.commit(
+        peridotsill_platform.Transaction(checks=(), writes=(write,))
+    )
+
+
 @given('an earlier scheduler recorded "{vm}" as begun')
 def _begun(context, vm):
-    context.rows.row = peridotsill.Row(
-        key="control//wave-1", value={"begun": [vm], "done": []}, version=1
+    _write_wave(context, begun=[vm], done=[])
+
+
+@given('an earlier scheduler recorded "{vm}" as begun and done')
+def _begun_and_done(context, vm):
+    _write_wave(context, begun=[vm], done=[vm])
+
+
+@given('an earlier scheduler recorded "{vm}" as begun, done and back')
+def _begun_and_back(context, vm):
+    _write_wave(context, begun=[vm], done=[vm], back=[vm])
+
+
+@given(
+    'another scheduler records "{vm}" as begun once this one has read the row'
+)
+def _recorded_meanwhile(context, vm):
+    read = context.rows.read
+
+    def read_once(keys):
+        found = read(keys)
+        context.rows.read = read
+        _begun(context, vm)
+        return found
+
+    context.rows.read = read_once
+
+
+@given('"{vm}" has gone from the list of VMs')
+def _gone(context, vm):
+    context.records = tuple(
+        each for each in context.records if each.name != vm
     )
+    _list_vms(context, _clock.awake_seconds())
 
 
 @given('pool "b" needs {count:d} VMs')
@@ -193,15 +215,28 @@
     _answer(context, None)
 
 
-@when("the list of VMs shows it in maintenance")
-def _in_maintenance(context):
-    vm = _last_maintenance(context).vm
-    state = _ports.VmState.MAINTENANCE
+def _show(context, vm, state, later=0.0):
     context.records = tuple(
         attrs.evolve(each, state=state) if each.name == vm else each
         for each in context.records
     )
-    _list_vms(context, _clock.awake_seconds())
+    _list_vms(context, _clock.awake_seconds() + later)
+
+
+@when("the list of VMs shows it in maintenance")
+def _in_maintenance(context):
+    vm = _last_maintenance(context).vm
+    _show(context, vm, _ports.VmState.MAINTENANCE)
+
+
+@given('the list of VMs shows "{vm}" in maintenance')
+def _shown_in_maintenance(context, vm):
+    _show(context, vm, _ports.VmState.MAINTENANCE)
+
+
+@when('the list of VMs shows "{vm}" up, {seconds:g} s later')
+def _shown_up(context, vm, seconds):
+    _show(context, vm, _ports.VmState.UP, seconds)
 
 
 @when("the list of VMs lags and shows all of them as up")
@@ -224,10 +259,16 @@
 
 @then('the wave\'s row says that "{vm}" is done')
 def _recorded(context, vm):
-    row = context.rows.written["control//wave-1"]
+    row, _ = context.rows.rows[_WAVE_KEY]
     assert row["done"] == [vm], row
 
 
+@then('the wave\'s row says that "{vm}" is back')
+def _recorded_back(context, vm):
+    row, _ = context.rows.rows[_WAVE_KEY]
+    assert row["back"] == [vm], row
+
+
 @then("no VM was commanded twice")
 def _once(context):
     vms = [command.vm for command in context.sent]
@@ -239,6 +280,11 @@
     return {each.vm for each in context.sent if each.kind is kind}
 
 
+@then("no VM was commanded to be maintained")
+def _none_maintained(context):
+    assert not _maintained(context), context.sent
+
+
 @then("only one VM was commanded to be maintained")
 def _only_one(context):
     assert len(_maintained(context)) == 1, context.sent
--- a/tests/features/steps/platform_steps.py
+++ b/tests/features/steps/platform_steps.py
@@ -53,6 +53,19 @@
     context.jobs = []
 
 
+@given(
+    "{count:d} job nodes with {vms:d} VMs whose maintenance takes {away:d} s"
+)
+def _slow_cluster(context, count, vms, away):
+    bounds = {"max_lease_ms": 6000.0, "maintenance_ms": away * 1000.0}
+    context.cluster = context.stack.enter_context(
+        nodes.cluster(
+            nodes=count, pools={_POOL: vms}, settings={"bounds": bounds}
+        )
+    )
+    context.cluster.world.maintenance_seconds = away
+
+
 @given("the runner of one VM drains")
 def _drain(context):
     world = context.cluster.world
@@ -192,6 +205,28 @@
     time.sleep(1.5)
 
 
+@when("each scheduler that has a VM maintained is stopped, and started again")
+def _stop_in_turn(context):
+    world = context.cluster.world
+
+    def recorded():
+        return len((world.read("control", "wave-1") or {}).get("done", ()))
+
+    for number in range(len(world.read("op", "wave/1")["machines"])):
+        nodes.wait_for(
+            lambda: recorded() > number, 15, f"VM {number + 1} recorded"
+        )
+        holder = context.cluster.scheduler()
+        if holder is not None:
+            holder.send(signal.SIGTERM)
+            threading.Thread(target=_start_again, args=(holder,)).start()
+
+
+def _start_again(node):
+    node.process.wait()
+    node.start()
+
+
 @when("the fault is that {fault}")
 def _make_fault(context, fault):
     faults.strike(fault, context.cluster)
