--- a/tests/features/steps/platform_steps.py
+++ b/tests/features/steps/platform_steps.py
@@ -206,7 +206,7 @@
 
 
 @when("each scheduler that has a VM maintained is stopped, and started again")
-def _stop_in_turn(context):
+def _stop_each_holder(context):
     world = context.cluster.world
 
     def recorded():
