Count a VM of a wave as out until it was seen back, for every holder

Cause: the row of a wave said done as soon as the VM service had answered, while the VM is away for maintenance_ms more. Only the scheduler that had sent the command knew the rest. A new holder read done as back, and its first commands come handover_ms less the lease, 1.4 s, after it took over: sooner than the 2 s of a maintenance.

Change: the row also says which VMs are back, written when the list of VMs has shown it, not before the time of a maintenance has passed. Whoever reads a VM as done and not back counts it as out for that time, from the reading on, and until the list shows it otherwise. A VM that has left the list, or crashed meanwhile, holds no place.

Ruled out: commands of a holder that has left, or carried out late (both VMs in excess were the new holder's own); a conflict on the row (none was logged), which is a fault of its own and still listed.

The mutant of a maintenance's whole time moved with its mechanism.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_fleet.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_fleet.py
@@ -123,6 +123,12 @@
         for name, operation in tuple(self._operations.items()):
             if operation.phase is _Phase.AWAY:
                 self._check_back(name, operation)
+        for wave in self._waves.values():
+            wave.follow(self._vms, self._listed_at, self._maintenance_seconds)
+
+    @property
+    def _maintenance_seconds(self) -> float:
+        return self._parts.settings.current.bounds.maintenance_ms / 1000.0
 
     def _check_back(self, name: str, operation: _Operation) -> None:
         record = self._vms.get(name)
@@ -140,8 +146,7 @@
     def _least_away(self, operation: _Operation) -> float:
         """Return how long a VM is surely away after its command."""
         if operation.command.kind is _Kind.MAINTAIN:
-            bounds = self._parts.settings.current.bounds
-            return bounds.maintenance_ms / 1000.0
+            return self._maintenance_seconds
         return _LIST_LAG_SECONDS
 
     def take_outcome(self, outcome: _commands.CommandOutcome) -> None:
@@ -155,14 +160,14 @@
             self._close_runner(operation)
             wave = self._waves.get(operation.wave)
             if wave is not None:
-                wave.done.add(outcome.command.vm)
+                wave.answered(outcome.command.vm, outcome.at)
             return
         refused = outcome.result is _commands.CommandResult.REFUSED
         unsure = outcome.result is _commands.CommandResult.UNSURE
         wave = self._waves.get(operation.wave)
         if wave is not None:
             if refused:
-                wave.done.add(outcome.command.vm)
+                wave.refused(outcome.command.vm)
             elif not (unsure or operation.repeats):
                 wave.begun.discard(outcome.command.vm)
         self._not_before[outcome.command.vm] = outcome.at + _BUSY_SECONDS
@@ -476,9 +481,10 @@
             self._show_wave(wave)
 
     def _show_wave(self, wave: _waves.Wave) -> None:
-        back = {vm for vm in wave.done if not self._maintained(wave, vm)}
         left = [
-            vm for vm in wave.order.vms if vm not in back and vm in self._vms
+            vm
+            for vm in wave.order.vms
+            if vm not in wave.back and vm in self._vms
         ]
         state = "running" if left else "completed"
         if state == wave.shown:
@@ -502,10 +508,6 @@
                     reason=str(error),
                 )
 
-    def _maintained(self, wave: _waves.Wave, vm: str) -> bool:
-        operation = self._operations.get(vm)
-        return operation is not None and operation.wave == wave.order.name
-
     def _plan_wave(
         self,
         wave: _waves.Wave,
@@ -528,7 +530,6 @@
             if name in self._vms and rested:
                 self._begin_maintenance(wave, name, now)
         ready = {view.name for view in views if self._can_begin(view, now)}
-        bounds = self._parts.settings.current.bounds
         chosen = peridotsill_scheduler.plan_maintenance(
             [
                 view
@@ -537,7 +538,7 @@
             ],
             max_parallel=wave.order.max_parallel,
             seconds_left=wave.seen_at + wave.order.deadline_seconds - now,
-            maintenance_seconds=bounds.maintenance_ms / 1000.0,
+            maintenance_seconds=self._maintenance_seconds,
         )
         out = sorted(view.name for view in views if view.step in _OUT)
         for view in chosen:
@@ -594,12 +595,11 @@
     def _step_of(
         self, wave: _waves.Wave, vm: str
     ) -> peridotsill_scheduler.MaintenanceStep:
-        operation = self._operations.get(vm)
-        mine = self._maintained(wave, vm)
-        if vm in wave.done and not mine:
+        if vm in wave.out:
+            return _Step.BEGUN
+        if vm in wave.back:
             return _Step.DONE
-        if not mine:
-            return _Step.BEGUN if vm in wave.unfinished else _Step.DUE
-        if operation is not None and operation.phase is _Phase.CLEARING:
+        operation = self._operations.get(vm)
+        if operation is not None and operation.wave == wave.order.name:
             return _Step.CLEARING
-        return _Step.BEGUN
+        return _Step.DUE
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_inspection.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_inspection.py
@@ -52,11 +52,12 @@
 
 @attrs.frozen(kw_only=True)
 class WaveView:
-    """A wave as the scheduler recorded it: VMs commanded, and answered."""
+    """A wave as recorded: VMs commanded, answered, and back again."""
 
     name: str
     begun: tuple[str, ...]
     done: tuple[str, ...]
+    back: tuple[str, ...]
 
 
 class Inspector:
@@ -113,6 +114,7 @@
                         name=row.key.removeprefix(_waves.KEY_PREFIX),
                         begun=tuple(row.value.get("begun", ())),
                         done=tuple(row.value.get("done", ())),
+                        back=tuple(row.value.get("back", ())),
                     )
                 )
         return tuple(found)
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_waves.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_waves.py
@@ -3,8 +3,10 @@
 import typing
 
 import attrs
+import peridotsill
 from returns import result
 
+from peridotsill_jobs import _clock
 from peridotsill_jobs import _logs
 from peridotsill_jobs import _ports
 import peridotsill_platform
@@ -17,17 +19,24 @@
 class Wave:
     """A wave and its VMs.
 
-    ``begun`` names the VMs that were, or may have been, commanded, and
-    ``done`` those whose command was answered; ``recorded`` is what the
-    row says of those. ``seen_at`` is in steady seconds. ``shown`` is the
-    state that operators were told last.
+    ``begun`` names the VMs that were, or may have been, commanded, ``done``
+    those whose command was answered, and ``back`` those whose maintenance
+    is over; ``recorded`` is what the row says of the last two. A VM may
+    still be away some time after ``away_since``, where it has an entry.
+    Times are in steady seconds. ``shown`` is the state that operators were
+    told last.
     """
 
     order: _ports.WaveOrder
     seen_at: float
     begun: set[str] = attrs.field(factory=set)
     done: set[str] = attrs.field(factory=set)
-    recorded: set[str] = attrs.field(factory=set)
+    back: set[str] = attrs.field(factory=set)
+    recorded: tuple[frozenset[str], frozenset[str]] = (
+        frozenset(),
+        frozenset(),
+    )
+    away_since: dict[str, float] = attrs.field(factory=dict)
     shown: str = ""
     row_version: int = 0
 
@@ -37,16 +46,61 @@
         return self.begun - self.done
 
     @property
-    def unrecorded(self) -> set[str]:
-        """The VMs that a new scheduler would maintain once more."""
-        return self.done - self.recorded
+    def out(self) -> set[str]:
+        """The VMs that are, or may be, away for their maintenance."""
+        return self.begun - self.back
+
+    @property
+    def unrecorded(self) -> bool:
+        """Whether a new scheduler would know less than this one."""
+        done, back = self.recorded
+        return done != self.done or back != self.back
+
+    def answered(self, vm: str, at: float) -> None:
+        """Note that a VM's command was carried out by ``at``."""
+        self.done.add(vm)
+        self.away_since[vm] = at
+
+    def refused(self, vm: str) -> None:
+        """Note that a VM will not be maintained for this wave."""
+        self.done.add(vm)
+        self.back.add(vm)
+
+    def follow(
+        self,
+        vms: dict[str, _ports.VmRecord],
+        asked_at: float,
+        away_seconds: float,
+    ) -> None:
+        """Find the VMs that are back, from a list of all VMs.
+
+        The list may lag behind an answer, so a VM counts as away for as
+        long as its maintenance takes, whatever the list says.
+
+        Args:
+            vms: The list's VMs by name.
+            asked_at: When the list was asked for.
+            away_seconds: How long a maintenance takes.
+        """
+        for vm in self.out:
+            record = vms.get(vm)
+            if vm in self.unfinished:
+                if record is not None:
+                    self.away_since[vm] = asked_at
+                continue
+            if asked_at < self.away_since[vm] + away_seconds:
+                continue
+            # It may have been moved, or have crashed, since.
+            away = _ports.VmState.MAINTENANCE
+            if record is None or record.state is not away:
+                self.back.add(vm)
 
 
 class WaveRows:
     """Reads and writes the progress of waves.
 
-    A VM is recorded before it is commanded, so that a new scheduler
-    counts it as out until its command was answered.
+    A VM is recorded before it is commanded, and as back once it was seen
+    so, so that a new scheduler counts it as out in between.
     """
 
     def __init__(self, *, table: peridotsill_platform.Table) -> None:
@@ -57,11 +111,7 @@
         match self._table.read((KEY_PREFIX + wave.order.name,)):
             case result.Success(rows):
                 if rows:
-                    value = rows[0].value
-                    wave.begun |= _names(value, "begun")
-                    wave.recorded = _names(value, "done")
-                    wave.done |= wave.recorded
-                    wave.row_version = rows[0].version
+                    _take_row(wave, rows[0])
                 return True
             case result.Failure(error):
                 _logs.log(
@@ -74,7 +124,11 @@
     def save(self, wave: Wave) -> bool:
         """Write a wave's row; false if it is not known to be written."""
         key = KEY_PREFIX + wave.order.name
-        value = {"begun": sorted(wave.begun), "done": sorted(wave.done)}
+        value = {
+            "begun": sorted(wave.begun),
+            "done": sorted(wave.done),
+            "back": sorted(wave.back),
+        }
         outcome = self._table.commit(
             peridotsill_platform.Transaction(
                 checks=(
@@ -88,7 +142,7 @@
         match outcome:
             case result.Success(revision):
                 wave.row_version = int(revision)
-                wave.recorded = set(value["done"])
+                wave.recorded = (frozenset(wave.done), frozenset(wave.back))
                 return True
             case result.Failure(error):
                 _logs.log(
@@ -99,6 +153,23 @@
         return False
 
 
-def _names(value: dict[str, typing.Any], field: str) -> set[str]:
+def _take_row(wave: Wave, row: peridotsill.Row) -> None:
+    known = frozenset(wave.done)
+    done, back = _names(row.value, "done"), _names(row.value, "back")
+    wave.begun |= _names(row.value, "begun")
+    wave.done |= done
+    wave.back |= back
+    wave.recorded = (done, back)
+    wave.row_version = row.version
+    # When another scheduler's command was answered is not known; it was
+    # before now.
+    now = _clock.awake_seconds()
+    for vm in wave.out - known:
+        wave.away_since[vm] = now
+
+
+def _names(value: dict[str, typing.Any], field: str) -> frozenset[str]:
     names = value.get(field)
-    return {str(each) for each in names} if isinstance(names, list) else set()
+    if not isinstance(names, list):
+        return frozenset()
+    return frozenset(str(each) for each in names)
--- a/packages/peridotsill_node/src/peridotsill_node/_service_cli.py
+++ b/packages/peridotsill_node/src/peridotsill_node/_service_cli.py
@@ -148,10 +148,15 @@
     with _inspecting(context) as inspector:
         found = inspector.waves()
     rows = [
-        [each.name, str(len(each.begun)), str(len(each.done))]
+        [
+            each.name,
+            str(len(each.begun)),
+            str(len(each.done)),
+            str(len(each.back)),
+        ]
         for each in found
     ]
-    _show(context, found, "wave begun done", rows)
+    _show(context, found, "wave begun done back", rows)
 
 
 @service_app.command()
--- a/tests/features/maintenance.feature
+++ b/tests/features/maintenance.feature
@@ -103,7 +103,9 @@
   Scenario: A VM that an earlier scheduler had maintained is out though the list lags
     Given a wave over "a1" to "a4" with at most 1 at once
     And an earlier scheduler recorded "a3" as begun and done
-    When the fleet decides 10 times more
+    When the fleet decides
+    And the list of VMs lags and shows all of them as up
+    And the fleet decides 10 times more
     Then no VM was commanded to be maintained
 
   # Guards against LIMIT: a VM too many, chosen before the row was read again.
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -315,9 +315,9 @@
     Mutant(
         promise="waves: a VM is out for its whole maintenance",
         package="peridotsill_jobs",
-        module="_fleet.py",
-        old="        if operation.command.kind is _Kind.MAINTAIN:",
-        new="        if False:",
+        module="_waves.py",
+        old="            if asked_at < self.away_since[vm] + away_seconds:",
+        new="            if False:",
         feature="maintenance",
         scenario="A VM is out for as long",
     ),
@@ -426,6 +426,24 @@
         feature="maintenance",
         scenario="A VM is cleared to be lent only if its tasks end soon",
     ),
+    Mutant(
+        promise="waves: a VM is out until it was seen back, for every holder",
+        package="peridotsill_jobs",
+        module="_waves.py",
+        old="        return self.begun - self.back",
+        new="        return self.begun - self.done",
+        feature="maintenance",
+        scenario="is out until it is back",
+    ),
+    Mutant(
+        promise="waves: a list that lags does not bring a VM back",
+        package="peridotsill_jobs",
+        module="_waves.py",
+        old="            if asked_at < self.away_since[vm] + away_seconds:",
+        new="            if False:",
+        feature="maintenance",
+        scenario="is out though the list lags",
+    ),
 )
 
 
