Count a job as pending until a runner is known to have begun it

Cause: a job left the count as soon as the commit that assigned its first task was done. The order goes out after the commit, and only under the lease; a runner may also never answer it. Of a scheduler that leaves in between, up to a whole round of jobs is recorded as assigned and never ordered; its successor finds them so, removes the rest from the count, and they wait for room.

Change: a job leaves the count when a start is answered, a run is listed or an end is reported, or the job is over. At a takeover, a row of which no task is known to have begun keeps its job in the count.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_book.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_book.py
@@ -134,7 +134,8 @@
         except peridotsill.exceptions.InvalidResource as error:
             _logs.log("row:unreadable", key=row.key, problems=error.problems)
         else:
-            self._begun.add(job.key)
+            if peridotsill_scheduler.has_begun(job):
+                self._begun.add(job.key)
 
     def _admit(
         self, row: peridotsill.Row, *, found: bool = False
@@ -271,9 +272,18 @@
     ) -> None:
         for job in jobs:
             job.row_version = revision
-            if job.key not in self._begun:
-                self._begun.add(job.key)
-                self._pending.begun(job.key)
+            if job.final:
+                self.note_begun(job)
+
+    def note_begun(self, job: peridotsill_scheduler.Job) -> None:
+        """Have a job no longer counted as pending.
+
+        That a start is recorded is not enough: the order may never be sent,
+        or get no answer.
+        """
+        if job.key not in self._begun:
+            self._begun.add(job.key)
+            self._pending.begun(job.key)
 
     def _resolve(
         self,
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_pending.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_pending.py
@@ -1,7 +1,7 @@
 """Removes the rows of ``pending`` of jobs that have begun.
 
-It follows the scheduler's commits a little later and apart from them, so
-that no start waits for it; a count may be old by as much.
+It follows what the scheduler learns of runs a little later and apart from
+its commits, so that no start waits for it; a count may be old by as much.
 """
 
 import threading
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_runs.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_runs.py
@@ -84,6 +84,7 @@
             self._take_stale_end(end)
             return
         del worker.placed[key]
+        self._book.note_begun(placed.job)
         if placed.task.phase in _OVER:
             return
         self._apply_end(worker, placed, end)
@@ -91,6 +92,7 @@
     def _take_stale_end(self, end: _ports.ReportedEnd) -> None:
         """Count a former run's end: it was done, or an attempt failed."""
         for job in self._book.find(end.name.job):
+            self._book.note_begun(job)
             for task in job.tasks:
                 if task.key == end.name.task and end.run <= task.run:
                     self._count_stale_end(job, task, end)
@@ -278,6 +280,7 @@
         self, placed: _workers.Placed, found: _ports.ReportedRun
     ) -> None:
         task = placed.task
+        self._book.note_begun(placed.job)
         if task.phase is _Phase.ASSIGNED:
             task.phase = _Phase.RUNNING
             self._book.mark(placed.job)
@@ -371,6 +374,7 @@
         )
         if result is _link_events.OrderResult.DONE:
             placed.confirmed_at = outcome.at
+            self._book.note_begun(job)
             if task.phase is _Phase.ASSIGNED:
                 task.phase = _Phase.RUNNING
                 task.started_at = outcome.at
--- a/packages/peridotsill_scheduler/src/peridotsill_scheduler/__init__.py
+++ b/packages/peridotsill_scheduler/src/peridotsill_scheduler/__init__.py
@@ -35,6 +35,7 @@
 from peridotsill_scheduler._placement import Start
 from peridotsill_scheduler._progress import ACTIVE_PHASES
 from peridotsill_scheduler._progress import FINAL_STATES
+from peridotsill_scheduler._progress import has_begun
 from peridotsill_scheduler._progress import Job
 from peridotsill_scheduler._progress import JobState
 from peridotsill_scheduler._progress import LATE_FACTOR
@@ -77,6 +78,7 @@
     "TaskPhase",
     "VmView",
     "chain_seconds",
+    "has_begun",
     "job_work",
     "lending_policies",
     "lending_policy",
--- a/packages/peridotsill_scheduler/src/peridotsill_scheduler/_progress.py
+++ b/packages/peridotsill_scheduler/src/peridotsill_scheduler/_progress.py
@@ -202,6 +202,17 @@
     ]
 
 
+def has_begun(job: Job) -> bool:
+    """Tell whether a runner is known to have begun one of a job's tasks.
+
+    A task that waits again after a run that ended without failing is not
+    told from one whose start was never ordered, nor one that is stopped
+    from one that is only stopped in case its start arrives.
+    """
+    known = (TaskPhase.RUNNING, TaskPhase.DONE, TaskPhase.FAILED)
+    return any(task.phase in known or task.failures for task in job.tasks)
+
+
 def refresh_state(job: Job) -> bool:
     """Recompute the shown state from the tasks; tell if it changed."""
     if job.final:
--- a/tests/features/controller.feature
+++ b/tests/features/controller.feature
@@ -102,3 +102,37 @@
     And the rows of a job that was cancelled while its task ran
     When another scheduler reads the rows
     Then it has the open job and the one that was cancelled
+
+  # Guards against MIXED: jobs that wait were left out of their queue's count.
+  Scenario: A job whose start was recorded and never sent is counted as pending
+    Given a scheduler with a job that was just submitted
+    When a round is made
+    And the lease is given back before the order is sent
+    And another scheduler has read the rows
+    Then 1 job of the queue is counted as pending
+
+  # The same, for an order that gets no answer.
+  Scenario: A job is counted as pending until a runner has begun it
+    Given a scheduler with a job that was just submitted
+    When a round is made
+    Then 1 job of the queue is counted as pending
+    When the start of run 1 is answered as done
+    Then no job of the queue is counted as pending
+
+  Scenario: A job whose run is listed is not counted as pending
+    Given a scheduler with a job that was just submitted
+    When a round is made
+    And runner "i-1" reports run 1 at work
+    Then no job of the queue is counted as pending
+
+  Scenario: A job whose run has ended is not counted as pending
+    Given a scheduler with a job that was just submitted
+    When a round is made
+    And runner "i-1" lists run 1 as failed
+    Then no job of the queue is counted as pending
+
+  Scenario: A job that is cancelled before it begins is not counted as pending
+    Given a scheduler with a job that was just submitted
+    When the job is cancelled
+    And a round is made
+    Then no job of the queue is counted as pending
--- a/tests/features/steps/controller_steps.py
+++ b/tests/features/steps/controller_steps.py
@@ -26,9 +26,12 @@
 from peridotsill_jobs import _link_events
 from peridotsill_jobs import _links
 from peridotsill_jobs import _live_settings
+from peridotsill_jobs import _pending
 from peridotsill_jobs import _ports
 from peridotsill_jobs import _records
 from peridotsill_jobs import _settings
+from peridotsill_jobs import _submissions
+import peridotsill_platform
 import peridotsill_scheduler as scheduler
 
 _JOB = "00000000000000aa"
@@ -88,6 +91,19 @@
 
 @given('a scheduler with a task of run 1 on runner "i-1"')
 def _scheduler(context):
+    _controller_of(context)
+    _submit_job(context)
+    _assign(context, 1, "i-1")
+
+
+@given("a scheduler with a job that was just submitted")
+def _submitted(context):
+    _controller_of(context)
+    _submit_job(context)
+    context.controller._registry_seen = True
+
+
+def _controller_of(context):
     catalog = unittest.mock.Mock()
     catalog.queue.return_value = _QUEUE
     catalog.config = None
@@ -116,10 +132,9 @@
 
     made._workers._connect = connect
     made._workers.update((_entry("i-1"), _entry("i-2")))
-    _add_job(context)
 
 
-def _add_job(context):
+def _submit_job(context):
     step = scheduler.Step(
         index=0,
         task_count=1,
@@ -131,14 +146,23 @@
         queue=_QUEUE,
         arrived_ms=time.time() * 1000,
     )
-    row = peridotsill.Row(
-        key=_records.row_key(_records.JOBS, "q", _JOB),
-        value=_records.submission_value(submission),
-        version=1,
+    key = _records.row_key(_records.JOBS, "q", _JOB)
+    values = {
+        key: _records.submission_value(submission),
+        _records.row_key(_records.PENDING, "q", _JOB): {},
+    }
+    context.store.commit(
+        peridotsill_platform.Transaction(
+            checks=(),
+            writes=tuple(
+                peridotsill_platform.Write(key=each, value=value)
+                for each, value in values.items()
+            ),
+        )
     )
+    row = context.store.read((key,)).unwrap()[0]
     context.job, _ = context.controller._book.take(row)
     context.task = context.job.tasks[0]
-    _assign(context, 1, "i-1")
 
 
 def _assign(context, run, runner):
@@ -359,6 +383,52 @@
     context.controller._round()
 
 
+@when("the lease is given back before the order is sent")
+def _give_back(context):
+    context.controller._parts.lease.release()
+
+
+@when("another scheduler has read the rows")
+def _read_by_another(context):
+    lease = _lease.Lease(node="m", table=context.store)
+    assert lease.try_acquire()
+    context.book = _book.Book(
+        table=context.store,
+        catalog=context.controller._parts.catalog,
+        lease=lease,
+        counters=peridotsill.Counters(),
+    )
+    assert context.book.load() is not None
+    context.add_cleanup(context.book.close)
+
+
+def _count_pending(context, count):
+    # Rows are removed by a thread of its own, some time after the commits.
+    context.controller._book._pending._remove()
+    time.sleep(_pending._PERIOD_SECONDS * 2)
+    submissions = _submissions.Submissions(
+        table=context.store, committer=unittest.mock.Mock()
+    )
+    counted = submissions.count("q").pending
+    assert counted == count, counted
+
+
+@then("{count:d} job of the queue is counted as pending")
+def _counted(context, count):
+    _count_pending(context, count)
+
+
+@then("no job of the queue is counted as pending")
+def _not_counted(context):
+    _count_pending(context, 0)
+
+
+@when('runner "{runner}" reports run {run:d} at work')
+def _listed_running(context, runner, run):
+    found = _ports.ReportedRun(name=_TASK, run=run, checkpoint="")
+    _list(context, runner, running=[found])
+
+
 @then("the advisor is asked once about both runners")
 def _asked(context):
     context.desk.ask.assert_called_once()
