Count a wave's deadline from its order, not from the last takeover

Cause: a scheduler measured the time to a wave's deadline from the moment at which it first saw the wave itself, so each takeover gave the wave its whole time again, and busy pools were spared until too late.

Change: each node notes when it first read the order, and the wave's row says how old the wave was when it was written; a scheduler takes the older of the two.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_catalog.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_catalog.py
@@ -3,6 +3,7 @@
 import collections.abc
 import threading
 
+import attrs
 import peridotsill
 
 from peridotsill_jobs import _clock
@@ -40,6 +41,7 @@
         self._routes: dict[str, list[peridotsill_scheduler.Queue]] = {}
         self._queues: dict[str, peridotsill_scheduler.Queue] = {}
         self._waves: dict[str, _ports.WaveOrder] = {}
+        self._waves_seen_at: dict[str, float] = {}
         self._reached_at = float("-inf")
         self._stopped = threading.Event()
         self._reachable = False
@@ -108,6 +110,7 @@
             self._take(row)
         for key in followed.deleted:
             self._waves.pop(key, None)
+            self._waves_seen_at.pop(key, None)
 
     def _answered(self) -> None:
         self._reached_at = _clock.real_seconds()
@@ -128,7 +131,10 @@
             return
         wave = self._documents.wave(row)
         if wave is not None:
-            self._waves[row.key] = wave
+            seen_at = self._waves_seen_at.setdefault(
+                row.key, _clock.awake_seconds()
+            )
+            self._waves[row.key] = attrs.evolve(wave, seen_at=seen_at)
 
     def _take_config(self, config: _ports.JobsConfig) -> None:
         if self._config and config.version <= self._config.version:
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_fleet.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_fleet.py
@@ -492,7 +492,9 @@
         for order in self._parts.catalog.waves:
             wave = self._waves.get(order.name)
             if wave is None:
-                wave = _waves.Wave(order=order, seen_at=now)
+                wave = _waves.Wave(
+                    order=order, seen_at=min(now, order.seen_at)
+                )
                 if not self._wave_rows.load(wave):
                     continue
                 self._waves[order.name] = wave
@@ -502,6 +504,7 @@
                     vms=len(order.vms),
                     unfinished=sorted(wave.unfinished),
                     done=sorted(wave.done),
+                    age_seconds=round(now - wave.seen_at, 1),
                 )
             wave.order = order
             if wave.unrecorded:
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_ports.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_ports.py
@@ -69,6 +69,8 @@
 
     ``deadline_seconds`` counts from the order; at most ``max_parallel``
     VMs may be in maintenance at once. ``version`` is the row's.
+    ``seen_at`` is when this node first read the order, in steady seconds;
+    infinite before that.
     """
 
     name: str
@@ -77,6 +79,7 @@
     deadline_seconds: float
     max_parallel: int
     version: int = 0
+    seen_at: float = float("inf")
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_waves.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_waves.py
@@ -23,8 +23,9 @@
     those whose command was answered, and ``back`` those whose maintenance
     is over; ``recorded`` is what the row says of the last two. A VM may
     still be away some time after ``away_since``, where it has an entry.
-    Times are in steady seconds. ``shown`` is the state that operators were
-    told last.
+    ``seen_at`` is when the order was seen first, by any holder of the lease
+    as far as is known. Times are in steady seconds. ``shown`` is the state
+    that operators were told last.
     """
 
     order: _ports.WaveOrder
@@ -128,6 +129,7 @@
             "begun": sorted(wave.begun),
             "done": sorted(wave.done),
             "back": sorted(wave.back),
+            "age_seconds": _clock.awake_seconds() - wave.seen_at,
         }
         outcome = self._table.commit(
             peridotsill_platform.Transaction(
@@ -166,6 +168,9 @@
     now = _clock.awake_seconds()
     for vm in wave.out - known:
         wave.away_since[vm] = now
+    age = row.value.get("age_seconds")
+    if isinstance(age, (int, float)):
+        wave.seen_at = min(wave.seen_at, now - age)
 
 
 def _names(value: dict[str, typing.Any], field: str) -> frozenset[str]:
--- a/tests/features/maintenance.feature
+++ b/tests/features/maintenance.feature
@@ -137,3 +137,28 @@
     Then no VM was commanded to be maintained
     When 3 s pass
     Then only one VM was commanded to be maintained
+
+  # Guards against late waves: the time to a wave's deadline began anew with
+  # each scheduler, so that it spared busy pools for too long.
+  Scenario Outline: A wave's deadline counts from its order, not from a hand-over
+    Given a wave over "a1" to "a4" with at most 1 at once
+    And the wave is due in 60 s
+    And pool "a" needs 4 VMs
+    And <age>
+    When the fleet decides
+    Then <commanded> was commanded to be maintained
+
+    Examples:
+      | age                                              | commanded   |
+      | an earlier scheduler recorded the wave as 1 s old  | no VM       |
+      | an earlier scheduler recorded the wave as 30 s old | only one VM |
+      | this node saw the wave 30 s ago                    | only one VM |
+      | the wave's row holds an age of no number           | no VM       |
+
+  Scenario: A wave's age is recorded for the next scheduler
+    Given a wave over "a1" to "a1" with at most 1 at once
+    When the fleet decides
+    And 30 s pass
+    And the command is answered as done
+    And the fleet decides
+    Then the wave's row says that it is 30 s old
--- a/tests/features/steps/maintenance_steps.py
+++ b/tests/features/steps/maintenance_steps.py
@@ -161,9 +161,32 @@
     _list_vms(context, _clock.awake_seconds())
 
 
-@given('pool "b" needs {count:d} VMs')
-def _needs(context, count):
-    context.made.note_arrival("b", 32.0 * count, _clock.awake_seconds())
+@given("an earlier scheduler recorded the wave as {seconds:d} s old")
+def _recorded_age(context, seconds):
+    _write_wave(context, begun=[], done=[], age_seconds=float(seconds))
+
+
+@given("the wave's row holds an age of no number")
+def _bad_age(context):
+    _write_wave(context, begun=[], done=[], age_seconds="30")
+
+
+@given("this node saw the wave {seconds:d} s ago")
+def _seen_before(context, seconds):
+    seen_at = _clock.awake_seconds() - seconds
+    wave = context.catalog.waves[0]
+    context.catalog.waves = (attrs.evolve(wave, seen_at=seen_at),)
+
+
+@then("the wave's row says that it is {seconds:d} s old")
+def _has_age(context, seconds):
+    row, _ = context.rows.rows[_WAVE_KEY]
+    assert seconds <= row["age_seconds"] < seconds + 1, row
+
+
+@given('pool "{pool}" needs {count:d} VMs')
+def _needs(context, pool, count):
+    context.made.note_arrival(pool, 32.0 * count, _clock.awake_seconds())
 
 
 @when("the fleet decides")
