Read whether a job is stored when its commit was refused or not answered

What callers saw: SHORT.

Cause: a commit that a busy partition takes in waits up to a second there, so its answer comes after the node's patience. Each further try, at this node or another, was a commit again, refused with 429 by the same partition, and the refusal was passed on.

Change: after a refusal or without an answer the job's row is read, which no partition queues; a row that is there means that it was accepted.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_submissions.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_submissions.py
@@ -92,10 +92,13 @@
                 peridotsill_platform.Write(key=pending, value={}),
             ),
         )
-        return self._commit(transaction, seconds * _TABLE_SHARE)
+        return self._commit(key, transaction, seconds * _TABLE_SHARE)
 
     def _commit(
-        self, transaction: peridotsill_platform.Transaction, seconds: float
+        self,
+        key: str,
+        transaction: peridotsill_platform.Transaction,
+        seconds: float,
     ) -> Shown:
         deadline = time.monotonic() + seconds
         doubtful = False
@@ -118,11 +121,26 @@
                     doubtful, reason = True, str(error)
                 case result.Failure(error):
                     reason = str(error)
-                    if not doubtful:
-                        return Shown(outcome=Outcome.NOT_DONE, reason=reason)
+            if self._is_stored(key):
+                return Shown(outcome=Outcome.DONE, reason="found stored")
+            if not doubtful:
+                return Shown(outcome=Outcome.NOT_DONE, reason=reason)
             time.sleep(_RETRY_SECONDS)
         return Shown(outcome=Outcome.UNKNOWN, reason=reason)
 
+    def _is_stored(self, key: str) -> bool:
+        """Tell whether a submission's row is there for certain.
+
+        An earlier try may have been done, also one at another node, while a
+        table that is too busy for a commit still answers a read.
+        """
+        match self._table.read((key,)):
+            case result.Success(rows):
+                return bool(rows)
+            case result.Failure(error):
+                _logs.log("job:unreadable", key=key, reason=str(error))
+        return False
+
     def show(self, queue: str, job_id: str) -> Shown:
         """Return a job's state, from the rows."""
         progress = _records.row_key(_records.PROGRESS, queue, job_id)
--- a/tests/features/patience.feature
+++ b/tests/features/patience.feature
@@ -30,3 +30,25 @@
     When a renewal is done and its answer lost 0.6 s ago
     And the next renewal learns it
     Then its lease ends 0.85 s from now
+
+  # Guards against SHORT: jobs that were stored, and told to their callers
+  # as refused or unknown, while the table was too slow for their retries.
+  Scenario: A submission whose answer was lost is found by reading
+    Given a table that loses the answer to a submission, and then refuses all
+    When the job is submitted
+    Then the caller is told that it was accepted
+
+  Scenario: A submission that another node had stored is found by reading
+    Given a table that holds the job, and refuses all commits
+    When the job is submitted
+    Then the caller is told that it was accepted
+
+  Scenario: A submission that was refused and is not stored is refused at once
+    Given a table that refuses all commits
+    When the job is submitted
+    Then the caller is told within 0.2 s that it was not accepted
+
+  Scenario: A submission whose outcome can't be read stays unknown
+    Given a table that loses the answer to a submission, and then goes away
+    When the job is submitted
+    Then the caller is told that the outcome is unknown
--- a/tests/features/steps/patience_steps.py
+++ b/tests/features/steps/patience_steps.py
@@ -12,8 +12,10 @@
 from peridotsill_jobs import _clock
 from peridotsill_jobs import _lease
 from peridotsill_jobs import _ports
+from peridotsill_jobs import _submissions
 import peridotsill_platform
 import peridotsill_platform.exceptions
+import peridotsill_scheduler as scheduler
 
 _UNKNOWN = result.Failure(
     peridotsill_platform.exceptions.OutcomeUnknown("no answer")
@@ -148,3 +150,89 @@
 def _ends(context, seconds):
     left = context.lease._valid_until - _clock.real_seconds()
     assert seconds - 0.1 <= left <= seconds + 0.01, left
+
+
+_REFUSED = result.Failure(
+    peridotsill_platform.exceptions.TableUnavailable("too many calls")
+)
+_QUEUE = scheduler.Queue(name="q", host="h", prefix="/q/", pool="p")
+_SPEC = scheduler.JobSpec(
+    id="aa",
+    queue="q",
+    payload="",
+    steps=(scheduler.Step(index=0, task_count=1),),
+)
+
+
+class _BusyTable(stubs.MemoryTable):
+    """Answers commits as told, the last answer again and again."""
+
+    def __init__(self, *answers, readable=True):
+        super().__init__()
+        self.answers = list(answers)
+        self.readable = readable
+
+    def commit(self, transaction):
+        last = len(self.answers) == 1
+        answer = self.answers[0] if last else self.answers.pop(0)
+        if answer is _UNKNOWN:
+            super().commit(transaction)
+        return answer
+
+    def read(self, keys):
+        return super().read(keys) if self.readable else _REFUSED
+
+
+@given("a table that loses the answer to a submission, and then refuses all")
+def _lost_then_busy(context):
+    context.busy_table = _BusyTable(_UNKNOWN, _REFUSED)
+
+
+@given("a table that loses the answer to a submission, and then goes away")
+def _lost_then_away(context):
+    context.busy_table = _BusyTable(_UNKNOWN, _REFUSED, readable=False)
+
+
+@given("a table that refuses all commits")
+def _busy(context):
+    context.busy_table = _BusyTable(_REFUSED)
+
+
+@given("a table that holds the job, and refuses all commits")
+def _stored_before(context):
+    context.busy_table = _BusyTable(_UNKNOWN, _REFUSED)
+    _submit(context, 0.0001)
+
+
+@when("the job is submitted")
+def _submit_job(context):
+    _submit(context, 1.0)
+
+
+def _submit(context, seconds):
+    committer = peridotsill_platform.GroupCommitter(table=context.busy_table)
+    committer.start()
+    context.add_cleanup(committer.stop)
+    submissions = _submissions.Submissions(
+        table=context.busy_table, committer=committer
+    )
+    began = time.monotonic()
+    context.shown = submissions.submit(_QUEUE, _SPEC, seconds)
+    context.spent = time.monotonic() - began
+
+
+@then("the caller is told that it was accepted")
+def _accepted(context):
+    assert context.shown.outcome is _submissions.Outcome.DONE, context.shown
+
+
+@then("the caller is told within {seconds:g} s that it was not accepted")
+def _not_accepted(context, seconds):
+    outcome = context.shown.outcome
+    assert outcome is _submissions.Outcome.NOT_DONE, context.shown
+    assert context.spent < seconds, context.spent
+
+
+@then("the caller is told that the outcome is unknown")
+def _unknown_outcome(context):
+    assert context.shown.outcome is _submissions.Outcome.UNKNOWN, context.shown
