Let a committer's thread outlive an error that a commit raises

What callers would see: submissions in a partition that are never answered.

Cause: an error that the table's client does not expect, for example of a value that can't be serialized, ended the thread that met it. Since transactions are joined by partition, the partition would have had no thread any more; before, two such errors ended both threads of a node.

Change: the error is the transactions' outcome, unknown, with its text; who waits logs it with the job.

--- a/packages/peridotsill_platform/src/peridotsill_platform/_group_commit.py
+++ b/packages/peridotsill_platform/src/peridotsill_platform/_group_commit.py
@@ -153,12 +153,15 @@
     def _send(self, batch: list[_Pending]) -> _table.CommitResult:
         self._commits += 1
         parts = [each.transaction for each in batch]
-        return self._table.commit(
-            _table.Transaction(
-                checks=tuple(c for part in parts for c in part.checks),
-                writes=tuple(w for part in parts for w in part.writes),
-            )
+        joined = _table.Transaction(
+            checks=tuple(c for part in parts for c in part.checks),
+            writes=tuple(w for part in parts for w in part.writes),
         )
+        try:
+            return self._table.commit(joined)
+        except Exception as error:
+            # This thread goes on; whoever waits is told, and logs it.
+            return result.Failure(exceptions.OutcomeUnknown(repr(error)))
 
 
 def _keys(transaction: _table.Transaction) -> set[str]:
--- a/tests/features/patience.feature
+++ b/tests/features/patience.feature
@@ -74,3 +74,11 @@
     Given a committer on a table that answers commits in 0.2 s
     When 10 transactions in partition "b" are committed, and the node leaves
     Then all are done, in 2 commits of partition "b" alone
+
+  # Guards against one transaction that fails in an unexpected way ending all.
+  Scenario: An error inside a commit fails its transaction and no later one
+    Given a committer on a table that fails unexpectedly 9 times
+    When 9 transactions in partition "b" are committed in turn
+    Then each is told as unknown, with the error
+    When 1 transactions in partition "b" are committed at once
+    Then all are done, in 1 commits of partition "b" alone
--- a/tests/features/steps/patience_steps.py
+++ b/tests/features/steps/patience_steps.py
@@ -274,9 +274,13 @@
         self.silent = silent
         self.seconds = seconds
         self.seen = []
+        self.errors = 0
         self.closing = threading.Event()
 
     def commit(self, transaction):
+        if self.errors:
+            self.errors -= 1
+            raise TypeError("not serializable")
         found = {_records.partition_of(w.key) for w in transaction.writes}
         self.seen.append(found)
         if self.silent in found:
@@ -369,3 +373,28 @@
     outcomes = [outcome for outcome, _ in context.outcomes.values()]
     assert all(isinstance(each, result.Success) for each in outcomes), outcomes
     assert context.partitioned.seen == [{name}] * commits
+
+
+@given("a committer on a table that fails unexpectedly {count:d} times")
+def _failing_table(context, count):
+    table = _Partitioned()
+    table.errors = count
+    _make_committer(context, table)
+
+
+@when('{count:d} transactions in partition "{name}" are committed in turn')
+def _one_by_one(context, count, name):
+    context.failures = []
+    for _ in range(count):
+        _commit_at_once(context, name)
+        context.threads[0].join()
+        context.failures += [each for each, _ in context.outcomes.values()]
+
+
+@then("each is told as unknown, with the error")
+def _told_unknown(context):
+    for failure in context.failures:
+        assert "not serializable" in str(failure), failure
+        error = failure.failure()
+        unknown = peridotsill_platform.exceptions.OutcomeUnknown
+        assert isinstance(error, unknown), error
