Wait for the longest renewal before a takeover after an outage

What callers would see: a needless takeover, and some two seconds without a start, after an outage in which the table was silent.

Cause: the time for which the holder of the lease is waited for after an outage was that of the longest renewal, 0.8 s, and its next try. A renewal is waited for up to 1.2 s since, so the time is 1.25 s now.

The scenario of a holder that goes on now has its next try 1.2 s after the table's return, and failed before. In the scenario of a holder that is gone the takeover comes 1.3 s after the return in place of 0.9 s: that was the same time, seen from the other side, and follows from the longest renewal; both outcomes can't be told apart any sooner.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_lease.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_lease.py
@@ -44,7 +44,7 @@
 _OUTAGE_LOOKS = 2
 # After an outage the holder has this long to renew before others take over:
 # the longest renewal that may be under way, and its next try.
-_RETURN_SECONDS = 0.9
+_RETURN_SECONDS = RENEWAL_SECONDS + _RETRY_SECONDS
 # What the most capable node is taken for before the first lease, in cores;
 # 350 runners kept 0.65 of a core busy (docs/CAPACITY.md).
 _USUAL_CAPABILITY = 1.0
