--- a/tests/features/steps/platform_steps.py
+++ b/tests/features/steps/platform_steps.py
@@ -219,12 +219,27 @@
         holder = context.cluster.scheduler()
         if holder is not None:
             holder.send(signal.SIGTERM)
-            threading.Thread(target=_start_again, args=(holder,)).start()
+            _start_when_ended(context, holder)
 
 
-def _start_again(node):
-    node.process.wait()
-    node.start()
+def _start_when_ended(context, node):
+    """Start a node again once it has ended, while the scenario lasts."""
+    over = threading.Event()
+
+    def start_again():
+        node.process.wait()
+        if not over.is_set():
+            node.start()
+
+    thread = threading.Thread(target=start_again)
+    thread.start()
+
+    def end():
+        over.set()
+        node.process.kill()
+        thread.join()
+
+    context.stack.callback(end)
 
 
 @when("the fault is that {fault}")
