Give up the look at whether a job is stored within the caller's time

Change: the look is given up after half a second, and not begun once the table's part of the caller's time is over.

The scenario of a table that answers nothing failed before (3.65 s, where a caller waits 3 s).

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_node.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_node.py
@@ -63,7 +63,11 @@
             catalog=self._catalog,
             documents=self._ports.documents,
             submissions=_submissions.Submissions(
-                table=self._ports.table, committer=self._committer
+                table=self._ports.table,
+                committer=self._committer,
+                quick_table=self._ports.table_within(
+                    _submissions.LOOK_SECONDS
+                ),
             ),
             counters=self._counters,
             deadline_header=self._ports.deadline_header,
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_submissions.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_submissions.py
@@ -21,6 +21,9 @@
 # Part of a caller's time that the table may use; the rest is the answer's
 # way back.
 _TABLE_SHARE = 0.8
+# The longest wait for a look at whether a job is stored; it leaves time for
+# the answer's way back after the last try.
+LOOK_SECONDS = 0.5
 # Pause between two tries of a commit without a known outcome.
 _RETRY_SECONDS = 0.05
 # A count may be this old, so that many askers cost one read.
@@ -65,8 +68,10 @@
         *,
         table: peridotsill_platform.WatchedTable,
         committer: peridotsill_platform.GroupCommitter,
+        quick_table: peridotsill_platform.Table,
     ) -> None:
         self._table = table
+        self._quick_table = quick_table
         self._committer = committer
         self._counts: dict[str, Counted] = {}
         self._lock = threading.Lock()
@@ -121,7 +126,7 @@
                     doubtful, reason = True, str(error)
                 case result.Failure(error):
                     reason = str(error)
-            if self._is_stored(key):
+            if time.monotonic() < deadline and self._is_stored(key):
                 return Shown(outcome=Outcome.DONE, reason="found stored")
             if not doubtful:
                 return Shown(outcome=Outcome.NOT_DONE, reason=reason)
@@ -134,7 +139,7 @@
         An earlier try may have been done, also one at another node, while a
         table that is too busy for a commit still answers a read.
         """
-        match self._table.read((key,)):
+        match self._quick_table.read((key,)):
             case result.Success(rows):
                 return bool(rows)
             case result.Failure(error):
--- a/tests/features/patience.feature
+++ b/tests/features/patience.feature
@@ -59,6 +59,12 @@
     When the job is submitted
     Then the caller is told that the outcome is unknown
 
+  # Guards against callers that get no answer: the look took their time.
+  Scenario: A caller is told in time though neither commits nor reads answer
+    Given a node whose table does not answer
+    When the job is submitted by a caller that waits 3 s
+    Then the caller is told within 2.95 s that the outcome is unknown
+
   # Guards against SHORT: submissions to one slow partition held up all others.
   Scenario: A partition that does not answer holds up no other's transactions
     Given a committer on a table whose partition "a" does not answer
--- a/tests/features/steps/controller_steps.py
+++ b/tests/features/steps/controller_steps.py
@@ -407,7 +407,9 @@
     context.controller._book._pending._remove_waiting()
     time.sleep(_pending._PERIOD_SECONDS * 2)
     submissions = _submissions.Submissions(
-        table=context.store, committer=unittest.mock.Mock()
+        table=context.store,
+        committer=unittest.mock.Mock(),
+        quick_table=context.store,
     )
     counted = submissions.count("q").pending
     assert counted == count, counted
--- a/tests/features/steps/patience_steps.py
+++ b/tests/features/steps/patience_steps.py
@@ -242,7 +242,9 @@
     committer.start()
     context.add_cleanup(committer.stop)
     submissions = _submissions.Submissions(
-        table=context.busy_table, committer=committer
+        table=context.busy_table,
+        committer=committer,
+        quick_table=context.busy_table,
     )
     began = time.monotonic()
     context.shown = submissions.submit(_QUEUE, _SPEC, seconds)
@@ -398,3 +400,48 @@
         error = failure.failure()
         unknown = peridotsill_platform.exceptions.OutcomeUnknown
         assert isinstance(error, unknown), error
+
+
+class _SilentTable:
+    """Answers nothing; its calls end with their timeouts."""
+
+    def __init__(self, seconds):
+        self.seconds = seconds
+
+    def commit(self, transaction):
+        time.sleep(self.seconds)
+        return _UNKNOWN
+
+    def read(self, keys):
+        time.sleep(self.seconds)
+        return _REFUSED
+
+
+@given("a node whose table does not answer")
+def _silent_table(context):
+    patient = peridotsill_platform.PatientTable(
+        within=_SilentTable,
+        least_seconds=_ports._LEAST_COMMIT_SECONDS,
+        most_seconds=_ports._MOST_COMMIT_SECONDS,
+    )
+    committer = peridotsill_platform.GroupCommitter(table=patient)
+    committer.start()
+    context.add_cleanup(committer.stop)
+    context.submissions = _submissions.Submissions(
+        table=_SilentTable(1.2),
+        committer=committer,
+        quick_table=_SilentTable(_submissions.LOOK_SECONDS),
+    )
+
+
+@when("the job is submitted by a caller that waits {seconds:g} s")
+def _submit_waiting(context, seconds):
+    began = time.monotonic()
+    context.shown = context.submissions.submit(_QUEUE, _SPEC, seconds)
+    context.spent = time.monotonic() - began
+
+
+@then("the caller is told within {seconds:g} s that the outcome is unknown")
+def _told_in_time(context, seconds):
+    _unknown_outcome(context)
+    assert context.spent < seconds, context.spent
