Keep the recorder of configuration versions from ending when a node is added

Cause, by the traceback in its output: the thread that records all nodes' versions walked over the fleet's dictionary while the scenario added a node to it, ended with RuntimeError, and the next step waited for records that never came. It walks over a copy now; no check is changed. The feature alone: 6 passed, 0 failed, twice.

--- a/tests/features/steps/config_steps.py
+++ b/tests/features/steps/config_steps.py
@@ -25,7 +25,7 @@
 def versions(context):
     """Return each reachable node's version."""
     found = {}
-    for node in context.fleet.nodes:
+    for node in tuple(context.fleet.nodes):
         client = peridotsill_operators.OperatorClient(
             address=context.fleet.address(node, "operators"),
             token=fleet.TOKEN,
