Take a VM that a wave's row names as done for begun too

A row that names one as done and not begun, which no scheduler of ours writes, left it uncounted; after its command it would also have had no time of absence, on which Wave.follow relies (read, not shown).

Now done VMs are begun by the way the row is read.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_waves.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_waves.py
@@ -158,7 +158,7 @@
 def _take_row(wave: Wave, row: peridotsill.Row) -> None:
     known = frozenset(wave.done)
     done, back = _names(row.value, "done"), _names(row.value, "back")
-    wave.begun |= _names(row.value, "begun")
+    wave.begun |= _names(row.value, "begun") | done
     wave.done |= done
     wave.back |= back
     wave.recorded = (done, back)
--- a/tests/features/maintenance.feature
+++ b/tests/features/maintenance.feature
@@ -162,3 +162,14 @@
     And the command is answered as done
     And the fleet decides
     Then the wave's row says that it is 30 s old
+
+  # Guards against a row of a wave that ends every scheduler that reads it.
+  Scenario: A VM that a wave's row names as done only is out until it is back
+    Given a wave over "a1" to "a4" with at most 1 at once
+    And the wave's row names "a3" as done, and no VM as begun
+    When the fleet decides
+    And the list of VMs lags and shows all of them as up
+    Then no VM was commanded to be maintained
+    When the list of VMs shows "a3" up, 2.5 s later
+    And the fleet decides
+    Then only one VM was commanded to be maintained
--- a/tests/features/steps/maintenance_steps.py
+++ b/tests/features/steps/maintenance_steps.py
@@ -133,6 +133,11 @@
     _write_wave(context, begun=[vm], done=[vm])
 
 
+@given('the wave\'s row names "{vm}" as done, and no VM as begun')
+def _done_only(context, vm):
+    _write_wave(context, begun=[], done=[vm])
+
+
 @given('an earlier scheduler recorded "{vm}" as begun, done and back')
 def _begun_and_back(context, vm):
     _write_wave(context, begun=[vm], done=[vm], back=[vm])
