Count waiting work once in a pool's demand

Cause: the demand added the rate of the last 1.5 s to the waiting work over 1.2 s, so that a job that had just arrived and waited counted twice; at peaks two fifths of the VMs wanted were not there to be used. Change: the larger of the two. The demand has a module of its own, _demand.py, apart from the lending policies.

--- a/packages/peridotsill_scheduler/src/peridotsill_scheduler/__init__.py
+++ b/packages/peridotsill_scheduler/src/peridotsill_scheduler/__init__.py
@@ -1,21 +1,21 @@
 """Scheduling decisions, computed without network, clock or threads."""
 
 from peridotsill_scheduler._availability import may_evict
+from peridotsill_scheduler._demand import Arrival
+from peridotsill_scheduler._demand import pool_demand
+from peridotsill_scheduler._demand import PoolDemand
+from peridotsill_scheduler._demand import PoolSupply
+from peridotsill_scheduler._demand import wanted_vms
 from peridotsill_scheduler._estimates import critical_path_seconds
 from peridotsill_scheduler._estimates import Estimator
 from peridotsill_scheduler._estimates import job_work
 from peridotsill_scheduler._estimates import objective_seconds
 from peridotsill_scheduler._estimates import remaining_run_seconds
 from peridotsill_scheduler._estimates import remaining_work
-from peridotsill_scheduler._lending import Arrival
 from peridotsill_scheduler._lending import lending_policies
 from peridotsill_scheduler._lending import lending_policy
 from peridotsill_scheduler._lending import Move
 from peridotsill_scheduler._lending import plan_moves
-from peridotsill_scheduler._lending import pool_demand
-from peridotsill_scheduler._lending import PoolDemand
-from peridotsill_scheduler._lending import PoolSupply
-from peridotsill_scheduler._lending import wanted_vms
 from peridotsill_scheduler._maintenance import MaintenancePhase
 from peridotsill_scheduler._maintenance import plan_maintenance
 from peridotsill_scheduler._maintenance import WaveVm
--- a/packages/peridotsill_scheduler/src/peridotsill_scheduler/_lending.py
+++ b/packages/peridotsill_scheduler/src/peridotsill_scheduler/_lending.py
@@ -1,27 +1,11 @@
-"""Lending policies: how many VMs pools need, and which VMs move."""
+"""Registry of lending policies, which choose the VMs that change pools."""
 
 import collections.abc
-import math
 
 import attrs
 
-from peridotsill_scheduler import _estimates
-from peridotsill_scheduler import _progress
-
-# Window over which the arrival rate is measured: long enough for a few jobs
-# to arrive in it during a peak, and short compared with the peak.
-_RATE_WINDOW_SECONDS = 1.5
-# How far ahead a rising arrival rate is extrapolated. The measured rate is
-# that of the middle of its window, and a VM that is requested now can be used
-# only after a move, which takes 1.5 s.
-_FORECAST_SECONDS = _RATE_WINDOW_SECONDS / 2 + 1.5
-# Waiting work should be started within this time, which is about the slack
-# that an objective leaves.
-_BACKLOG_START_SECONDS = 1.2
-# Share of a VM's cores that tasks of uneven sizes can use.
-_PACKING_EFFICIENCY = 0.85
-# VMs that a pool always keeps, for jobs that arrive between peaks.
-_MIN_POOL_VMS = 2
+from peridotsill_scheduler import _demand
+
 # The threshold policy lends to pools above the first utilization, from pools
 # below the second. These are the usual values of such policies.
 _HIGH_UTILIZATION = 0.9
@@ -30,83 +14,6 @@
 _LENDER_RESERVE_VMS = 1
 
 
-@attrs.frozen(kw_only=True)
-class Arrival:
-    """Work that arrived: monotonic time in seconds, and core-seconds."""
-
-    at: float
-    work: float
-
-
-@attrs.frozen(kw_only=True)
-class PoolDemand:
-    """The present demand on a pool, in cores unless stated otherwise.
-
-    ``long_lived`` is the demand of long-lived tasks, including waiting
-    ones unless their job has ended; ``running`` is what the active tasks of
-    all other steps have reserved, and ``late_running`` the part of it that
-    belongs to late jobs. ``rate`` is the work, in core-seconds, that
-    arrives per second, and ``rate_growth`` its increase per second, 0 if it
-    falls. ``waiting`` is the work, in core-seconds, of waiting tasks whose
-    jobs are not late, without long-lived ones. A job counts as late once
-    its objective time has passed or it has ended.
-    """
-
-    long_lived: float
-    running: float
-    rate: float
-    waiting: float
-    late_running: float = 0.0
-    rate_growth: float = 0.0
-
-    @property
-    def cores(self) -> float:
-        """Cores that serve the whole demand in time."""
-        return self.long_lived + max(self.running, self._unstarted_work_cores)
-
-    @property
-    def cores_without_late_jobs(self) -> float:
-        """Cores that serve the demand, without those that late jobs use."""
-        running = self.running - self.late_running
-        return self.long_lived + max(running, self._unstarted_work_cores)
-
-    @property
-    def cores_forecast(self) -> float:
-        """Cores needed, without late jobs, once a requested VM is usable.
-
-        The extrapolated rate is at most twice the present one, as the few
-        jobs in a window are a weak basis for a trend.
-        """
-        running = self.running - self.late_running
-        forecast_growth = min(self.rate_growth * _FORECAST_SECONDS, self.rate)
-        return self.long_lived + max(
-            running, self._unstarted_work_cores + forecast_growth
-        )
-
-    @property
-    def _unstarted_work_cores(self) -> float:
-        return self.rate + self.waiting / _BACKLOG_START_SECONDS
-
-
-@attrs.frozen(kw_only=True)
-class PoolSupply:
-    """The VMs of a pool, and its demand.
-
-    ``idle`` names the VMs that can be moved at once, and ``busy`` those
-    whose tasks are all expected to end within about the time that a move
-    takes, the soonest first. ``size`` includes VMs that are being moved to
-    the pool. ``vm_cores`` is the mean number of cores of the pool's VMs.
-    """
-
-    name: str
-    standby: bool
-    size: int
-    idle: tuple[str, ...]
-    vm_cores: float
-    demand: PoolDemand
-    busy: tuple[str, ...] = ()
-
-
 @attrs.frozen(kw_only=True)
 class Move:
     """A decision to move a VM to another pool."""
@@ -116,104 +23,8 @@
     target: str
 
 
-def pool_demand(
-    jobs: collections.abc.Iterable[_progress.Job],
-    arrivals: collections.abc.Iterable[Arrival],
-    now: float,
-    estimator: _estimates.Estimator,
-) -> PoolDemand:
-    """Return the demand of a pool's jobs and arrivals."""
-    long_lived = running = waiting = late_running = 0.0
-    for job in jobs:
-        job_demand = _job_demand(job, now, estimator)
-        long_lived += job_demand.long_lived
-        running += job_demand.running
-        waiting += job_demand.waiting
-        late_running += job_demand.late_running
-    rate, previous = _arrival_rates(arrivals, now)
-    return PoolDemand(
-        long_lived=long_lived,
-        running=running,
-        rate=rate,
-        waiting=waiting,
-        late_running=late_running,
-        rate_growth=max(0.0, rate - previous) / _RATE_WINDOW_SECONDS,
-    )
-
-
-def _arrival_rates(
-    arrivals: collections.abc.Iterable[Arrival], now: float
-) -> tuple[float, float]:
-    """Return the arrival rates of the last window and the one before."""
-    recent = previous = 0.0
-    for each in arrivals:
-        age = now - each.at
-        if age < _RATE_WINDOW_SECONDS:
-            recent += each.work
-        elif age < 2 * _RATE_WINDOW_SECONDS:
-            previous += each.work
-    return recent / _RATE_WINDOW_SECONDS, previous / _RATE_WINDOW_SECONDS
-
-
-def _job_demand(
-    job: _progress.Job, now: float, estimator: _estimates.Estimator
-) -> PoolDemand:
-    """Return the demand of one job, without an arrival rate."""
-    within_objective = _is_within_objective(job, now, estimator)
-    long_lived = running = waiting = 0.0
-    by_step: dict[int, collections.Counter[_progress.TaskPhase]] = {}
-    for task in job.tasks:
-        by_step.setdefault(task.step.index, collections.Counter())[
-            task.phase
-        ] += 1
-    for step in job.spec.steps:
-        phases = by_step.get(step.index, collections.Counter())
-        active = sum(phases[phase] for phase in _progress.ACTIVE_PHASES)
-        cores = step.reserved.cores
-        if step.long_lived:
-            count = active if job.final else sum(phases.values())
-            long_lived += cores * count
-            continue
-        running += cores * active
-        if within_objective:
-            seconds = estimator.task_seconds(job.spec.queue, step)
-            count = phases[_progress.TaskPhase.WAITING]
-            waiting += cores * seconds * count
-    return PoolDemand(
-        long_lived=long_lived,
-        running=running,
-        rate=0.0,
-        waiting=waiting,
-        late_running=0.0 if within_objective else running,
-    )
-
-
-def _is_within_objective(
-    job: _progress.Job, now: float, estimator: _estimates.Estimator
-) -> bool:
-    if job.final:
-        return False
-    objective = _estimates.objective_seconds(job, estimator)
-    return now - job.arrived_at < objective
-
-
-def wanted_vms(pool: PoolSupply) -> int:
-    """Return how many VMs a pool needs for its present demand.
-
-    A standby pool needs none.
-    """
-    return _vms_for(pool, pool.demand.cores)
-
-
-def _vms_for(pool: PoolSupply, cores: float) -> int:
-    if pool.standby:
-        return 0
-    vms = cores / _PACKING_EFFICIENCY / max(pool.vm_cores, 1.0)
-    return max(_MIN_POOL_VMS, math.ceil(vms))
-
-
 LendingPolicy = collections.abc.Callable[
-    [collections.abc.Sequence[PoolSupply]], list[Move]
+    [collections.abc.Sequence[_demand.PoolSupply]], list[Move]
 ]
 _policies: dict[str, LendingPolicy] = {}
 
@@ -236,20 +47,24 @@
 
 
 def plan_moves(
-    policy: str, pools: collections.abc.Sequence[PoolSupply]
+    policy: str, pools: collections.abc.Sequence[_demand.PoolSupply]
 ) -> list[Move]:
     """Return the moves that a policy chooses."""
     return _policies[policy](pools)
 
 
 @lending_policy("none")
-def _no_moves(pools: collections.abc.Sequence[PoolSupply]) -> list[Move]:
+def _no_moves(
+    pools: collections.abc.Sequence[_demand.PoolSupply],
+) -> list[Move]:
     """Baseline: move no VM."""
     return []
 
 
 @lending_policy("threshold")
-def _threshold(pools: collections.abc.Sequence[PoolSupply]) -> list[Move]:
+def _threshold(
+    pools: collections.abc.Sequence[_demand.PoolSupply],
+) -> list[Move]:
     """Baseline: move idle VMs to full pools.
 
     They come from standby pools and from pools of low utilization. The
@@ -269,7 +84,7 @@
         if pool.standby
         or (
             utilization[pool.name] < _LOW_UTILIZATION
-            and pool.size > _MIN_POOL_VMS
+            and pool.size > _demand.MIN_POOL_VMS
         )
     }
     moves: list[Move] = []
@@ -282,7 +97,7 @@
     return moves
 
 
-def _utilization(pool: PoolSupply) -> float:
+def _utilization(pool: _demand.PoolSupply) -> float:
     cores = pool.size * pool.vm_cores
     if not cores:
         # A pool without cores counts as full.
@@ -291,18 +106,20 @@
 
 
 @lending_policy("reactive")
-def _reactive(pools: collections.abc.Sequence[PoolSupply]) -> list[Move]:
+def _reactive(
+    pools: collections.abc.Sequence[_demand.PoolSupply],
+) -> list[Move]:
     """Baseline: move idle VMs to the pools that have too few."""
     return _plan_transfers(
         pools,
-        {each.name: wanted_vms(each) for each in pools},
+        {each.name: _demand.wanted_vms(each) for each in pools},
         {each.name: each.idle for each in pools},
     )
 
 
 @lending_policy("clearing")
 def _clearing(
-    pools: collections.abc.Sequence[PoolSupply],
+    pools: collections.abc.Sequence[_demand.PoolSupply],
 ) -> list[Move]:
     """Move VMs, including busy ones, for the demand without late jobs.
 
@@ -315,7 +132,9 @@
     return _plan_transfers(
         pools,
         {
-            each.name: _vms_for(each, each.demand.cores_without_late_jobs)
+            each.name: _demand.vms_for(
+                each, each.demand.cores_without_late_jobs
+            )
             for each in pools
         },
         {each.name: each.idle + each.busy for each in pools},
@@ -324,7 +143,7 @@
 
 @lending_policy("rising")
 def _rising(
-    pools: collections.abc.Sequence[PoolSupply],
+    pools: collections.abc.Sequence[_demand.PoolSupply],
 ) -> list[Move]:
     """Move VMs as "clearing" does, but for the forecast demand.
 
@@ -333,16 +152,13 @@
     """
     return _plan_transfers(
         pools,
-        {
-            each.name: _vms_for(each, each.demand.cores_forecast)
-            for each in pools
-        },
+        {each.name: _demand.forecast_vms(each) for each in pools},
         {each.name: each.idle + each.busy for each in pools},
     )
 
 
 def _plan_transfers(
-    pools: collections.abc.Sequence[PoolSupply],
+    pools: collections.abc.Sequence[_demand.PoolSupply],
     wanted: dict[str, int],
     movable: dict[str, tuple[str, ...]],
 ) -> list[Move]:
@@ -373,13 +189,13 @@
 
 
 def _choose_source(
-    pools: collections.abc.Sequence[PoolSupply],
+    pools: collections.abc.Sequence[_demand.PoolSupply],
     wanted: dict[str, int],
     size: dict[str, int],
     movable_left: dict[str, list[str]],
-    target: PoolSupply,
-) -> PoolSupply | None:
-    best: PoolSupply | None = None
+    target: _demand.PoolSupply,
+) -> _demand.PoolSupply | None:
+    best: _demand.PoolSupply | None = None
     for pool in pools:
         if pool is target or not movable_left[pool.name]:
             continue
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -421,7 +421,7 @@
     Mutant(
         promise="lending: tasks of late jobs don't keep VMs from being lent",
         package="peridotsill_scheduler",
-        module="_lending.py",
+        module="_demand.py",
         old="late_running=0.0 if within_objective else running,",
         new="late_running=0.0,",
         feature="scheduler",
