Return idle VMs to standby that no pool needed lately

Change: lending policy "returning", the new default, which moves VMs as "rising" does and returns idle ones beyond the most VMs that all pools needed together in the last 1.5 s.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_settings.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_settings.py
@@ -72,7 +72,7 @@
     advisor: str = ""
     threads: int = peridotsill.bounded(minimum=2, maximum=500, default=24)
     order_policy: str = "payoff_density"
-    lending_policy: str = "rising"
+    lending_policy: str = "returning"
     resources: HostResources = HostResources()
     bounds: Bounds = Bounds()
 
