Take the lease over from a holder that is known to be gone

Cause: a takeover waited for the lease to expire (1.6 s, and the polls) whatever had happened to the holder; nothing starts meanwhile. Change: the lease's row names the holder's address on the siblings' port; a node that finds the row unchanged for 0.6 s asks there. It takes over at once if the connection is refused (the process is gone), if the process was started again, or if the holder has failed to renew twice and so gives the lease up, with the waits of its silent runners as at a release. A holder that renews says so. A silent, frozen or cut-off holder is waited for as before, and asked once for a row. Without the setting "siblings" nothing is asked.

--- a/packages/peridotsill/src/peridotsill/_json_http.py
+++ b/packages/peridotsill/src/peridotsill/_json_http.py
@@ -89,6 +89,7 @@
             raise exceptions.PeerUnavailable(
                 f"{self._base}{path}: {type(error).__name__}",
                 sent=not isinstance(error, _NOT_SENT_ERRORS),
+                refused=isinstance(error.__cause__, ConnectionRefusedError),
             ) from error
         return decode_response(response.status, response.data)
 
--- a/packages/peridotsill/src/peridotsill/exceptions.py
+++ b/packages/peridotsill/src/peridotsill/exceptions.py
@@ -28,12 +28,17 @@
 class PeerUnavailable(PeridotsillError):
     """A JSON call to a peer got no usable response.
 
-    ``sent`` is False only if the peer can't have received the request.
+    ``sent`` is False only if the peer can't have received the request, and
+    ``refused`` tells that the peer's host refused the connection: no process
+    listens at its address.
     """
 
-    def __init__(self, message: str, *, sent: bool = True) -> None:
+    def __init__(
+        self, message: str, *, sent: bool = True, refused: bool = False
+    ) -> None:
         super().__init__(message)
         self.sent = sent
+        self.refused = refused
 
 
 class PeerRefused(PeridotsillError):
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_controller.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_controller.py
@@ -133,10 +133,12 @@
     def _make_fleet(self) -> _fleet.Fleet:
         parts = self._parts
         # The hand-over time has to pass between the VM commands of the last
-        # holder and ours, so that they don't alternate. The wait for its
-        # lease to expire counts towards that time.
+        # holder and ours, so that they don't alternate. The time for which
+        # that holder had been silent at the takeover counts towards it.
         handover_seconds = parts.settings.current.bounds.handover_ms / 1000.0
-        remaining_seconds = max(0.0, handover_seconds - _lease.LEASE_SECONDS)
+        remaining_seconds = max(
+            0.0, handover_seconds - parts.lease.seconds_since_last_holder
+        )
         command_delay = remaining_seconds if parts.lease.epoch > 1 else 0.0
         return _fleet.Fleet(
             parts=_fleet.FleetParts(
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_lease.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_lease.py
@@ -13,6 +13,7 @@
 from returns import result
 
 from peridotsill_jobs import _clock
+from peridotsill_jobs import _holder_check
 from peridotsill_jobs import _logs
 from peridotsill_jobs import _records
 import peridotsill_platform
@@ -51,6 +52,12 @@
 # After an outage the holder has this long to renew before others take over:
 # the longest renewal that may be in progress, and the pause before the next.
 _OUTAGE_GRACE_SECONDS = RENEWAL_TIMEOUT_SECONDS + _RETRY_DELAY_SECONDS
+# The holder is asked whether it still holds the lease once the row has not
+# changed for this long: a renewal was due, and its commit takes some time.
+_ASK_HOLDER_SECONDS = 0.6
+# A holder that is asked gives the lease up after this many failed renewals
+# in a row; a single one may be a lost answer.
+_GIVE_UP_FAILED_RENEWALS = 2
 # Highest capability that is assumed before the first lease, in cores. 350
 # runners kept 0.65 of a core busy (docs/CAPACITY.md).
 _DEFAULT_CAPABILITY_CORES = 1.0
@@ -59,6 +66,10 @@
 # For each runner that does not answer, the seconds until the last lease that
 # it was granted for a run expires.
 LeaseExpiryWaits = collections.abc.Mapping[str, float]
+# Asks the node at an address whether it holds the lease under an epoch.
+AskHolder = collections.abc.Callable[
+    [str, int], _holder_check.HolderState | None
+]
 
 
 @attrs.frozen(kw_only=True)
@@ -75,6 +86,7 @@
     unchanged_since: float
     max_capability: float = 0.0
     waits: LeaseExpiryWaits | None = None
+    address: str = ""
 
 
 class Lease:
@@ -93,10 +105,16 @@
     row, so that the next holder does not wait the full time again for a
     runner that is gone.
 
+    A node that finds the row unchanged asks the holder at its address. If
+    the holder's process is gone, or if the holder can't renew and gives the
+    lease up, the node takes over without waiting for the expiry.
+
     Args:
         node: This node's name.
         table: The table with the lease's row.
         capability: The scheduling capacity of this node, in cores.
+        address: Where other nodes can ask this one; empty if nowhere.
+        ask_holder: Asks another node.
     """
 
     def __init__(
@@ -105,10 +123,18 @@
         node: str,
         table: peridotsill_platform.Table,
         capability: float = _DEFAULT_CAPABILITY_CORES,
+        address: str = "",
+        ask_holder: AskHolder = _holder_check.ask_holder,
     ) -> None:
         self._node = node
         self._table = table
         self._capability = capability
+        self._address = address
+        self._ask_holder = ask_holder
+        # Version of the row whose holder gave no answer.
+        self._silent_version = -1
+        self._failed_renewals = 0
+        self._unchanged_seconds_at_takeover = 0.0
         self._last_row: _ObservedRow | None = None
         self._max_capability = capability
         self._failed_reads = 0
@@ -133,6 +159,15 @@
         """
         return self._inherited_waits
 
+    @property
+    def seconds_since_last_holder(self) -> float:
+        """Seconds for which the last holder had been silent at the takeover.
+
+        That is the lease's duration, unless the holder was known to be gone
+        before.
+        """
+        return self._unchanged_seconds_at_takeover
+
     def set_waits_source(
         self, compute_waits: collections.abc.Callable[[], LeaseExpiryWaits]
     ) -> None:
@@ -185,13 +220,63 @@
         if row is None:
             self._failed_reads += 1
             return False
-        if self._unchanged_seconds(row) < self._takeover_delay_seconds(row):
-            return False
+        unchanged_seconds = self._unchanged_seconds(row)
+        waits = row.waits
+        self._unchanged_seconds_at_takeover = LEASE_SECONDS
+        if unchanged_seconds < self._takeover_delay_seconds(row):
+            state = self._holder_state(row, unchanged_seconds)
+            if state is None or state.holds:
+                return False
+            waits = state.waits
+            self._unchanged_seconds_at_takeover = unchanged_seconds
+            _logs.log(
+                "lease:holder_gone",
+                holder=row.holder,
+                epoch=row.epoch,
+                gave_up=waits is not None,
+                unchanged_seconds=round(unchanged_seconds, 2),
+            )
         self._max_capability = max(row.max_capability, self._capability)
-        self._inherited_waits = row.waits
+        self._inherited_waits = waits
         self._compute_waits = None
         return self._commit_as_holder(row.version, row.epoch + 1)
 
+    def _holder_state(
+        self, row: _ObservedRow, unchanged_seconds: float
+    ) -> _holder_check.HolderState | None:
+        """Ask the row's holder for its state, once a renewal is overdue.
+
+        A holder that did not answer is not asked again for the same row.
+        """
+        delay = self._less_capable_delay_seconds(row) + _ASK_HOLDER_SECONDS
+        if not row.holder or not row.address or unchanged_seconds < delay:
+            return None
+        if row.version == self._silent_version:
+            return None
+        state = self._ask_holder(row.address, row.epoch)
+        if state is None:
+            self._silent_version = row.version
+        return state
+
+    def answer_peer(self, epoch: int) -> _holder_check.HolderState:
+        """Tell another node whether this one holds the lease under an epoch.
+
+        The other node can read the lease's row and finds it unchanged. So if
+        this one can't renew the lease, it gives it up.
+        """
+        with self._lock:
+            if self.lost or epoch != self._epoch:
+                return _holder_check.HolderState(holds=False)
+            failed = self._failed_renewals
+        if failed < _GIVE_UP_FAILED_RENEWALS:
+            return _holder_check.HolderState(holds=True)
+        # From here on this node grants no more leases to runners.
+        self.mark_lost(f"given up after {failed} failed renewals")
+        waits = self._compute_waits() if self._compute_waits else None
+        return _holder_check.HolderState(
+            holds=False, waits=None if waits is None else dict(waits)
+        )
+
     def renew(self) -> bool:
         """Extend the lease; false if it could not be extended.
 
@@ -280,12 +365,13 @@
         """Return how long the row must be unchanged before a takeover."""
         # A row in this node's name was written by its previous process.
         held_by_other = row.holder not in ("", self._node)
+        expiry_delay = LEASE_SECONDS if held_by_other else 0.0
+        return expiry_delay + self._less_capable_delay_seconds(row)
+
+    def _less_capable_delay_seconds(self, row: _ObservedRow) -> float:
         max_capability = row.max_capability or _DEFAULT_CAPABILITY_CORES
         less_capable = self._capability < max_capability * _LESS_CAPABLE_RATIO
-        expiry_delay = LEASE_SECONDS if held_by_other else 0.0
-        return expiry_delay + (
-            _LESS_CAPABLE_DELAY_SECONDS if less_capable else 0.0
-        )
+        return _LESS_CAPABLE_DELAY_SECONDS if less_capable else 0.0
 
     def _read_row(self) -> _ObservedRow | None:
         match self._table.read((_records.LEASE_KEY,)):
@@ -306,6 +392,7 @@
                     unchanged_since=unchanged_since,
                     max_capability=float(value.get("strongest", 0.0)),
                     waits=_parse_waits(value),
+                    address=str(value.get("address", "")),
                 )
             case result.Failure(error):
                 _logs.log("lease:unreadable", reason=str(error))
@@ -320,6 +407,7 @@
             case result.Failure(peridotsill_platform.exceptions.Conflict()):
                 return self._resolve_conflict(epoch, requested_at)
             case result.Failure(error):
+                self._failed_renewals += 1
                 if self._first_unanswered_at is None:
                     self._first_unanswered_at = requested_at
                 _logs.log("lease:unwritten", epoch=epoch, reason=str(error))
@@ -360,6 +448,7 @@
             valid_until = requested_at + LEASE_SECONDS - _SAFETY_MARGIN_SECONDS
             self._valid_until = max(self._valid_until, valid_until)
             self._first_unanswered_at = None
+            self._failed_renewals = 0
 
     def _commit_row(
         self,
@@ -378,6 +467,7 @@
                 "epoch": epoch,
                 "strongest": self._max_capability,
                 "waits": None if waits is None else dict(waits),
+                "address": self._address,
             },
         )
         return self._table.commit(
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_node.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_node.py
@@ -10,6 +10,7 @@
 from peridotsill_jobs import _app
 from peridotsill_jobs import _catalog
 from peridotsill_jobs import _controller
+from peridotsill_jobs import _holder_check
 from peridotsill_jobs import _lease
 from peridotsill_jobs import _live_settings
 from peridotsill_jobs import _logs
@@ -24,8 +25,8 @@
 # Largest number of concurrent commits of submissions, each to a partition of
 # its own; four queues have sixteen partitions.
 _MAX_CONCURRENT_COMMITS = 16
-# Threads per readiness or metrics listener, which serve the load balancer's
-# checks and metrics scrapes.
+# Threads per listener for readiness, metrics or siblings, which serve the
+# load balancer's checks, metrics scrapes and questions about the lease.
 _INTERNAL_LISTENER_THREADS = 3
 # After SIGTERM the load balancer takes the node out of rotation once two
 # checks, a second apart, have failed; callers are served until then.
@@ -61,6 +62,7 @@
                 _lease.RENEWAL_TIMEOUT_SECONDS
             ),
             capability=settings.resources.capability,
+            address=settings.siblings,
         )
         app = _app.JobApp(
             catalog=self._catalog,
@@ -87,6 +89,14 @@
                 (settings.readiness, settings.metrics)
             )
         ]
+        if settings.siblings:
+            self._internal_listeners.append(
+                _make_listener(
+                    settings.siblings,
+                    _INTERNAL_LISTENER_THREADS,
+                    _holder_check.HolderApp(answer=self._lease.answer_peer),
+                )
+            )
 
     def why_unready(self) -> str:
         """Return why the node is not ready, or an empty string if it is."""
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_settings.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_settings.py
@@ -59,6 +59,8 @@
     ``platform`` names the adapter; ``table``, ``vm_service`` and
     ``advisor`` are base addresses; ``advisor`` may be empty. Nodes whose
     ``resources`` allow more scheduling are preferred as the scheduler.
+    ``siblings`` is the address at which other nodes ask this one whether it
+    still schedules; if it is empty, a lost scheduler's lease has to expire.
     """
 
     node: str
@@ -70,6 +72,7 @@
     table: str
     vm_service: str
     advisor: str = ""
+    siblings: str = ""
     threads: int = peridotsill.bounded(minimum=2, maximum=500, default=24)
     order_policy: str = "payoff_density"
     lending_policy: str = "returning"
--- a/tests/emulator/nodes.py
+++ b/tests/emulator/nodes.py
@@ -109,6 +109,7 @@
                     "callers": node.callers,
                     "readiness": node.readiness,
                     "metrics": node.readiness,
+                    "siblings": f"{host}:{port + 2}",
                     "platform": "gidgee",
                     "table": store,
                     "vm_service": store,
--- a/tests/features/lease.feature
+++ b/tests/features/lease.feature
@@ -35,6 +35,41 @@
     When the table is unavailable for 4 s, and a node of 2 cores polls it
     Then that node takes the lease 1.3 s after the table is available again
 
+  Scenario Outline: A holder that is asked <how> is replaced after <seconds> s
+    Given a lease that a node of 2 cores held and stopped renewing
+    When a node of 2 cores polls it and the holder <how>
+    Then that node takes the lease <seconds> s after the last renewal
+    And the time that was left counts for the hand-over
+
+    Examples:
+      | how                           | seconds |
+      | is no longer running          | 0.6     |
+      | has failed to renew twice     | 0.6     |
+      | was started again             | 0.6     |
+      | does not answer               | 1.6     |
+      | says that it holds the lease  | 1.6     |
+
+  Scenario: A less capable node leaves a holder that is gone to the others
+    Given a lease that a node of 2 cores held and stopped renewing
+    When a node of 0.2 cores polls it and the holder is no longer running
+    Then that node takes the lease 1.5 s after the last renewal
+
+  Scenario: A holder that gives its lease up orders nothing more
+    Given a lease that a node of 2 cores holds and renews
+    When two renewals fail
+    Then the holder keeps the lease until it is asked, and tells its waits
+    And it grants no lease from then on
+
+  Scenario: A holder is not given up for one renewal without an answer
+    Given a lease that a node of 2 cores holds and renews
+    When one renewal fails
+    Then the holder says that it holds the lease, and holds it
+
+  Scenario: A silent holder is asked once for a row
+    Given a lease that a node of 2 cores held and stopped renewing
+    When a node of 2 cores polls it and the holder does not answer
+    Then the holder was asked once
+
   Scenario: One lost answer does not put a takeover off
     Given a lease that a node of 2 cores held and stopped renewing
     When a node of 2 cores polls it and its third read fails
--- a/tests/features/steps/lease_steps.py
+++ b/tests/features/steps/lease_steps.py
@@ -9,7 +9,10 @@
 from emulator import stubs
 from returns import result
 
+from peridotsill_jobs import _grants
+from peridotsill_jobs import _holder_check
 from peridotsill_jobs import _lease
+from peridotsill_jobs import _ports
 from peridotsill_jobs import _settings
 import peridotsill_platform.exceptions
 
@@ -37,8 +40,14 @@
             context.add_cleanup(patcher.stop)
 
 
-def _make_lease(context, name, capability):
-    return _lease.Lease(node=name, table=context.store, capability=capability)
+def _make_lease(context, name, capability, ask_holder=None):
+    return _lease.Lease(
+        node=name,
+        table=context.store,
+        capability=capability,
+        address=f"{name}:1",
+        ask_holder=ask_holder or (lambda address, epoch: None),
+    )
 
 
 @given("a lease that no node has held")
@@ -209,3 +218,105 @@
         cores=cores, core_share=core_share, link_mbps=link_mbps
     )
     assert abs(resources.capability - capability) < 1e-6, resources
+
+
+def _fail_renewals(context, count):
+    with unittest.mock.patch.object(
+        context.store, "commit", return_value=_TABLE_UNAVAILABLE
+    ):
+        for _ in range(count):
+            assert not context.holder.renew()
+
+
+def _ask_restarted(epoch):
+    return _lease.Lease(node="last", table=stubs.MemoryTable()).answer_peer(
+        epoch
+    )
+
+
+_HOLDER_ANSWERS = {
+    "is no longer running": lambda context, epoch: _holder_check.HolderState(
+        holds=False
+    ),
+    "has failed to renew twice": lambda context, epoch: (
+        context.holder.answer_peer(epoch)
+    ),
+    "was started again": lambda context, epoch: _ask_restarted(epoch),
+    "does not answer": lambda context, epoch: None,
+    "says that it holds the lease": lambda context, epoch: (
+        context.holder.answer_peer(epoch)
+    ),
+}
+
+
+@when("a node of {cores:g} cores polls it and the holder {how}")
+def _poll_and_ask(context, cores, how):
+    if how == "has failed to renew twice":
+        _fail_renewals(context, 2)
+    context.questions = []
+
+    def ask(address, epoch):
+        context.questions.append((address, epoch))
+        return _HOLDER_ANSWERS[how](context, epoch)
+
+    began = context.clock.now
+    context.poller = _make_lease(context, "next", cores, ask)
+    while not context.poller.try_acquire():
+        context.clock.now += _POLL_SECONDS
+        assert context.clock.now < began + _MAX_POLLS * _POLL_SECONDS
+    context.taken_after = context.clock.now - began
+
+
+@then("that node takes the lease {seconds:g} s after the last renewal")
+def _taken_after(context, seconds):
+    # The node polls every 0.1 s, and the clock's sums are inexact.
+    delay = context.taken_after - seconds
+    assert -1e-6 < delay < _POLL_SECONDS + 1e-6, context.taken_after
+    asked = {("last:1", context.poller.epoch - 1)}
+    assert set(context.questions) == asked, context.questions
+
+
+@then("the time that was left counts for the hand-over")
+def _handover_time(context):
+    silent = context.poller.seconds_since_last_holder
+    assert silent <= context.taken_after + 1e-6, silent
+
+
+@when("two renewals fail")
+def _two_renewals_fail(context):
+    _fail_renewals(context, 2)
+
+
+@when("one renewal fails")
+def _one_renewal_fails(context):
+    _fail_renewals(context, 1)
+
+
+@then("the holder keeps the lease until it is asked, and tells its waits")
+def _gives_up_when_asked(context):
+    assert context.holder.held
+    context.holder.set_waits_source(lambda: {"r1": 2.5})
+    answer = context.holder.answer_peer(context.holder.epoch)
+    assert answer == _holder_check.HolderState(holds=False, waits={"r1": 2.5})
+    assert not context.holder.held
+
+
+@then("it grants no lease from then on")
+def _grants_nothing(context):
+    grants = _grants.Grants(lease=context.holder, max_lease_seconds=6.0)
+    grants.record_report(
+        _ports.RunnerReport(lifetime=1, clock_ms=5000.0, running=(), ended=())
+    )
+    assert grants.extend() is None
+
+
+@then("the holder says that it holds the lease, and holds it")
+def _still_holds(context):
+    answer = context.holder.answer_peer(context.holder.epoch)
+    assert answer == _holder_check.HolderState(holds=True)
+    assert context.holder.held
+
+
+@then("the holder was asked once")
+def _asked_once(context):
+    assert len(context.questions) == 1, context.questions
--- a/tests/features/steps/platform_steps.py
+++ b/tests/features/steps/platform_steps.py
@@ -19,6 +19,8 @@
 from emulator import store
 
 _POOL = "trails"
+# A lease that is not renewed expires after this time.
+_LEASE_SECONDS = 1.6
 # The platform kills a process this long after SIGTERM.
 _EXIT_SECONDS = 6
 _TWO_STEPS = [
@@ -179,6 +181,32 @@
     context.killed.kill()
 
 
+@when("the scheduler is frozen")
+def _freeze_scheduler(context):
+    context.epoch = context.cluster.world.read("control", "scheduler")["epoch"]
+    context.cluster.scheduler().send(signal.SIGSTOP)
+
+
+def _known_to_be_gone(context):
+    """Return the last holders that nodes found to be gone, by epoch."""
+    return {
+        line["epoch"]: line["unchanged_seconds"]
+        for line in context.cluster.events("lease:holder_gone")
+    }
+
+
+@then("the new scheduler did not wait for the lease to expire")
+def _took_over_early(context):
+    unchanged_seconds = _known_to_be_gone(context).get(context.epoch)
+    assert unchanged_seconds is not None, "the holder was not asked"
+    assert unchanged_seconds < _LEASE_SECONDS, unchanged_seconds
+
+
+@then("the new scheduler waited for the lease to expire")
+def _took_over_late(context):
+    assert context.epoch not in _known_to_be_gone(context)
+
+
 @when("another scheduler has taken over")
 def _other_scheduler(context):
     def begun():
--- a/tests/features/takeover.feature
+++ b/tests/features/takeover.feature
@@ -11,6 +11,24 @@
     Then job "a1" keeps the same runs for 4 s
     And no rule is broken
 
+  Scenario: A scheduler whose process is gone is replaced at once
+    When job "g1" of 2 long-lived tasks is submitted
+    And job "g1" runs
+    And the scheduler is killed
+    And another scheduler has taken over
+    Then job "g1" keeps the same runs for 4 s
+    And the new scheduler did not wait for the lease to expire
+    And no rule is broken
+
+  Scenario: A frozen scheduler's lease has to expire
+    When job "h1" of 2 long-lived tasks is submitted
+    And job "h1" runs
+    And the scheduler is frozen
+    And another scheduler has taken over
+    Then job "h1" keeps the same runs for 4 s
+    And the new scheduler waited for the lease to expire
+    And no rule is broken
+
   Scenario: What was cancelled before a takeover is stopped after it
     When job "b1" of 3 long-lived tasks is submitted
     And job "b1" runs
