--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_fleet.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_fleet.py
@@ -11,7 +11,6 @@
 from peridotsill_jobs import _clock
 from peridotsill_jobs import _commands
 from peridotsill_jobs import _feeds
-from peridotsill_jobs import _lender
 from peridotsill_jobs import _live_settings
 from peridotsill_jobs import _logs
 from peridotsill_jobs import _ports
@@ -36,6 +35,8 @@
 # A VM is cleared for lending only if its tasks are estimated to end within
 # this time, which is about as long as a move takes.
 _MAX_SECONDS_TO_IDLE = 1.5
+# Shortest time between two log lines on a shortage of VMs.
+_SHORTAGE_LOG_PERIOD_SECONDS = 1.0
 # Arrivals of jobs count towards a pool's demand for this long.
 _ARRIVAL_RETENTION_SECONDS = 60.0
 # How far the list of VMs may lag behind the answer to a move. The duration of
@@ -109,7 +110,7 @@
         ] = {}
         self._backoff_until: dict[str, float] = {}
         self._next_decision_at = 0.0
-        self._lender = _lender.Lender()
+        self._shortage_logged_at = float("-inf")
 
     @property
     def _maintenance_seconds(self) -> float:
@@ -235,7 +236,6 @@
             return
         self._next_decision_at = now + _DECISION_PERIOD_SECONDS
         supplies = self._pool_supplies(jobs, estimator, now)
-        self._lender.record_need(supplies, now)
         self._update_waves(now)
         if now < self._commands_allowed_at:
             return
@@ -474,8 +474,21 @@
             )
             for each in supplies
         ]
+        supply_by_pool = {each.name: each for each in supplies}
+        self._log_shortage(supplies, now)
         policy = self._parts.settings.current.lending_policy
-        for move in self._lender.plan(policy, supplies, now):
+        for move in peridotsill_scheduler.plan_moves(policy, supplies):
+            demand = supply_by_pool[move.target].demand
+            _logs.log(
+                "vm:lend",
+                vm=move.vm,
+                source=move.source,
+                target=move.target,
+                size=supply_by_pool[move.target].size,
+                need_cores=round(demand.cores, 1),
+                rate_cores=round(demand.rate, 1),
+                waiting_work=round(demand.waiting, 1),
+            )
             command = _commands.Command(
                 kind=_CommandKind.MOVE, vm=move.vm, pool=move.target
             )
@@ -485,6 +498,34 @@
     def _without_operations(self, vms: tuple[str, ...]) -> tuple[str, ...]:
         return tuple(vm for vm in vms if vm not in self._operations)
 
+    def _log_shortage(
+        self,
+        supplies: list[peridotsill_scheduler.PoolSupply],
+        now: float,
+    ) -> None:
+        """Log all pools if one lacks VMs, at most once a second."""
+        if now < self._shortage_logged_at + _SHORTAGE_LOG_PERIOD_SECONDS:
+            return
+        wanted = {
+            each.name: peridotsill_scheduler.wanted_vms(each)
+            for each in supplies
+        }
+        if all(wanted[each.name] <= each.size for each in supplies):
+            return
+        self._shortage_logged_at = now
+        _logs.log(
+            "vm:shortage",
+            pools={
+                each.name: {
+                    "wanted": wanted[each.name],
+                    "size": each.size,
+                    "idle": len(each.idle),
+                    "busy": len(each.busy),
+                }
+                for each in supplies
+            },
+        )
+
     # Waves.
 
     def _update_waves(self, now: float) -> None:
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_settings.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_settings.py
@@ -75,7 +75,7 @@
     siblings: str = ""
     threads: int = peridotsill.bounded(minimum=2, maximum=500, default=24)
     order_policy: str = "payoff_density"
-    lending_policy: str = "returning"
+    lending_policy: str = "rising"
     resources: HostResources = HostResources()
     bounds: Bounds = Bounds()
 
--- a/packages/peridotsill_scheduler/src/peridotsill_scheduler/__init__.py
+++ b/packages/peridotsill_scheduler/src/peridotsill_scheduler/__init__.py
@@ -14,13 +14,13 @@
 from peridotsill_scheduler._estimates import remaining_work
 from peridotsill_scheduler._lending import lending_policies
 from peridotsill_scheduler._lending import lending_policy
+from peridotsill_scheduler._lending import Move
 from peridotsill_scheduler._lending import plan_moves
 from peridotsill_scheduler._maintenance import MaintenancePhase
 from peridotsill_scheduler._maintenance import plan_maintenance
 from peridotsill_scheduler._maintenance import WaveVm
 from peridotsill_scheduler._model import AdviceTiming
 from peridotsill_scheduler._model import JobSpec
-from peridotsill_scheduler._model import Move
 from peridotsill_scheduler._model import PoolSettings
 from peridotsill_scheduler._model import Queue
 from peridotsill_scheduler._model import Resources
@@ -47,8 +47,6 @@
 from peridotsill_scheduler._progress import Task
 from peridotsill_scheduler._progress import TaskPhase
 from peridotsill_scheduler._progress import tasks_of
-from peridotsill_scheduler._returns import RecentNeed
-from peridotsill_scheduler._returns import total_need
 from peridotsill_scheduler._round import plan_starts
 from peridotsill_scheduler._vms import VmView
 
@@ -71,7 +69,6 @@
     "PoolSettings",
     "PoolSupply",
     "Queue",
-    "RecentNeed",
     "Resources",
     "Start",
     "Step",
@@ -102,6 +99,5 @@
     "remaining_run_seconds",
     "remaining_work",
     "tasks_of",
-    "total_need",
     "wanted_vms",
 ]
--- a/packages/peridotsill_scheduler/src/peridotsill_scheduler/_lending.py
+++ b/packages/peridotsill_scheduler/src/peridotsill_scheduler/_lending.py
@@ -2,9 +2,9 @@
 
 import collections.abc
 
+import attrs
+
 from peridotsill_scheduler import _demand
-from peridotsill_scheduler import _model
-from peridotsill_scheduler import _returns
 
 # The threshold policy lends to pools above the first utilization, from pools
 # below the second. These are the usual values of such policies.
@@ -13,9 +13,18 @@
 # Surplus VMs that a pool keeps when it lends.
 _LENDER_RESERVE_VMS = 1
 
-# Takes the pools and the highest recent need of all pools together.
+
+@attrs.frozen(kw_only=True)
+class Move:
+    """A decision to move a VM to another pool."""
+
+    vm: str
+    source: str
+    target: str
+
+
 LendingPolicy = collections.abc.Callable[
-    [collections.abc.Sequence[_demand.PoolSupply], int], list[_model.Move]
+    [collections.abc.Sequence[_demand.PoolSupply]], list[Move]
 ]
 _policies: dict[str, LendingPolicy] = {}
 
@@ -38,33 +47,24 @@
 
 
 def plan_moves(
-    policy: str,
-    pools: collections.abc.Sequence[_demand.PoolSupply],
-    *,
-    recent_need: int = 0,
-) -> list[_model.Move]:
-    """Return the moves that a policy chooses.
-
-    Args:
-        policy: Name of the lending policy.
-        pools: All pools.
-        recent_need: The most VMs that all pools needed together lately.
-    """
-    return _policies[policy](pools, recent_need)
+    policy: str, pools: collections.abc.Sequence[_demand.PoolSupply]
+) -> list[Move]:
+    """Return the moves that a policy chooses."""
+    return _policies[policy](pools)
 
 
 @lending_policy("none")
 def _no_moves(
-    pools: collections.abc.Sequence[_demand.PoolSupply], recent_need: int
-) -> list[_model.Move]:
+    pools: collections.abc.Sequence[_demand.PoolSupply],
+) -> list[Move]:
     """Baseline: move no VM."""
     return []
 
 
 @lending_policy("threshold")
 def _threshold(
-    pools: collections.abc.Sequence[_demand.PoolSupply], recent_need: int
-) -> list[_model.Move]:
+    pools: collections.abc.Sequence[_demand.PoolSupply],
+) -> list[Move]:
     """Baseline: move idle VMs to full pools.
 
     They come from standby pools and from pools of low utilization. The
@@ -87,13 +87,13 @@
             and pool.size > _demand.MIN_POOL_VMS
         )
     }
-    moves: list[_model.Move] = []
+    moves: list[Move] = []
     for target in full:
         source = next((name for name, vms in idle.items() if vms), None)
         if source is None:
             return moves
         vm = idle[source].pop()
-        moves.append(_model.Move(vm=vm, source=source, target=target.name))
+        moves.append(Move(vm=vm, source=source, target=target.name))
     return moves
 
 
@@ -107,8 +107,8 @@
 
 @lending_policy("reactive")
 def _reactive(
-    pools: collections.abc.Sequence[_demand.PoolSupply], recent_need: int
-) -> list[_model.Move]:
+    pools: collections.abc.Sequence[_demand.PoolSupply],
+) -> list[Move]:
     """Baseline: move idle VMs to the pools that have too few."""
     return _plan_transfers(
         pools,
@@ -119,8 +119,8 @@
 
 @lending_policy("clearing")
 def _clearing(
-    pools: collections.abc.Sequence[_demand.PoolSupply], recent_need: int
-) -> list[_model.Move]:
+    pools: collections.abc.Sequence[_demand.PoolSupply],
+) -> list[Move]:
     """Move VMs, including busy ones, for the demand without late jobs.
 
     After a peak that exceeded the capacity, a pool's VMs are full with
@@ -143,8 +143,8 @@
 
 @lending_policy("rising")
 def _rising(
-    pools: collections.abc.Sequence[_demand.PoolSupply], recent_need: int
-) -> list[_model.Move]:
+    pools: collections.abc.Sequence[_demand.PoolSupply],
+) -> list[Move]:
     """Move VMs as "clearing" does, but for the forecast demand.
 
     A peak rises for some seconds, so a VM that is requested for the
@@ -157,20 +157,11 @@
     )
 
 
-@lending_policy("returning")
-def _returning(
-    pools: collections.abc.Sequence[_demand.PoolSupply], recent_need: int
-) -> list[_model.Move]:
-    """Move VMs as "rising" does, and idle ones back to standby."""
-    moves = _rising(pools, recent_need)
-    return moves + _returns.plan_returns(pools, moves, recent_need)
-
-
 def _plan_transfers(
     pools: collections.abc.Sequence[_demand.PoolSupply],
     wanted: dict[str, int],
     movable: dict[str, tuple[str, ...]],
-) -> list[_model.Move]:
+) -> list[Move]:
     """Choose moves to the pools that have fewer VMs than ``wanted``.
 
     The pool with the largest deficit is served first. VMs are taken from
@@ -179,7 +170,7 @@
     """
     size = {pool.name: pool.size for pool in pools}
     movable_left = {name: list(vms) for name, vms in movable.items()}
-    moves: list[_model.Move] = []
+    moves: list[Move] = []
     while True:
         target = max(
             (pool for pool in pools if not pool.standby),
@@ -194,9 +185,7 @@
         vm = movable_left[source.name].pop(0)
         size[source.name] -= 1
         size[target.name] += 1
-        moves.append(
-            _model.Move(vm=vm, source=source.name, target=target.name)
-        )
+        moves.append(Move(vm=vm, source=source.name, target=target.name))
 
 
 def _choose_source(
--- a/packages/peridotsill_scheduler/src/peridotsill_scheduler/_model.py
+++ b/packages/peridotsill_scheduler/src/peridotsill_scheduler/_model.py
@@ -139,12 +139,3 @@
     name: str
     standby: bool = False
     admission_check: bool = False
-
-
-@attrs.frozen(kw_only=True)
-class Move:
-    """A decision to move a VM to another pool."""
-
-    vm: str
-    source: str
-    target: str
