--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -431,10 +431,10 @@
         promise="lease: a silent holder's lease has to expire",
         package="peridotsill_jobs",
         module="_lease.py",
-        old="            if state is None or state.holds:",
-        new="            if state is not None and state.holds:",
+        old="            self._silent_version = row.version\n",
+        new="            return _holder_check.HolderState(holds=False)\n",
         feature="lease",
-        scenario="A silent holder is asked once for a row",
+        scenario="A holder that is asked does not answer",
     ),
     Mutant(
         promise="waves: a VM is used again when its operation ends",
