Decode a task's step in one place of the stand-in, and flatten the gap search

Read again: World decoded a task's name in three places, now in step_of; the search for gaps nested four deep; the answers of holders in the lease steps were lambdas, two of them the same.

--- a/tests/benches/losses.py
+++ b/tests/benches/losses.py
@@ -124,7 +124,7 @@
     gaps = []
     waiting = set()
     seen = set()
-    last_start = None
+    last_start = float("inf")
     causes = []
     for event in events:
         job = event.fields.get("job")
@@ -133,21 +133,20 @@
             seen.add(job)
         elif event.kind in _CAUSES:
             causes.append(f"{event.at:.1f} {event.node} {event.kind}")
-        elif event.kind == "task:start":
-            if last_start is not None:
-                length = event.at - last_start
-                if length >= _GAP_SECONDS and waiting:
-                    gaps.append(
-                        Gap(
-                            began=last_start,
-                            ended=event.at,
-                            waiting=len(waiting),
-                            causes=tuple(causes),
-                        )
-                    )
-            last_start = event.at
-            causes = []
-            waiting.discard(job)
+        if event.kind != "task:start":
+            continue
+        if event.at - last_start >= _GAP_SECONDS and waiting:
+            gaps.append(
+                Gap(
+                    began=last_start,
+                    ended=event.at,
+                    waiting=len(waiting),
+                    causes=tuple(causes),
+                )
+            )
+        last_start = event.at
+        causes = []
+        waiting.discard(job)
     return gaps
 
 
--- a/tests/emulator/rules.py
+++ b/tests/emulator/rules.py
@@ -121,8 +121,7 @@
     violations = []
     by_task = collections.defaultdict(list)
     for each in intervals:
-        job, _, step, _ = each.task.split(".")
-        if not world.steps_of(job)[int(step)].get("speculative"):
+        if not world.step_of(each.task).get("speculative"):
             by_task[each.task].append(each)
     for task, runs in by_task.items():
         for i, earlier_run in enumerate(runs):
--- a/tests/emulator/world.py
+++ b/tests/emulator/world.py
@@ -285,13 +285,17 @@
         """Return the steps of a job as they were submitted."""
         return self.jobs[job_id]["steps"]
 
+    def step_of(self, task):
+        """Return the step of a task as it was submitted."""
+        job, _, step, _ = task.split(".")
+        return self.steps_of(job)[int(step)]
+
     def _task_spec(self, task):
         return json.loads(self.jobs[task.split(".")[0]]["spec"])
 
     def task_seconds(self, task):
         """Return how long a task takes; infinite for a long-lived one."""
-        job, _, step, _ = task.split(".")
-        if self.steps_of(job)[int(step)].get("long_lived"):
+        if self.step_of(task).get("long_lived"):
             return float("inf")
         return self._task_spec(task).get("seconds", 0.1)
 
@@ -301,5 +305,4 @@
 
     def cpu_of(self, task):
         """Return a task's demand in thousandths of a core."""
-        job, _, step, _ = task.split(".")
-        return self.steps_of(job)[int(step)].get("cpu", 0)
+        return self.step_of(task).get("cpu", 0)
--- a/tests/features/steps/lease_steps.py
+++ b/tests/features/steps/lease_steps.py
@@ -228,24 +228,29 @@
             assert not context.holder.renew()
 
 
-def _ask_restarted(epoch):
-    return _lease.Lease(node="last", table=stubs.MemoryTable()).answer_peer(
-        epoch
-    )
+def _answer_without_process(context, epoch):
+    return _holder_check.HolderState(holds=False)
+
+
+def _answer_after_restart(context, epoch):
+    restarted = _make_lease(context, "last", 2.0)
+    return restarted.answer_peer(epoch)
+
+
+def _answer_of_holder(context, epoch):
+    return context.holder.answer_peer(epoch)
+
+
+def _no_answer(context, epoch):
+    return None
 
 
 _HOLDER_ANSWERS = {
-    "is no longer running": lambda context, epoch: _holder_check.HolderState(
-        holds=False
-    ),
-    "has failed to renew twice": lambda context, epoch: (
-        context.holder.answer_peer(epoch)
-    ),
-    "was started again": lambda context, epoch: _ask_restarted(epoch),
-    "does not answer": lambda context, epoch: None,
-    "says that it holds the lease": lambda context, epoch: (
-        context.holder.answer_peer(epoch)
-    ),
+    "is no longer running": _answer_without_process,
+    "has failed to renew twice": _answer_of_holder,
+    "was started again": _answer_after_restart,
+    "does not answer": _no_answer,
+    "says that it holds the lease": _answer_of_holder,
 }
 
 
