--- a/packages/peridotsill_scheduler/src/peridotsill_scheduler/_demand.py
+++ b/packages/peridotsill_scheduler/src/peridotsill_scheduler/_demand.py
@@ -79,9 +79,7 @@
 
     @property
     def _unstarted_work_cores(self) -> float:
-        # Most of the waiting work arrived within the rate's window, so that
-        # the sum of both would count it twice.
-        return max(self.rate, self.waiting / _BACKLOG_START_SECONDS)
+        return self.rate + self.waiting / _BACKLOG_START_SECONDS
 
 
 @attrs.frozen(kw_only=True)
