Show runs that go on behind an address that refuses connections

On the stand-in a runner's address can now refuse connections for a while, as behind a cut that refuses, while its runs go on.

--- a/tests/emulator/wire.py
+++ b/tests/emulator/wire.py
@@ -142,7 +142,7 @@
     """Serves one runner at its own address.
 
     Once it is closed the address refuses connections, as that of a process
-    that has ended does.
+    that has ended does, or that of one behind a firewall.
     """
 
     def __init__(self, *, address, app):
--- a/tests/emulator/world.py
+++ b/tests/emulator/world.py
@@ -147,6 +147,16 @@
                 restart_after_seconds, self._start_runner, (runner.vm,)
             ).start()
 
+    def refuse_connections(self, runner, seconds):
+        """Let a runner's address refuse connections, while its runs go on."""
+        runner.listener.close()
+        threading.Timer(seconds, self._accept_connections, (runner,)).start()
+
+    def _accept_connections(self, runner):
+        with self.lock:
+            if runner.up and not self._stopped.is_set():
+                runner.listener = self.listen(self.address_of(runner))
+
     def crash_under_task(self, runner):
         """Crash a runner under a deadly task; it is back later."""
         with self.lock:
