Take a refused connection for no proof that a runner's runs have ended

The scheduler took the refusal for the end of the process, requeued what it ran at once and started it elsewhere.

A refusal is now a reason to start nothing more there: no lease is granted until the next report, queued starts are not sent, and speculative tasks are copied. What the runner ran stays placed until something proves its end: another lifetime that answers, leases that have run out, or the VM service, which lists the VM as down, moving, in maintenance or with another runner. The list is asked for at the first refusal, so that a crash is known about as soon as before. A VM in a state that this version does not know is no longer taken for down. A refused start says nothing of an attempt that was sent before it.

Two examples in calls.feature stated the belief itself, that a refused connection shows a process gone; they now state that it does not, and since when calls count as failing, which dates a crash as before.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_controller.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_controller.py
@@ -55,6 +55,7 @@
     | _feeds.VmListSnapshot
     | _link_events.ReportReceived
     | _link_events.OrderOutcome
+    | _link_events.RunnerRefuses
     | _link_events.RunnerFoundGone
     | _commands.CommandOutcome
     | _advice.AdviceResult
@@ -115,6 +116,7 @@
             fleet=self._fleet,
             suspects=self._suspects,
             requeue_lost=self._runs.requeue_lost,
+            request_vm_list=self._feeds.request_vm_list,
             counters=parts.counters,
         )
         self._advice: _advice.AdviceRequester | None = None
@@ -245,7 +247,7 @@
                 self._apply_registry(event)
             case _feeds.VmListSnapshot():
                 self._fleet.apply_vm_list(event)
-                self._gone_runners.handle_replaced()
+                self._gone_runners.handle_vm_list()
             case _commands.CommandOutcome():
                 self._fleet.handle_outcome(event)
             case _advice.AdviceResult():
@@ -255,6 +257,8 @@
                 self._apply_report(event)
             case _link_events.OrderOutcome():
                 self._runs.apply_order_outcome(event)
+            case _link_events.RunnerRefuses():
+                self._gone_runners.handle_refusal(event)
             case _link_events.RunnerFoundGone():
                 self._gone_runners.handle(event)
 
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_feeds.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_feeds.py
@@ -26,6 +26,8 @@
 # Period of reading the list of VMs. A VM is absent for at least 1.5 seconds,
 # so every absence is seen.
 _VM_POLL_SECONDS = 0.7
+# Shortest time between two reads of it.
+_MIN_VM_POLL_SECONDS = 0.1
 
 
 @attrs.frozen(kw_only=True)
@@ -70,6 +72,7 @@
         self._ports = ports
         self._post = post
         self._stopped = threading.Event()
+        self._vm_list_requested = threading.Event()
         self._latest_registry: RegistrySnapshot | None = None
 
     @property
@@ -88,9 +91,14 @@
         for poll_loop in (self._poll_registry, self._poll_vms):
             threading.Thread(target=poll_loop, daemon=True).start()
 
+    def request_vm_list(self) -> None:
+        """Read the list of VMs soon, rather than after the usual period."""
+        self._vm_list_requested.set()
+
     def stop(self) -> None:
         """Stop the threads after their current calls."""
         self._stopped.set()
+        self._vm_list_requested.set()
 
     def _follow_jobs(self, revision: int) -> None:
         _following.follow(
@@ -130,6 +138,7 @@
 
     def _poll_vms(self) -> None:
         while not self._stopped.is_set():
+            self._vm_list_requested.clear()
             requested_at = _clock.monotonic_seconds()
             try:
                 vms = self._ports.vms.list_vms()
@@ -137,7 +146,10 @@
                 _logs.log("vms:list_failed", reason=str(error))
             else:
                 self._post(VmListSnapshot(vms=vms, requested_at=requested_at))
-            self._stopped.wait(_VM_POLL_SECONDS)
+            self._stopped.wait(_MIN_VM_POLL_SECONDS)
+            self._vm_list_requested.wait(
+                _VM_POLL_SECONDS - _MIN_VM_POLL_SECONDS
+            )
 
 
 def _log_watch_failure(error: Exception) -> None:
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_fleet.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_fleet.py
@@ -50,6 +50,7 @@
     _commands.CommandResult.UNSURE,
 )
 _STATES_OF_TAKEN_VMS = (_ports.VmState.MOVING, _ports.VmState.MAINTENANCE)
+_STATES_WITHOUT_RUNNER = (*_STATES_OF_TAKEN_VMS, _ports.VmState.DOWN)
 
 
 class _OperationPhase(peridotsill.TextEnum):
@@ -230,12 +231,29 @@
             worker.fleet_closed_reason = ""
             worker.link.set_paused(False)
 
-    def runner_on(self, vm: str) -> str:
-        """Return the runner of a VM that is up; empty if there is none."""
+    def why_ended(self, vm: str, runner: str, known_since: float) -> str:
+        """Return how the list of VMs shows that a runner has ended.
+
+        A VM has one runner at a time, and none while it is away. Empty if
+        the list shows nothing of the kind, which proves nothing.
+
+        Args:
+            vm: The VM on which an earlier list has shown the runner.
+            runner: The runner's id.
+            known_since: When the runner was alive, in monotonic seconds; the
+                list must have been requested later.
+        """
         record = self._vms.get(vm)
-        if record is None or record.state is not _ports.VmState.UP:
+        if record is None or self._list_requested_at < known_since:
             return ""
-        return record.runner
+        if record.state in _STATES_WITHOUT_RUNNER:
+            return f"its VM is {record.state}"
+        if record.state is _ports.VmState.UP and record.runner not in (
+            "",
+            runner,
+        ):
+            return f"its VM has runner {record.runner}"
+        return ""
 
     def may_have_ended(self, vm: str, runner: str) -> bool:
         """Tell whether a command on its VM may have ended a runner.
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_gone_runners.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_gone_runners.py
@@ -14,16 +14,14 @@
 # Most runs in the log line about a runner that is gone, newest first.
 _MAX_LOGGED_RUNS = 12
 _CRASHED = "runner crashed"
-# A runner that has not answered for this long, longer than a poll takes, may
-# have been replaced.
-_SILENT_SECONDS = 2.5
 
 
 class GoneRunnerHandler:
-    """Requeues what ran on runners that are found gone, at once.
+    """Requeues what ran on runners that have ended, once that is proven.
 
     The runs have ended with the process, so nobody has to wait for their
-    leases.
+    leases. A refused connection is no proof: it is a reason to ask the VM
+    service. ``request_vm_list`` does so.
     """
 
     def __init__(
@@ -35,12 +33,14 @@
         requeue_lost: collections.abc.Callable[
             [list[_workers.JobTask], str], None
         ],
+        request_vm_list: collections.abc.Callable[[], None],
         counters: peridotsill.Counters,
     ) -> None:
         self._workers = workers
         self._fleet = fleet
         self._suspects = suspects
         self._requeue_lost = requeue_lost
+        self._request_vm_list = request_vm_list
         self._counters = counters
 
     def handle(self, event: _link_events.RunnerFoundGone) -> None:
@@ -59,24 +59,32 @@
             worker, "another lifetime answers", _last_answer_at(worker)
         )
 
-    def handle_replaced(self) -> None:
-        """Record that silent runners have ended whose VM has a newer one.
+    def handle_refusal(self, event: _link_events.RunnerRefuses) -> None:
+        """Look whether a runner that refuses connections has ended."""
+        worker = self._workers.get(event.runner, event.lifetime)
+        if worker is None or worker.gone or not worker.runs:
+            return
+        self._counters.add("runners_refusing", pool=worker.entry.pool)
+        _logs.log(
+            "runner:refuses",
+            runner=event.runner,
+            vm=worker.vm,
+            run_count=len(worker.runs),
+            reason=event.reason,
+        )
+        self._request_vm_list()
 
-        A VM has one runner at a time, so the earlier one's runs have ended,
-        though its address may refuse no connection.
-        """
+    def handle_vm_list(self) -> None:
+        """Record unreachable runners as ended that the list shows ended."""
         for worker in self._workers:
-            is_silent = worker.link.silent_seconds >= _SILENT_SECONDS
-            if worker.gone or not worker.runs or not is_silent:
+            if worker.gone or not worker.runs or worker.link.may_grant:
                 continue
-            runner = self._fleet.runner_on(worker.vm)
-            successor = self._workers.find(runner)
-            if successor is None or successor.lifetime <= worker.lifetime:
-                continue
-            self._requeue_tasks(
-                worker, f"its VM has runner {runner}", _last_answer_at(worker)
+            evidence = self._fleet.why_ended(
+                worker.vm, worker.entry.id, worker.known_since
             )
-            self._workers.replace_link(worker)
+            if evidence:
+                self._requeue_tasks(worker, evidence, _last_answer_at(worker))
+                self._workers.replace_link(worker)
 
     def _requeue_tasks(
         self, worker: _workers.Worker, evidence: str, ended_at: float
@@ -100,7 +108,12 @@
 
 
 def _last_answer_at(worker: _workers.Worker) -> float:
-    """Return when a runner last answered; now if it has not yet."""
+    """Return when a runner last answered, or when calls began to fail.
+
+    That is now if it has not answered yet.
+    """
+    if worker.link.failing_since is not None:
+        return worker.link.failing_since
     now = _clock.monotonic_seconds()
     return now - worker.link.silent_seconds if worker.link.reached else now
 
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_grants.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_grants.py
@@ -65,6 +65,7 @@
         # it without a lock.
         self._last_clock: tuple[float, float] = (0.0, float("-inf"))
         self._lease_until_ms = 0.0
+        self._failing_since: float | None = None
 
     @property
     def reached(self) -> bool:
@@ -76,17 +77,34 @@
         """Seconds since the last answer to a poll; infinite before it."""
         return _clock.monotonic_seconds() - self._last_clock[1]
 
+    @property
+    def refused(self) -> bool:
+        """Whether the runner has refused a connection since its last report.
+
+        Its process has ended, or a partition refuses connections to it.
+        """
+        return self._failing_since is not None
+
+    @property
+    def failing_since(self) -> float | None:
+        """When the calls began to fail of which the last was refused."""
+        return self._failing_since
+
     @property
     def may_extend(self) -> bool:
         """Whether the runner has answered recently enough for a lease."""
-        return self.reached and self.silent_seconds <= _GRANT_WINDOW_SECONDS
+        return (
+            self.reached
+            and not self.refused
+            and self.silent_seconds <= _GRANT_WINDOW_SECONDS
+        )
 
     @property
     def expired(self) -> bool:
         """Whether every granted lease has certainly expired.
 
-        This is never so within ``_GRANT_WINDOW_SECONDS`` of the runner's
-        last answer, as it may still get new leases, or before its first.
+        This is never so while the runner may still get new leases, or before
+        its first answer.
         """
         if not self.reached or self.may_extend:
             return False
@@ -103,7 +121,8 @@
     def extend(self) -> float | None:
         """Grant a lease; return its end on the runner's clock.
 
-        None if the runner has not answered within ``_GRANT_WINDOW_SECONDS``:
+        None if the runner has not answered within ``_GRANT_WINDOW_SECONDS``,
+        or has refused a connection since:
         requests to it may still arrive, and leases extended on and on would
         never expire, so that its tasks could not be started elsewhere. None
         also once the scheduler's own lease is lost or released, as the next
@@ -124,3 +143,9 @@
             granted = self._lease_seconds * 1000.0 if report.running else 0.0
             self._lease_until_ms = report.clock_ms + granted
         self._last_clock = (report.clock_ms, _clock.monotonic_seconds())
+        self._failing_since = None
+
+    def record_refusal(self, failing_since: float) -> None:
+        """Grant no more leases until the next report."""
+        if self._failing_since is None:
+            self._failing_since = failing_since
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_link_events.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_link_events.py
@@ -49,6 +49,18 @@
     report: _ports.RunnerReport
 
 
+@attrs.frozen(kw_only=True)
+class RunnerRefuses:
+    """A runner's address has begun to refuse connections.
+
+    ``reason`` is the error of the first call that was refused.
+    """
+
+    runner: str
+    lifetime: int
+    reason: str
+
+
 @attrs.frozen(kw_only=True)
 class RunnerFoundGone:
     """A call found that a runner's process has ended.
@@ -63,4 +75,4 @@
     ended_at: float
 
 
-LinkEvent = OrderOutcome | ReportReceived | RunnerFoundGone
+LinkEvent = OrderOutcome | ReportReceived | RunnerRefuses | RunnerFoundGone
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_links.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_links.py
@@ -32,6 +32,16 @@
         """Seconds since the last answer to a poll; infinite before it."""
         return self._parts.grants.silent_seconds
 
+    @property
+    def refused(self) -> bool:
+        """Whether a connection was refused since the last answer to a poll."""
+        return self._parts.grants.refused
+
+    @property
+    def failing_since(self) -> float | None:
+        """When the calls began to fail of which the last was refused."""
+        return self._parts.grants.failing_since
+
     @property
     def may_grant(self) -> bool:
         """Whether a run that is started now can get a lease."""
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_orders.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_orders.py
@@ -14,6 +14,8 @@
 # Timeout of the answer to an order; a start is then sent once more.
 _TIMEOUT_SECONDS = 0.6
 _START_ATTEMPTS = 2
+# Pause after a stop whose connection was refused, as it is ordered again.
+_REFUSED_STOP_PAUSE_SECONDS = 0.3
 
 _Result = _link_events.OrderResult
 
@@ -123,7 +125,10 @@
         until = self._parts.grants.extend()
         if until is None or not self._parts.lease.held:
             self._report_unanswered_start(
-                attempts, "the lease or the runner's clock is not known"
+                attempts,
+                "the runner refuses connections"
+                if self._parts.grants.refused
+                else "the lease or the runner's clock is not known",
             )
             return
         if _clock.monotonic_seconds() > order.send_before:
@@ -158,7 +163,9 @@
         except exceptions.StaleFencingToken as error:
             self._parts.lease.mark_lost(str(error))
             self._report_unanswered_start(attempts, str(error))
-        except exceptions.RunnerGone as error:
+        except exceptions.ConnectionRefused as error:
+            self._report_unanswered_start(attempts, str(error))
+        except exceptions.WrongLifetime as error:
             # The process of an earlier attempt has ended too.
             attempts.no_attempt_in_flight = True
             self._report_unanswered_start(attempts, str(error))
@@ -213,6 +220,12 @@
             self._parts.lease.mark_lost(str(error))
         except exceptions.OrderRefused as error:
             self._report(order, False, _Result.REFUSED, str(error), True)
+        except exceptions.ConnectionRefused as error:
+            self._report(order, False, _Result.UNKNOWN, str(error), False)
+            self._parts.loop.run_later(
+                _REFUSED_STOP_PAUSE_SECONDS, self._finish_order
+            )
+            return
         except exceptions.RunnerError as error:
             self._report(order, False, _Result.UNKNOWN, str(error), False)
         else:
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_ports.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_ports.py
@@ -42,12 +42,13 @@
 
 
 class VmState(peridotsill.TextEnum):
-    """State of a VM in the VM service."""
+    """State of a VM in the VM service; OTHER is one not known here."""
 
     UP = "up"
     MOVING = "moving"
     MAINTENANCE = "maintenance"
     DOWN = "down"
+    OTHER = "other"
 
 
 @attrs.frozen(kw_only=True)
@@ -181,7 +182,8 @@
     """A call to a runner, with the function that decodes its result.
 
     ``read`` returns the decoded response, or raises `RunnerUnavailable`,
-    `RunnerGone`, `StaleFencingToken`, `WrongLifetime` or `OrderRefused`.
+    `ConnectionRefused`, `StaleFencingToken`, `WrongLifetime` or
+    `OrderRefused`.
     """
 
     call: peridotsill.JsonCall
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_runner_client.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_runner_client.py
@@ -73,7 +73,10 @@
     ) -> _T:
         try:
             answer = runner_call.read(outcome)
-        except exceptions.RunnerGone as error:
+        except exceptions.ConnectionRefused as error:
+            self._handle_refusal(error)
+            raise
+        except exceptions.WrongLifetime as error:
             self._parts.post(
                 _link_events.RunnerFoundGone(
                     runner=self._runner,
@@ -100,6 +103,21 @@
         self._failing_since = None
         return answer
 
+    def _handle_refusal(self, error: exceptions.ConnectionRefused) -> None:
+        """Grant no more leases, and post the first refusal in a row."""
+        failing_since = self._record_failure()
+        grants = self._parts.grants
+        began_to_refuse = not grants.refused
+        grants.record_refusal(failing_since)
+        if began_to_refuse:
+            self._parts.post(
+                _link_events.RunnerRefuses(
+                    runner=self._runner,
+                    lifetime=self._parts.entry.lifetime,
+                    reason=str(error),
+                )
+            )
+
     def _record_failure(self) -> float:
         """Return since when calls have failed, this one included."""
         if self._failing_since is None:
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_runner_polling.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_runner_polling.py
@@ -163,11 +163,14 @@
     def _may_repeat_at_once(self, error: exceptions.RunnerError) -> bool:
         """Return whether a poll failed because the runner disconnected.
 
-        If its process has ended, the next connection is refused.
+        If its process has ended, the next connection is refused, and shows
+        that nothing need be sent there any more.
         """
         return (
             isinstance(error, exceptions.RunnerUnavailable)
-            and not isinstance(error, exceptions.RunnerGone)
+            and not isinstance(
+                error, exceptions.ConnectionRefused | exceptions.WrongLifetime
+            )
             and not self._repeated_at_once
             and _clock.monotonic_seconds() < self._timeout_at
         )
@@ -177,7 +180,9 @@
     ) -> None:
         if self._grants.silent_seconds > _LONG_POLL_SECONDS * 3:
             _logs.log("runner:reached", runner=self._parts.entry.id)
-        self._grants.record_report(report)
+        if report.lifetime in (0, self._parts.entry.lifetime):
+            # No run gets a lease on another lifetime's clock.
+            self._grants.record_report(report)
         if report.ended:
             self._last_reported_end = max(
                 self._last_reported_end,
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_workers.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_workers.py
@@ -118,7 +118,8 @@
     abandoned here. ``fleet_closed_reason`` says why the fleet lets nothing
     start here, or is empty. ``listed`` tells that the registry has the
     runner, ``gone`` that its process was found to have ended, ``avoided``
-    that its VM is due in a wave. Times are those of
+    that its VM is due in a wave. ``known_since`` is when this scheduler
+    began to follow the runner. Times are those of
     `_clock.monotonic_seconds`.
     """
 
@@ -143,6 +144,7 @@
     avoided: bool = False
     paced_at: float = 0.0
     fleet_closed_reason: str = ""
+    known_since: float = attrs.field(factory=_clock.monotonic_seconds)
 
     @property
     def lifetime(self) -> int:
@@ -225,6 +227,8 @@
             return "not in the registry"
         if self.draining:
             return "draining"
+        if self.link.refused:
+            return "refuses connections"
         if not self.link.reached:
             return "has not answered this scheduler yet"
         if not self.link.may_grant:
@@ -504,14 +508,18 @@
         }
 
     def pop_speculative(self) -> list[JobTask]:
-        """Abandon and return the speculative tasks on silent runners.
+        """Abandon and return speculative tasks on unreachable runners.
 
         They may run twice at once, so they may be started elsewhere now. If
         such a runner answers again, its run is stopped.
         """
         abandoned_tasks: list[JobTask] = []
         for worker in self._workers.values():
-            if worker.link.silent_seconds < _SPECULATE_AFTER_SECONDS:
+            link = worker.link
+            if (
+                not link.refused
+                and link.silent_seconds < _SPECULATE_AFTER_SECONDS
+            ):
                 continue
             for key, placed in tuple(worker.placed.items()):
                 if placed.task.step.speculative:
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/exceptions.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/exceptions.py
@@ -38,18 +38,25 @@
     """The fencing token is older than one the callee has already seen."""
 
 
-class RunnerGone(RunnerUnavailable):
-    """The runner's process has ended, and with it all that it ran.
+class ConnectionRefused(RunnerUnavailable):
+    """The runner's address refuses connections.
 
-    No process listens at its address, or another runner does.
+    The runner may live: a partition can refuse connections to it too. So
+    what it runs may go on, and an earlier call may still be executed.
     """
 
     def __init__(self, message: str) -> None:
         super().__init__(message, sent=False)
 
 
-class WrongLifetime(RunnerGone):
-    """Another lifetime of the runner answers at its address."""
+class WrongLifetime(RunnerUnavailable):
+    """Another lifetime answers at the runner's address.
+
+    So the runner's process has ended, and with it all that it ran.
+    """
+
+    def __init__(self, message: str) -> None:
+        super().__init__(message, sent=False)
 
 
 class VmServiceError(JobsError):
--- a/tests/features/calls.feature
+++ b/tests/features/calls.feature
@@ -75,24 +75,38 @@
 
   # Guards against BUDGET: a task that had crashed its runner at its start was
   # not known to, as the crash counted from when a connection was refused.
-  Scenario Outline: Since when a runner's process counts as ended
+  Scenario Outline: Since when calls to a runner count as failing
     When polls of a runner end, one a second, with <results>
-    Then its process counts as ended since the poll number <number>
+    Then calls to it count as failing since the poll number <number>
 
     Examples:
       | results                                                         | number |
       | a refused connection                                            | 1      |
+      | a refused connection; a refused connection                      | 1      |
       | a connection closed midway; a refused connection                | 1      |
       | a connection closed midway; an answer; a refused connection     | 3      |
       | a connection closed midway; status 400; a refused connection    | 3      |
 
+  Scenario Outline: Since when a runner's process counts as ended
+    When polls of a runner end, one a second, with <results>
+    Then its process counts as ended since the poll number <number>
+
+    Examples:
+      | results                                                               | number |
+      | the status of another lifetime                                        | 1      |
+      | a refused connection; the status of another lifetime                  | 1      |
+      | a connection closed midway; the status of another lifetime            | 1      |
+      | a connection closed midway; an answer; the status of another lifetime | 3      |
+
+  # Guards against TWICE: a refused connection was taken for the end of the
+  # runner's process, though a partition can refuse connections too.
   Scenario Outline: What a failed call shows of the runner's process
     When a poll of a runner ends with <failure>
     Then the runner's process is <known>
 
     Examples:
       | failure                           | known           |
-      | a refused connection              | known to be gone |
+      | a refused connection              | not known to be gone |
       | the status of another lifetime    | known to be gone |
       | a connection closed midway        | not known to be gone |
       | no answer in time                 | not known to be gone |
--- a/tests/features/refusals.feature
+++ b/tests/features/refusals.feature
@@ -23,3 +23,62 @@
     And the scheduler is killed
     Then all the jobs are completed within 40 s
     And no rule is broken
+
+  # Guards against TWICE: whatever is only a reason to start nothing more on a
+  # runner was taken for the end of its runs.
+  Scenario Outline: What proves that a runner that refuses connections has ended
+    Given a scheduler with a task of run 1 on runner "i-1"
+    And its VM was listed with it
+    When runner "i-1" begins to refuse connections
+    Then runner "i-1" gets no starts
+    And the list of VMs is asked for
+    And run 1 is still held to be there
+    When <listed>
+    Then run 1 is <held>
+
+    Examples:
+      | listed                                                | held                              |
+      | its VM is listed as up with it                        | still held to be there            |
+      | its VM is not listed                                  | still held to be there            |
+      | its VM is listed as up without a runner               | still held to be there            |
+      | its VM is listed in a state that is not known         | still held to be there            |
+      | its VM is listed as down, by a list from before       | still held to be there            |
+      | its VM is listed as down while the runner answers     | still held to be there            |
+      | its VM is listed as down                              | lost for "runner crashed"         |
+      | its VM is listed with another runner                  | lost for "runner crashed"         |
+      | its VM is listed as moving                            | lost for "VM taken away"          |
+      | its VM is listed as in maintenance                    | lost for "VM taken away"          |
+      | the leases of its runs have expired                   | lost for "lease ran out"          |
+
+  Scenario: A crash that shows after the leases have expired is held against it
+    Given a scheduler with a task of run 1 on runner "i-1"
+    And its VM was listed with it
+    When runner "i-1" begins to refuse connections
+    And the leases of its runs have expired
+    Then no crash is held against the task
+    When its VM is listed with another runner
+    Then 1 crash is held against the task
+
+  Scenario: A runner that refuses connections is granted no lease
+    Given a link to a runner that answers its first poll with a run
+    When a connection to it is refused
+    Then no run may get a lease there, and its leases have not run out
+    When it answers a poll
+    Then a run may get a lease there
+
+  # Guards against TWICE: a refused start was taken to show that the start that
+  # had been sent before it was not executed either.
+  Scenario Outline: What a start whose connection is refused shows of it
+    Given a link to a runner that answers its first poll with no runs
+    When a start ends with <answers>
+    Then it is reported as <result>
+
+    Examples:
+      | answers                            | result   |
+      | a refused connection               | not sent |
+      | no answer and a refused connection | unknown  |
+
+  Scenario: A stop whose connection is refused is not repeated without a pause
+    Given a link to a runner that answers its first poll with a run
+    When a stop ends with a refused connection
+    Then the next order waits for a pause
--- a/tests/features/steps/calls_steps.py
+++ b/tests/features/steps/calls_steps.py
@@ -17,6 +17,8 @@
 
 from peridotsill_adapter import _runners
 import peridotsill_jobs
+from peridotsill_jobs import _grants
+from peridotsill_jobs import _link_events
 from peridotsill_jobs import _runner_client
 import peridotsill_jobs.exceptions
 
@@ -280,10 +282,16 @@
     _finish_runner_call(context, name, result.Success(json.loads(answer)))
 
 
+def _new_grants():
+    return _grants.Grants(lease=unittest.mock.Mock(), max_lease_seconds=6.0)
+
+
 def _finish_runner_call(context, name, outcome):
     entry, asked = _build_runner_call(name)
     context.events = []
-    parts = unittest.mock.Mock(entry=entry, post=context.events.append)
+    parts = unittest.mock.Mock(
+        entry=entry, post=context.events.append, grants=_new_grants()
+    )
     client = _runner_client.RunnerClient(parts=parts)
     client._connection = unittest.mock.Mock()
     client.call(asked, lambda read: setattr(context, "read", read))
@@ -314,7 +322,10 @@
 def _when_polls_end(context, results):
     entry, poll = _build_runner_call("poll")
     context.events = []
-    parts = unittest.mock.Mock(entry=entry, post=context.events.append)
+    context.grants = _new_grants()
+    parts = unittest.mock.Mock(
+        entry=entry, post=context.events.append, grants=context.grants
+    )
     client = _runner_client.RunnerClient(parts=parts)
     client._connection = unittest.mock.Mock()
     for number, name in enumerate(results.split("; ")):
@@ -335,10 +346,21 @@
 
 @then("its process counts as ended since the poll number {number:d}")
 def _then_ended_since(context, number):
-    ends = [event.ended_at for event in context.events]
+    ends = [
+        event.ended_at
+        for event in context.events
+        if isinstance(event, _link_events.RunnerFoundGone)
+    ]
     assert ends == [number], context.events
 
 
+@then("calls to it count as failing since the poll number {number:d}")
+def _then_failing_since(context, number):
+    (event,) = context.events
+    assert isinstance(event, _link_events.RunnerRefuses), event
+    assert context.grants.failing_since == number, context.grants
+
+
 @when("a poll of a runner ends with {failure}")
 def _when_poll_fails(context, failure):
     error = _RUNNER_FAILURES[failure]
@@ -350,11 +372,12 @@
 
 
 def _is_found_gone(context):
-    gone = isinstance(
-        context.runner_error, peridotsill_jobs.exceptions.RunnerGone
-    )
+    errors = peridotsill_jobs.exceptions
+    gone = isinstance(context.runner_error, errors.WrongLifetime)
+    refused = isinstance(context.runner_error, errors.ConnectionRefused)
     posted = [type(each).__name__ for each in context.events]
-    assert posted == (["RunnerFoundGone"] if gone else []), posted
+    expected = ["RunnerFoundGone"] * gone + ["RunnerRefuses"] * refused
+    assert posted == expected, posted
     return gone
 
 
--- a/tests/features/steps/controller_steps.py
+++ b/tests/features/steps/controller_steps.py
@@ -66,6 +66,8 @@
     """Records orders in place of a runner's connections."""
 
     reached = True
+    refused = False
+    failing_since = None
     may_grant = True
     silent_seconds = 0.0
     leases_expired = False
--- a/tests/features/steps/refusal_steps.py
+++ b/tests/features/steps/refusal_steps.py
@@ -1,10 +1,24 @@
 """Steps on runners whose address refuses connections while they live."""
 
+import time
+import unittest.mock
+
+import attrs
+from behave import given
 from behave import then
 from behave import when
 from emulator import nodes
+import returns.result
+
+from peridotsill_jobs import _feeds
+from peridotsill_jobs import _link_events
+from peridotsill_jobs import _ports
+import peridotsill_jobs.exceptions
+import peridotsill_scheduler as scheduler
 
 _POOL = "trails"
+_VM = "m-1"
+_TASK = _ports.TaskName(job="00000000000000aa", task="0.0.0")
 _STEPS = [{"count": 6, "cpu": 4000, "estimated_ms": 3000}]
 
 
@@ -48,3 +62,222 @@
         context.cluster.wait_state(
             _POOL, _job_id(number), "completed", seconds
         )
+
+
+# One process.
+
+
+def _worker(context):
+    return context.controller._workers.get("i-1", 1)
+
+
+def _list_vm(context, *, requested_at=None, **fields):
+    """Let the scheduler handle a list with the runner's VM."""
+    record = _ports.VmRecord(
+        name=_VM,
+        pool="p",
+        domain="z",
+        rack="r",
+        labels=frozenset(),
+        capacity=scheduler.Resources(cores=32),
+        **fields,
+    )
+    _handle_list(context, (record,), requested_at)
+
+
+def _handle_list(context, vms, requested_at=None):
+    context.controller._handle_event(
+        _feeds.VmListSnapshot(
+            vms=vms,
+            requested_at=time.monotonic()
+            if requested_at is None
+            else requested_at,
+        )
+    )
+
+
+@given("its VM was listed with it")
+def _listed_before(context):
+    _list_vm(context, state=_ports.VmState.UP, runner="i-1")
+    assert _worker(context).vm == _VM
+
+
+@when('runner "{runner}" begins to refuse connections')
+def _begin_to_refuse(context, runner):
+    link = context.links[runner]
+    link.refused, link.may_grant = True, False
+    link.failing_since = time.monotonic()
+    link.may_have_begun = lambda name, run: True
+    context.request_vm_list = unittest.mock.Mock()
+    context.controller._gone_runners._request_vm_list = context.request_vm_list
+    context.controller._handle_event(
+        _link_events.RunnerRefuses(
+            runner=runner, lifetime=1, reason="connection refused"
+        )
+    )
+
+
+@then("the list of VMs is asked for")
+def _list_requested(context):
+    context.request_vm_list.assert_called_once_with()
+
+
+def _expire_leases(context):
+    context.links["i-1"].leases_expired = True
+    context.controller._run_round()
+
+
+def _list_while_answering(context):
+    context.links["i-1"].refused = False
+    context.links["i-1"].may_grant = True
+    _list_vm(context, state=_ports.VmState.DOWN)
+
+
+_UP = _ports.VmState.UP
+_LISTS = {
+    "its VM is listed as up with it": lambda context: _list_vm(
+        context, state=_UP, runner="i-1"
+    ),
+    "its VM is not listed": lambda context: _handle_list(context, ()),
+    "its VM is listed as up without a runner": lambda context: _list_vm(
+        context, state=_UP
+    ),
+    "its VM is listed in a state that is not known": (
+        lambda context: _list_vm(context, state=_ports.VmState.OTHER)
+    ),
+    "its VM is listed as down, by a list from before": (
+        lambda context: _list_vm(
+            context,
+            state=_ports.VmState.DOWN,
+            requested_at=_worker(context).known_since - 0.1,
+        )
+    ),
+    "its VM is listed as down while the runner answers": _list_while_answering,
+    "its VM is listed as down": lambda context: _list_vm(
+        context, state=_ports.VmState.DOWN
+    ),
+    "its VM is listed with another runner": lambda context: _list_vm(
+        context, state=_UP, runner="i-9"
+    ),
+    "its VM is listed as moving": lambda context: _list_vm(
+        context, state=_ports.VmState.MOVING
+    ),
+    "its VM is listed as in maintenance": lambda context: _list_vm(
+        context, state=_ports.VmState.MAINTENANCE
+    ),
+    "the leases of its runs have expired": _expire_leases,
+}
+
+
+def _register(description):
+    @when(description)
+    def _happens(context):
+        _LISTS[description](context)
+
+
+for _description in _LISTS:
+    _register(_description)
+
+
+@then("run 1 is still held to be there")
+def _still_there(context):
+    assert context.task.phase is scheduler.TaskPhase.RUNNING, context.task
+    assert _worker(context).placed, _worker(context)
+
+
+@then('run 1 is lost for "{reason}"')
+def _is_lost(context, reason):
+    assert context.task.phase is not scheduler.TaskPhase.RUNNING, context.task
+    assert not _worker(context).placed, _worker(context)
+    counts = context.controller._parts.counters.render({}).decode()
+    line = f'tasks_lost_total{{reason="{reason}"}} 1'
+    assert line in counts, counts
+
+
+@then("no crash is held against the task")
+def _no_crash(context):
+    assert not context.task.crashes, context.task
+
+
+@then("{count:d} crash is held against the task")
+def _crashes_held(context, count):
+    assert len(context.task.crashes) == count, context.task
+
+
+_ERRORS = {
+    "a refused connection": peridotsill_jobs.exceptions.ConnectionRefused("r"),
+    "no answer": peridotsill_jobs.exceptions.RunnerUnavailable("n", sent=True),
+}
+
+
+@when("a connection to it is refused")
+def _refuse_poll(context):
+    poller = context.link._poller
+    calls = poller._parts.calls
+    context.report = calls.poll.return_value.read.return_value
+    calls.poll.return_value.read.side_effect = _ERRORS["a refused connection"]
+    poller.set_paused(False)
+    poller._poll()
+
+
+@then("no run may get a lease there, and its leases have not run out")
+def _no_lease(context):
+    assert context.link.refused and not context.link.may_grant
+    assert context.link._parts.grants.extend() is None
+    assert not context.link.leases_expired
+
+
+@when("it answers a poll")
+def _answer_poll(context):
+    poller = context.link._poller
+    poller._parts.calls.poll.return_value.read.side_effect = None
+    poller.set_paused(False)
+    poller._poll_again()
+
+
+def _end_orders_with(context, answers):
+    """Let the next orders of the link end with these answers."""
+    sender = context.link._orders
+    context.outcomes = []
+    sender._parts = attrs.evolve(sender._parts, post=context.outcomes.append)
+    sender._client._connection = unittest.mock.Mock()
+    sender._client._connection.call.side_effect = lambda call, done: done(
+        returns.result.Success({})
+    )
+    errors = [_ERRORS[each] for each in answers.split(" and ")]
+    calls = sender._parts.calls
+    calls.start.return_value.read.side_effect = errors
+    calls.stop.return_value.read.side_effect = errors
+    return sender
+
+
+@when("a start ends with {answers}")
+def _end_start(context, answers):
+    sender = _end_orders_with(context, answers)
+    sender.start_run(
+        _ports.StartOrder(
+            name=_TASK, run=1, payload="", lease_until_ms=0.0, fence=1
+        )
+    )
+    sender._send_next()
+
+
+@when("a stop ends with a refused connection")
+def _end_stop(context):
+    sender = _end_orders_with(context, "a refused connection")
+    sender.stop_run(_TASK, 1)
+    sender._send_next()
+    sender.stop_run(_TASK, 1)
+    sender._send_next()
+
+
+@then("the next order waits for a pause")
+def _order_waits(context):
+    (outcome,) = context.outcomes
+    assert outcome.result is _link_events.OrderResult.UNKNOWN, outcome
+    seconds, resume = context.link._parts.loop.run_later.call_args.args
+    assert seconds > 0
+    assert context.link._parts.calls.stop.call_count == 1
+    resume()
+    context.link._orders._send_next()
+    assert context.link._parts.calls.stop.call_count == 2
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -532,6 +532,52 @@
         feature="suspects",
         scenario="A new scheduler reads what crashed",
     ),
+    Mutant(
+        promise="refusals: they don't end what a runner runs",
+        package="peridotsill_jobs",
+        module="_gone_runners.py",
+        old="        self._request_vm_list()\n",
+        new=(
+            '        self._requeue_tasks(worker, "", 0.0)\n'
+            "        self._workers.replace_link(worker)\n"
+        ),
+        feature="refusals",
+        scenario="What proves that a runner that refuses connections",
+    ),
+    Mutant(
+        promise="refusals: a list from before the runner proves nothing",
+        package="peridotsill_jobs",
+        module="_fleet.py",
+        old="record is None or self._list_requested_at < known_since",
+        new="record is None",
+        feature="refusals",
+        scenario="What proves that a runner that refuses connections",
+    ),
+    Mutant(
+        promise="refusals: no lease is granted until the next report",
+        package="peridotsill_jobs",
+        module="_grants.py",
+        old="            and not self.refused\n",
+        new="",
+        feature="refusals",
+        scenario="A runner that refuses connections is granted no lease",
+    ),
+    Mutant(
+        promise="refusals: a refused start shows nothing of an earlier one",
+        package="peridotsill_jobs",
+        module="_orders.py",
+        old=(
+            "        except exceptions.ConnectionRefused as error:\n"
+            "            self._report_unanswered_start("
+        ),
+        new=(
+            "        except exceptions.ConnectionRefused as error:\n"
+            "            attempts.no_attempt_in_flight = True\n"
+            "            self._report_unanswered_start("
+        ),
+        feature="refusals",
+        scenario="What a start whose connection is refused shows",
+    ),
     Mutant(
         promise="crashes: a VM taken away by a command is no crash",
         package="peridotsill_jobs",
