Learn from the registry which VM a runner is on

The runner's row names its VM, so the VM is known from the first. A list counts only if it was asked for 0.3 s after the runner was known, since one from before would show the VM as away. The registry's word is used for finding the VM, not for deciding whether the runner lives.

Speculative tasks are copied after 2 s of silence again: copied at the refusal, they were started once more before the crash was counted.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_fleet.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_fleet.py
@@ -39,9 +39,9 @@
 _SHORTAGE_LOG_PERIOD_SECONDS = 1.0
 # Arrivals of jobs count towards a pool's demand for this long.
 _ARRIVAL_RETENTION_SECONDS = 60.0
-# How far the list of VMs may lag behind the answer to a move. The duration of
-# a move is not waited for, because a repeated command for a move that is
-# already done is answered at once.
+# How far the list of VMs may lag behind the answer to a move, or behind the
+# registry. The duration of a move is not waited for, because a repeated
+# command for a move that is already done is answered at once.
 _LIST_LAG_SECONDS = 0.3
 # A command may be carried out this long after its operation has ended.
 _LATE_COMMAND_SECONDS = 15.0
@@ -238,13 +238,13 @@
         the list shows nothing of the kind, which proves nothing.
 
         Args:
-            vm: The VM on which an earlier list has shown the runner.
+            vm: The runner's VM.
             runner: The runner's id.
-            known_since: When the runner was alive, in monotonic seconds; the
-                list must have been requested later.
+            known_since: When the runner was alive, in monotonic seconds. A
+                list of before proves nothing.
         """
         record = self._vms.get(vm)
-        if record is None or self._list_requested_at < known_since:
+        if record is None or not self._is_list_newer_than(known_since):
             return ""
         if record.state in _STATES_WITHOUT_RUNNER:
             return f"its VM is {record.state}"
@@ -255,14 +255,22 @@
             return f"its VM has runner {record.runner}"
         return ""
 
-    def may_have_ended(self, vm: str, runner: str) -> bool:
+    def _is_list_newer_than(self, known_since: float) -> bool:
+        return self._list_requested_at >= known_since + _LIST_LAG_SECONDS
+
+    def may_have_ended(self, vm: str, runner: str, known_since: float) -> bool:
         """Tell whether a command on its VM may have ended a runner.
 
         A command ends the runner that the VM had when it was sent, and no
-        runner that the VM comes back with.
+        runner that the VM comes back with. The arguments are those of
+        `why_ended`.
         """
         record = self._vms.get(vm)
-        if record is not None and record.state in _STATES_OF_TAKEN_VMS:
+        if (
+            record is not None
+            and record.state in _STATES_OF_TAKEN_VMS
+            and self._is_list_newer_than(known_since)
+        ):
             return True
         operation = self._operations.get(vm)
         if operation is not None and operation.phase in (
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_gone_runners.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_gone_runners.py
@@ -100,7 +100,9 @@
         self._requeue_lost(tasks, reason)
 
     def _why_gone(self, worker: _workers.Worker) -> str:
-        if self._fleet.may_have_ended(worker.vm, worker.entry.id):
+        if self._fleet.may_have_ended(
+            worker.vm, worker.entry.id, worker.known_since
+        ):
             return "VM taken away"
         if worker.draining:
             return "runner left"
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_ports.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_ports.py
@@ -27,7 +27,8 @@
 class RunnerEntry:
     """A runner's row in the registry.
 
-    ``lifetime`` is the runner's start time in Unix milliseconds.
+    ``lifetime`` is the runner's start time in Unix milliseconds. ``vm`` is
+    empty if the row does not name it.
     """
 
     id: str
@@ -39,6 +40,7 @@
     labels: frozenset[str]
     capacity: peridotsill_scheduler.Resources
     state: RunnerState = RunnerState.READY
+    vm: str = ""
 
 
 class VmState(peridotsill.TextEnum):
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_workers.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_workers.py
@@ -402,7 +402,7 @@
     def _add(self, entry: _ports.RunnerEntry) -> list[JobTask]:
         lost_tasks: list[JobTask] = []
         link = self._connect(entry)
-        worker = Worker(entry=entry, link=link)
+        worker = Worker(entry=entry, link=link, vm=entry.vm)
         self._workers[entry.id] = worker
         _logs.log(
             "runner:listed",
@@ -508,18 +508,14 @@
         }
 
     def pop_speculative(self) -> list[JobTask]:
-        """Abandon and return speculative tasks on unreachable runners.
+        """Abandon and return the speculative tasks on silent runners.
 
         They may run twice at once, so they may be started elsewhere now. If
         such a runner answers again, its run is stopped.
         """
         abandoned_tasks: list[JobTask] = []
         for worker in self._workers.values():
-            link = worker.link
-            if (
-                not link.refused
-                and link.silent_seconds < _SPECULATE_AFTER_SECONDS
-            ):
+            if worker.link.silent_seconds < _SPECULATE_AFTER_SECONDS:
                 continue
             for key, placed in tuple(worker.placed.items()):
                 if placed.task.step.speculative:
--- a/tests/emulator/runners.py
+++ b/tests/emulator/runners.py
@@ -313,6 +313,7 @@
         """Return this runner's row in the registry."""
         return {
             "service": self.pool,
+            "machine": self.vm,
             "address": self.world.address_of(self),
             "zone": "z1",
             "version": "v1",
--- a/tests/features/steps/controller_steps.py
+++ b/tests/features/steps/controller_steps.py
@@ -833,6 +833,7 @@
         runner=worker.entry.id,
     )
     controller._fleet._vms[_VM] = record
+    controller._fleet._list_requested_at = worker.known_since + 1.0
 
 
 @when('runner "{runner}" is found gone while {occasion}')
