--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_fleet.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_fleet.py
@@ -244,7 +244,7 @@
                 list of before proves nothing.
         """
         record = self._vms.get(vm)
-        if record is None or not self._is_list_newer_than(known_since):
+        if record is None or not self.is_list_newer_than(known_since):
             return ""
         if record.state in _STATES_WITHOUT_RUNNER:
             return f"its VM is {record.state}"
@@ -255,7 +255,8 @@
             return f"its VM has runner {record.runner}"
         return ""
 
-    def _is_list_newer_than(self, known_since: float) -> bool:
+    def is_list_newer_than(self, known_since: float) -> bool:
+        """Tell whether the list certainly shows VMs as they were later."""
         return self._list_requested_at >= known_since + _LIST_LAG_SECONDS
 
     def may_have_ended(self, vm: str, runner: str, known_since: float) -> bool:
@@ -269,7 +270,7 @@
         if (
             record is not None
             and record.state in _STATES_OF_TAKEN_VMS
-            and self._is_list_newer_than(known_since)
+            and self.is_list_newer_than(known_since)
         ):
             return True
         operation = self._operations.get(vm)
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_gone_runners.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_gone_runners.py
@@ -85,6 +85,10 @@
             if evidence:
                 self._requeue_tasks(worker, evidence, _last_answer_at(worker))
                 self._workers.replace_link(worker)
+            elif worker.link.refused and not self._fleet.is_list_newer_than(
+                worker.known_since
+            ):
+                self._request_vm_list()
 
     def _requeue_tasks(
         self, worker: _workers.Worker, evidence: str, ended_at: float
--- a/tests/features/refusals.feature
+++ b/tests/features/refusals.feature
@@ -72,7 +72,10 @@
     Given a scheduler with a task of run 1 on runner "i-1"
     And the registry names its VM
     When runner "i-1" begins to refuse connections
-    And its VM is listed as down
+    And its VM is listed as down, by a list that may be from before
+    Then run 1 is still held to be there
+    And the list of VMs is asked for again
+    When its VM is listed as down
     Then run 1 is lost for "runner crashed"
 
   # Guards against TWICE: a refused start was taken to show that the start that
--- a/tests/features/steps/refusal_steps.py
+++ b/tests/features/steps/refusal_steps.py
@@ -146,6 +146,11 @@
     context.request_vm_list.assert_called_once_with()
 
 
+@then("the list of VMs is asked for again")
+def _list_requested_again(context):
+    assert context.request_vm_list.call_count == 2, context.request_vm_list
+
+
 def _expire_leases(context):
     context.links["i-1"].leases_expired = True
     context.controller._run_round()
