Order a stop again that an unhealthy runner did not carry out

A start without an answer is followed by a stop, after which the runner refuses the start if it comes late. A runner that answers the stop with 429 or 503 has done nothing, but the answer counted as the stop's: the next report without the run freed its task, which was started elsewhere, and the late start then ran beside it.

Such a stop is ordered again after a pause, until the runner has taken note of it.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_orders.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_orders.py
@@ -14,7 +14,7 @@
 # Timeout of the answer to an order; a start is then sent once more.
 _TIMEOUT_SECONDS = 0.6
 _START_ATTEMPTS = 2
-# Pause after a stop whose connection was refused, as it is ordered again.
+# Pause after a stop that was refused at once, as it is ordered again.
 _REFUSED_STOP_PAUSE_SECONDS = 0.3
 
 _Result = _link_events.OrderResult
@@ -218,14 +218,17 @@
             read()
         except exceptions.StaleFencingToken as error:
             self._parts.lease.mark_lost(str(error))
-        except exceptions.OrderRefused as error:
-            self._report(order, False, _Result.REFUSED, str(error), True)
-        except exceptions.ConnectionRefused as error:
+        except (
+            exceptions.RunnerUnhealthy,
+            exceptions.ConnectionRefused,
+        ) as error:
             self._report(order, False, _Result.UNKNOWN, str(error), False)
             self._parts.loop.run_later(
                 _REFUSED_STOP_PAUSE_SECONDS, self._finish_order
             )
             return
+        except exceptions.OrderRefused as error:
+            self._report(order, False, _Result.REFUSED, str(error), True)
         except exceptions.RunnerError as error:
             self._report(order, False, _Result.UNKNOWN, str(error), False)
         else:
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/exceptions.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/exceptions.py
@@ -34,6 +34,14 @@
         self.reason = reason
 
 
+class RunnerUnhealthy(OrderRefused):
+    """A runner changed nothing, as it is unhealthy or has too much to do.
+
+    So it has not taken note of the order either: after a refused stop, a
+    start that was sent before it may still be executed.
+    """
+
+
 class StaleFencingToken(RunnerError):
     """The fencing token is older than one the callee has already seen."""
 
--- a/tests/emulator/faults.py
+++ b/tests/emulator/faults.py
@@ -132,8 +132,8 @@
     _delay_requests(_busiest_runner(cluster))
 
 
-def _delay_requests(runner):
-    runner.faults.late_seconds = 2.0
+def _delay_requests(runner, late_seconds=2.0):
+    runner.faults.late_seconds = late_seconds
 
     def recover():
         runner.faults.late_seconds = 0.0
@@ -141,6 +141,25 @@
     _run_after(3, recover)
 
 
+@fault("runners start runs late, and are too unhealthy to stop any")
+def _late_starts_without_stops(cluster):
+    runners = tuple(cluster.world.runners.values())
+    for runner in runners:
+        runner.faults.unhealthy_stops = True
+        _delay_requests(runner, late_seconds=3.0)
+
+    def recover():
+        for runner in runners:
+            runner.faults.unhealthy_stops = False
+
+    _run_after(6, recover)
+
+
+@fault("a runner refuses connections for 3 s while its runs go on")
+def _refusing_runner(cluster):
+    cluster.world.refuse_connections(_busiest_runner(cluster), 3)
+
+
 @fault("a runner answers orders with 500 and late")
 def _delayed_requests_with_500(cluster):
     runner = _busiest_runner(cluster)
--- a/tests/emulator/runners.py
+++ b/tests/emulator/runners.py
@@ -52,13 +52,15 @@
     A ``silent`` runner answers no request. With ``fail_all`` each finished
     run counts as failed. With ``late_seconds`` the runner does not answer
     requests to start or stop a run, and executes them that much later; if
-    ``answer_500`` is set too, it answers them with status 500 at once.
+    ``answer_500`` is set too, it answers them with status 500 at once. With
+    ``unhealthy_stops`` it answers a stop with status 503 and does nothing.
     """
 
     silent: bool = False
     fail_all: bool = False
     late_seconds: float = 0.0
     answer_500: bool = False
+    unhealthy_stops: bool = False
 
 
 class Runner:
@@ -179,6 +181,8 @@
         later.
         """
         self._inject_faults()
+        if self.faults.unhealthy_stops:
+            raise RunnerStatusError(503)
         if not delayed:
             self._delay_request(self.stop, body)
         with self.lock:
--- a/tests/features/refusals.feature
+++ b/tests/features/refusals.feature
@@ -24,6 +24,15 @@
     Then all the jobs are completed within 40 s
     And no rule is broken
 
+  # Guards against TWICE: a stop that a runner refused for its health counted
+  # as carried out, so that a start before it came late beside the next run.
+  Scenario: A stop that an unhealthy runner did not carry out is sent again
+    Given 3 job nodes with 6 VMs in "trails" and 1 in standby
+    When the fault is that runners start runs late, and are too unhealthy to stop any
+    And 6 jobs with tasks of 3 s are submitted
+    Then all the jobs are completed within 60 s
+    And no rule is broken
+
   # Guards against TWICE: whatever is only a reason to start nothing more on a
   # runner was taken for the end of its runs.
   Scenario Outline: What proves that a runner that refuses connections has ended
@@ -90,7 +99,15 @@
       | a refused connection               | not sent |
       | no answer and a refused connection | unknown  |
 
-  Scenario: A stop whose connection is refused is not repeated without a pause
+  Scenario Outline: What a stop that is not answered as done shows of it
     Given a link to a runner that answers its first poll with a run
-    When a stop ends with a refused connection
-    Then the next order waits for a pause
+    When a stop ends with <answer>
+    Then it is reported as <result>
+    And the next order is sent <when>
+
+    Examples:
+      | answer                        | result  | when          |
+      | a refused connection          | unknown | after a pause |
+      | a runner's bad health         | unknown | after a pause |
+      | no answer                     | unknown | at once       |
+      | a number that is out of date  | refused | at once       |
--- a/tests/features/steps/refusal_steps.py
+++ b/tests/features/steps/refusal_steps.py
@@ -9,9 +9,11 @@
 from behave import when
 from emulator import nodes
 import peridotsill
+import peridotsill.exceptions
 import returns.result
 
 from peridotsill_adapter import _documents
+from peridotsill_adapter import _runners
 from peridotsill_jobs import _feeds
 from peridotsill_jobs import _link_events
 from peridotsill_jobs import _ports
@@ -34,8 +36,8 @@
     return sorted(runners, key=lambda runner: -len(runner.runs))
 
 
-@when("{count:d} jobs with tasks of {seconds:g} s run")
-def _submit_and_wait(context, count, seconds):
+@when("{count:d} jobs with tasks of {seconds:g} s are submitted")
+def _submit(context, count, seconds):
     cluster = context.cluster
     context.job_count = count
     for number in range(count):
@@ -44,8 +46,13 @@
             node, _POOL, _job_id(number), _STEPS, seconds=seconds
         )
         assert reply is not None and reply.status == 200, reply
+
+
+@when("{count:d} jobs with tasks of {seconds:g} s run")
+def _submit_and_wait(context, count, seconds):
+    _submit(context, count, seconds)
     nodes.wait_for(
-        lambda: len(_runners_by_load(cluster.world)) > 1,
+        lambda: len(_runners_by_load(context.cluster.world)) > 1,
         10,
         "tasks run on two runners",
     )
@@ -236,6 +243,12 @@
 _ERRORS = {
     "a refused connection": peridotsill_jobs.exceptions.ConnectionRefused("r"),
     "no answer": peridotsill_jobs.exceptions.RunnerUnavailable("n", sent=True),
+    "a runner's bad health": _runners._runner_error(
+        peridotsill.exceptions.PeerRefused(503, {})
+    ),
+    "a number that is out of date": _runners._runner_error(
+        peridotsill.exceptions.PeerRefused(409, {"reason": "old"})
+    ),
 }
 
 
@@ -291,22 +304,25 @@
     sender._send_next()
 
 
-@when("a stop ends with a refused connection")
-def _end_stop(context):
-    sender = _end_orders_with(context, "a refused connection")
-    sender.stop_run(_TASK, 1)
-    sender._send_next()
+@when("a stop ends with {answer}")
+def _end_stop(context, answer):
+    sender = _end_orders_with(context, answer)
     sender.stop_run(_TASK, 1)
     sender._send_next()
 
 
-@then("the next order waits for a pause")
-def _order_waits(context):
-    (outcome,) = context.outcomes
-    assert outcome.result is _link_events.OrderResult.UNKNOWN, outcome
-    seconds, resume = context.link._parts.loop.run_later.call_args.args
-    assert seconds > 0
-    assert context.link._parts.calls.stop.call_count == 1
-    resume()
-    context.link._orders._send_next()
-    assert context.link._parts.calls.stop.call_count == 2
+@then("the next order is sent {when}")
+def _next_order(context, when):
+    sender = context.link._orders
+    calls = context.link._parts.calls
+    calls.stop.return_value.read.side_effect = None
+    loop = context.link._parts.loop
+    sender.stop_run(_TASK, 1)
+    sender._send_next()
+    if when == "after a pause":
+        assert calls.stop.call_count == 1
+        seconds, resume = loop.run_later.call_args.args
+        assert seconds > 0
+        resume()
+        sender._send_next()
+    assert calls.stop.call_count == 2
