--- a/tests/emulator/nodes.py
+++ b/tests/emulator/nodes.py
@@ -80,6 +80,14 @@
                 entries.append(json.loads(line))
         return entries
 
+    def other_lines(self):
+        """Return the lines that are no JSON, as of a process that failed."""
+        return [
+            line
+            for line in self.log.read_text().splitlines()
+            if not line.startswith("{")
+        ]
+
 
 class Cluster:
     """Nodes on a common world, and a client that calls them.
--- a/tests/features/environment.py
+++ b/tests/features/environment.py
@@ -32,6 +32,11 @@
     """Write what a cluster's nodes logged to a file, in the order of time."""
     lines = [line for node in cluster.nodes for line in node.lines()]
     lines.sort(key=lambda line: line.get("timestamp", 0.0))
+    lines += [
+        {"node": node.number, "output": line}
+        for node in cluster.nodes
+        for line in node.other_lines()
+    ]
     _FAILURES.mkdir(parents=True, exist_ok=True)
     feature = pathlib.Path(scenario.filename).stem
     path = _FAILURES / f"{feature}-{scenario.line}.jsonl"
