Take a probe without an answer as no word on a VM's boot

Operators could see a VM counted as done in a wave that was never rebooted, or that was rebooted only once it took requests again. It was found by reading, and then shown with a disruption in one process.

When a VM is drained, its probe gives the boot that the reboot must exceed. If that one probe was refused, or got no answer, the boot was recorded as -1, which any boot exceeds. So the next answer of a VM that had lived on, behind a cut, counted as a new boot: the disruption went on to "verifying" and ended, whether or not the command to reboot had arrived. It may still arrive later.

The scenario refuses the connection, closes it, or answers no JSON while the drain is checked; the platform gives the command no answer, and the VM answers again with boot 3 as before. It failed in all three cases with the step "verifying" and boot=-1.

Now the boot that the VM last reported to this node is recorded, which the prober knows. It is still -1 if no probe ever had an answer; then any answer counts, as before, so that a VM that never came up can be rebooted; a scenario that passed before holds this.

--- a/packages/peridotsill_node/src/peridotsill_node/_disruptions.py
+++ b/packages/peridotsill_node/src/peridotsill_node/_disruptions.py
@@ -227,6 +227,10 @@
         """Probe the VM over a new connection."""
         return self._parts.upstreams.probe(vm.name, vm.address)
 
+    def last_boot(self, vm: str) -> int:
+        """Return the boot that a VM last reported here, or -1 if none."""
+        return self._parts.upstreams.health.last_boot(vm)
+
     def reboot(
         self,
         vm: peridotsill.Vm,
@@ -273,7 +277,8 @@
     probe = disruptions.probe(vm)
     if probe.healthy and probe.in_flight:
         return f"the VM has {probe.in_flight} requests in flight"
-    changed = _after_drain(vm, disruption, probe)
+    # A VM that does not answer may still have the boot that it had before.
+    changed = _after_drain(vm, disruption, disruptions.last_boot(vm.name))
     if changed == vm:
         return "drained; an operator ends it"
     disruptions.write(vm, changed, tenure, "nothing is in flight any more")
@@ -283,7 +288,7 @@
 def _after_drain(
     vm: peridotsill.Vm,
     disruption: peridotsill.Disruption,
-    probe: peridotsill_upstreams.ProbeResult,
+    boot: int,
 ) -> peridotsill.Vm:
     if disruption.kind is peridotsill.DisruptionKind.MOVE:
         target = disruption.target_pool or vm.pool
@@ -292,13 +297,9 @@
         return attrs.evolve(vm, pool=target, disruption=None, home_pool=home)
     if disruption.kind is peridotsill.DisruptionKind.REBOOT:
         step = peridotsill.DisruptionStep.REBOOTING
-        return attrs.evolve(
-            vm, disruption=_with_step(disruption, step, probe.boot)
-        )
+        return attrs.evolve(vm, disruption=_with_step(disruption, step, boot))
     step = peridotsill.DisruptionStep.HELD
-    return attrs.evolve(
-        vm, disruption=_with_step(disruption, step, probe.boot)
-    )
+    return attrs.evolve(vm, disruption=_with_step(disruption, step, boot))
 
 
 @handles_step(peridotsill.DisruptionStep.REBOOTING)
--- a/packages/peridotsill_upstreams/src/peridotsill_upstreams/_health.py
+++ b/packages/peridotsill_upstreams/src/peridotsill_upstreams/_health.py
@@ -190,6 +190,11 @@
             if state.probe_failures >= 2:
                 self._eject(state)
 
+    def last_boot(self, vm: str) -> int:
+        """Return the boot that a VM last reported, or -1 if none is known."""
+        with self._lock:
+            return self._state(vm).boot
+
     def leaving_vms(self) -> tuple[str, ...]:
         """Return the VMs that announced to this node that they leave."""
         with self._lock:
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -146,6 +146,15 @@
         feature="fleet",
         scenario="A node that is cut off may still send",
     ),
+    Mutant(
+        promise="waves: a VM that answers no probe keeps its last boot",
+        package="peridotsill_node",
+        module="_disruptions.py",
+        old="disruption, disruptions.last_boot(vm.name))",
+        new="disruption, probe.boot)",
+        feature="disruptions",
+        scenario="says nothing of a VM's boot",
+    ),
     Mutant(
         promise="jobs: a lapsed task that may run once is not started again",
         package="peridotsill_node",
