Hold that a refused connection says "not run" of its own attempt only

Callers saw no fault here: the relay never takes back that an earlier attempt may have run. No scenario held this for a refused connection. Now one VM runs look-ups and gives no answer, and the others refuse connections: none of the refusals that say "not run" may be in the run log.

Two comments said that a refused connection proves that the process has ended. It doesn't, as a network cut refuses connections too; what the code does there is right without it.

--- a/packages/peridotsill/src/peridotsill/exceptions.py
+++ b/packages/peridotsill/src/peridotsill/exceptions.py
@@ -28,9 +28,10 @@
 class PeerUnavailable(PeridotsillError):
     """A JSON call to a peer got no usable response.
 
-    ``sent`` is False only if the peer can't have received the request, and
-    ``refused`` tells that the peer's host refused the connection: no process
-    listens at its address.
+    ``sent`` is False only if the peer can't have received this request; of
+    earlier ones it tells nothing. ``refused`` tells that the connection was
+    refused, which a network cut may do as well, though the peer's process
+    lives.
     """
 
     def __init__(
--- a/packages/peridotsill_node/src/peridotsill_node/_relay.py
+++ b/packages/peridotsill_node/src/peridotsill_node/_relay.py
@@ -268,7 +268,7 @@
             error, upstream_exceptions.NotSent
         ):
             # The runner closed a reused connection and takes no new one, so
-            # its process has ended.
+            # it may have crashed under the request.
             progress.broken_connections += 1
         if progress.request.remaining_seconds <= 0:
             progress.outcome = _refusal(
--- a/tests/features/once.feature
+++ b/tests/features/once.feature
@@ -15,6 +15,17 @@
       | crash_before_run | most  | no      |
       | crash_after_run  | some  | unknown |
 
+  # Guards against a "not run" that a refused connection seems to prove: the one
+  # VM that is left runs look-ups and gives no answer, and the others refuse.
+  Scenario: A refused connection says nothing of an earlier attempt
+    Given 3 nodes and 6 VMs in pool "trails" with budget 5
+    And service "passes" on pool "trails"
+    And every runner will "crash_after_run"
+    When all runners but one are killed
+    And 40 look-ups of 0.3 s are sent at once
+    Then no request that was refused as not run is in the run log
+    And some of the replies say ran "unknown"
+
   Scenario: With no runner left a request is refused at once
     Given 3 nodes and 6 VMs in pool "trails" with budget 5
     And service "passes" on pool "trails"
--- a/tests/features/steps/once_steps.py
+++ b/tests/features/steps/once_steps.py
@@ -31,16 +31,26 @@
 
 @when("{count:d} posts without a key are sent at once")
 def step_send_unkeyed(context, count):
+    _send_all(context, count, "POST", b"pass")
+
+
+@when("{count:d} look-ups of {seconds:g} s are sent at once")
+def step_send_lookups(context, count, seconds):
+    _send_all(context, count, "GET", b"", X_Work_Seconds=str(seconds))
+
+
+def _send_all(context, count, method, body, **headers):
     nodes = list(context.fleet.nodes)
 
     def send(number):
         return context.fleet.call(
             nodes[number % len(nodes)],
-            "POST",
+            method,
             "/passes/log",
-            b"pass",
+            body,
             X_Marker=f"post-{number}",
             Request_Timeout="5",
+            **headers,
         )
 
     with concurrent.futures.ThreadPoolExecutor(count) as pool:
@@ -84,9 +94,22 @@
 
 @when("all runners are killed")
 def step_kill_runners(context):
-    for name, process in context.fleet.processes.items():
-        if name.startswith("runner-"):
-            process.kill()
+    _kill_runners(context, left=0)
+
+
+@when("all runners but one are killed")
+def step_kill_other_runners(context):
+    _kill_runners(context, left=1)
+
+
+def _kill_runners(context, left):
+    runners = [
+        process
+        for name, process in context.fleet.processes.items()
+        if name.startswith("runner-")
+    ]
+    for process in runners[left:]:
+        process.kill()
 
 
 @when("{keys:d} keys are each posted {times:d} times at once across all nodes")
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -146,6 +146,18 @@
         feature="fleet",
         scenario="A node that is cut off may still send",
     ),
+    Mutant(
+        promise="not run: a refused connection says nothing of the past",
+        package="peridotsill_node",
+        module="_relay.py",
+        old="        if vm == progress.broken_reused_at",
+        new=(
+            "        progress.may_have_run = False\n"
+            "        if vm == progress.broken_reused_at"
+        ),
+        feature="once",
+        scenario="A refused connection says nothing",
+    ),
     Mutant(
         promise="waves: a VM that answers no probe keeps its last boot",
         package="peridotsill_node",
