Write the log on after a line that can't be encoded

Seen: with an entry in the registry whose "born" is 1e300 the scheduler's log was silent for good, and so was each next scheduler's, as the line "runner:listed" held the number.

Cause: the writer's thread encoded each message without a guard; orjson refuses integers beyond 64 bits, nesting deeper than 254 and keys that are no texts, and the error ended the thread. The messages behind it were never written.

Evidence: the scenario in four variants. Before, nothing after the first line was written in each (TypeError "Integer exceeds 64-bit range", "Recursion limit reached", "Dict key must be str", "Type is not JSON serializable" in the thread).

Now a message that can't be encoded as a whole is encoded field by field; the line has all fields that can be, and names the others with the reason under "left_out". So a line can be lost in part, and no other is.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_logs.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_logs.py
@@ -65,7 +65,7 @@
         chunk = b""
         while self._backlog:
             message = self._backlog.popleft()
-            line = orjson.dumps(message, default=str) + b"\n"
+            line = _encode(message) + b"\n"
             if len(chunk) + len(line) > _MAX_WRITE_BYTES:
                 self._write(chunk)
                 chunk = b""
@@ -83,6 +83,27 @@
             self._dropped += chunk.count(b"\n")
 
 
+def _encode(message: dict[str, typing.Any]) -> bytes:
+    """Return a message as JSON text; name the fields that can't be encoded.
+
+    Such fields are left out, with the reason under ``left_out``. They may
+    hold what another writer sent, so any error is possible.
+    """
+    try:
+        return orjson.dumps(message, default=str)
+    except Exception:
+        encodable: dict[str, typing.Any] = {}
+        left_out: dict[str, str] = {}
+        for name, value in message.items():
+            try:
+                encodable[name] = orjson.Fragment(
+                    orjson.dumps(value, default=str)
+                )
+            except Exception as error:
+                left_out[str(name)] = repr(error)
+        return orjson.dumps({**encodable, "left_out": left_out})
+
+
 @contextlib.contextmanager
 def logging_to_stdout() -> collections.abc.Iterator[None]:
     """Write eliot's messages to standard output while the context lasts."""
