Refuse registry entries that can't name a runner

Seen: an odd entry under the id of a known runner, with a "born" beyond 64 bits, is taken for a restart of that runner. Its tasks are started elsewhere while its runs go on: TWICE. Entries with a far-off or negative start time, negative or immense amounts, a port out of range or missing, a name or nothing for a host, line ends in the address or an id that is no header value were taken as runners.

Cause: the decoder checked the types of fields and no ranges. A lifetime that is higher than the known one counts as a restart, whatever it is; the entry of the runner itself, with its lower lifetime, is then passed over for good. A host's name would be resolved in the loop that makes all calls to runners, which would wait for it (read, not shown).

An entry that is refused makes a known runner an unlisted one: nothing is started there, and its runs stay until they are known to have ended; two scenarios show it, one with a takeover.

Not mended by this: an entry of a known id whose start time is possible and later than the runner's is still taken for a restart.

--- a/tests/emulator/world.py
+++ b/tests/emulator/world.py
@@ -246,6 +246,11 @@
         The store refuses other writers of the operator's table and the
         runner registry.
         """
+        content = None if value is None else json.dumps(value).encode()
+        self.write_bytes(table, key, content)
+
+    def write_bytes(self, table, key, content):
+        """Write a row with any bytes as its value; None deletes it."""
         row = {"table": table, "part": "", "key": key}
         body = {
             "precondition": [],
@@ -253,11 +258,10 @@
             "remove": [],
             "operator": True,
         }
-        if value is None:
+        if content is None:
             body["remove"] = [row]
         else:
-            text = json.dumps(value).encode()
-            row["value"] = base64.b64encode(text).decode()
+            row["value"] = base64.b64encode(content).decode()
             body["upserts"] = [row]
         self.store._apply(body)
 
--- a/tests/features/odd_entries.feature
+++ b/tests/features/odd_entries.feature
@@ -19,6 +19,44 @@
     When rows that can't be read are read 3 times in two versions
     Then each odd row is logged once for each of its versions
 
+  # Guards against LOST: an entry whose numbers can be neither logged nor
+  # written to a job's row, or whose address keeps all calls waiting.
+  Scenario: Entries that can't name a runner are refused, and the others hold
+    When the registry has an entry of each odd kind between two in order
+    Then only the two in order name runners
+    And each odd row is logged once for each of its versions
+
+  # Guards against LOST: processes that end, fall silent or follow the list no
+  # more, each time one reads an odd entry.
+  Scenario: Jobs complete beside odd entries, and the log goes on
+    Given 2 job nodes with 4 VMs in "trails" and 1 in standby
+    And the registry holds an entry of each odd kind
+    When 8 jobs of two steps are submitted
+    Then all jobs are completed within 20 s
+    And no odd entry is listed as a runner, or logged twice by one node
+    And the scheduler still logs what it does
+    And no node's thread has failed
+
+  # Guards against TWICE: an entry that can't be read proves nothing about the
+  # runs of its runner.
+  Scenario: Runs outlast their runner's entry, and none is added
+    Given 2 job nodes with 3 VMs in "trails" and 1 in standby
+    When 6 tasks of 3 s run, and the entry of a runner with some turns odd
+    And 8 jobs of two steps are submitted
+    Then all jobs are completed within 20 s
+    And each task of job "odd" was started once
+    And nothing was started on that runner since
+    And no rule is broken
+
+  # Guards against TWICE: a scheduler that never knew a runner takes an odd
+  # entry for its end.
+  Scenario: Runs on a runner with an odd entry aren't doubled by a takeover
+    Given 2 job nodes with 3 VMs in "trails" and 1 in standby
+    When 6 tasks of 3 s run, and the entry of a runner with some turns odd
+    And the scheduler is killed
+    Then all jobs are completed within 30 s
+    And no rule is broken
+
   # Guards against LOST: a job that is never stored, with those that would be
   # stored by the same commit.
   Scenario: A submission with a number beyond 64 bits is refused at once
--- a/tests/features/steps/odd_entry_steps.py
+++ b/tests/features/steps/odd_entry_steps.py
@@ -5,9 +5,11 @@
 import json
 import time
 
+from behave import given
 from behave import then
 from behave import when
 import eliot
+from emulator import nodes
 
 from peridotsill_adapter import _documents
 from peridotsill_adapter import _table
@@ -15,6 +17,7 @@
 from peridotsill_jobs import _logs
 
 _POOL = "trails"
+_JOB = "odd"
 _NESTED = "[" * 900 + "]" * 900
 _TOO_DEEP = "[" * 5000 + "]" * 5000
 # The JSON texts of an entry's fields. Nothing listens at its address.
@@ -184,6 +187,116 @@
     assert sorted(logged) == sorted(wanted), logged
 
 
+@when("the registry has an entry of each odd kind between two in order")
+def _read_odd_entries(context):
+    _read_registry(context, names=tuple(_ODD_FIELDS), versions=(1, 1, 2))
+
+
+@then("only the two in order name runners")
+def _two_named(context):
+    for named in context.named:
+        assert named == ["i-first", "i-last"], sorted(
+            set(named) - {"i-first", "i-last"}
+        )
+
+
+@given("the registry holds an entry of each odd kind")
+def _odd_entries_in_registry(context):
+    for name, fields in _ODD_FIELDS.items():
+        context.cluster.world.write_bytes("servers", name, _entry(**fields))
+
+
+def _odd_keys():
+    return {f"servers//{name}" for name in _ODD_FIELDS}
+
+
+@then("no odd entry is listed as a runner, or logged twice by one node")
+def _odd_entries_passed_over(context):
+    listed = {
+        line["runner"] for line in context.cluster.events("runner:listed")
+    }
+    assert not listed & set(_ODD_FIELDS), listed & set(_ODD_FIELDS)
+    for node in context.cluster.nodes:
+        keys = [
+            line["key"]
+            for line in node.lines()
+            if line.get("message_type") == "row:unreadable"
+        ]
+        assert len(keys) == len(set(keys)), keys
+    assert _odd_keys() <= {
+        line["key"] for line in context.cluster.events("row:unreadable")
+    }
+
+
+@then("the scheduler still logs what it does")
+def _scheduler_logs(context):
+    scheduler = context.cluster.scheduler()
+    before = len(scheduler.lines())
+    reply = context.cluster.submit(
+        scheduler, _POOL, "f" * 16, [{"count": 1, "cpu": 1000}]
+    )
+    assert reply.status == 200, reply.status
+
+    def is_logged():
+        return any(
+            line.get("message_type") == "job:state" and line["job"] == "f" * 16
+            for line in scheduler.lines()[before:]
+        )
+
+    nodes.wait_for(is_logged, 5.0, "a line about the job")
+
+
+@then("no node's thread has failed")
+def _no_failed_thread(context):
+    for event in ("thread:failed", "scheduler:failed", "feed:failed"):
+        assert not context.cluster.events(event), event
+
+
+def _job_id(name):
+    return name.encode().hex().rjust(16, "0")
+
+
+@when(
+    "{count:d} tasks of {seconds:g} s run, and the entry of a runner with "
+    "some turns odd"
+)
+def _turn_odd(context, count, seconds):
+    cluster = context.cluster
+    world = cluster.world
+    reply = cluster.submit(
+        cluster.nodes[0],
+        _POOL,
+        _job_id(_JOB),
+        [{"count": count, "cpu": 8000, "estimated_ms": seconds * 1000}],
+        seconds=seconds,
+    )
+    assert reply.status == 200, reply.status
+    context.jobs.append(_JOB)
+
+    def runs():
+        return world.log.starts_of(_job_id(_JOB))
+
+    nodes.wait_for(lambda: len(runs()) == count, 10.0, "all tasks running")
+    context.odd_runner = runs()[0].runner
+    # The refresh of the registry writes this row from now on.
+    row = {**context.odd_runner.row(), "born": 1e300}
+    context.odd_runner.row = lambda: row
+    world.write("servers", context.odd_runner.id, row)
+    # The scheduler reads the registry three times meanwhile.
+    time.sleep(1.2)
+    context.odd_since = time.monotonic()
+
+
+@then("nothing was started on that runner since")
+def _none_started(context):
+    started = [
+        each.task
+        for each in context.cluster.world.log.intervals
+        if each.runner is context.odd_runner and each.began > context.odd_since
+    ]
+    assert not started, started
+
+
 @when("jobs with numbers beyond 64 bits are submitted")
 def _submit_large_numbers(context):
     context.statuses = {}
