Follow runners, VMs and rows on after an unexpected error

Seen: after an error that the code does not expect, the thread that reads the registry ended, and the scheduler went on without it: it started nothing more, as the last reading was too old, and kept its lease. The same held for the threads that read the VMs, follow the rows of jobs and operators, and ask the placement advisor.

Cause: each of the loops caught the errors that its calls are known to raise. No bytes of another writer are known to raise another one: orjson refuses nesting beyond 1024, NaN and infinite numbers with a ValueError. It took one omission in decoding to reach it.

A step whose advice failed so is asked for again, as after a failed call.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_advice.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_advice.py
@@ -3,6 +3,7 @@
 import collections.abc
 import queue
 import threading
+import traceback
 
 import attrs
 
@@ -73,8 +74,17 @@
             request = self._requests.get()
             if request is None:
                 return
-            if not request.job.final:
-                self._post(self._call_advisor(request))
+            if request.job.final:
+                continue
+            try:
+                advice_result = self._call_advisor(request)
+            except Exception:
+                # Without this thread no step that needs advice would start.
+                _logs.log("feed:failed", traceback=traceback.format_exc())
+                advice_result = AdviceResult(
+                    request=request, permits=(), answered=False
+                )
+            self._post(advice_result)
 
     def _call_advisor(self, request: AdviceRequest) -> AdviceResult:
         timing = request.timing
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_feeds.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_feeds.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import threading
+import traceback
 
 import attrs
 import peridotsill
@@ -85,8 +86,13 @@
 
     def start_polling(self) -> None:
         """Start polling the registry and the list of VMs."""
-        for poll_loop in (self._poll_registry, self._poll_vms):
-            threading.Thread(target=poll_loop, daemon=True).start()
+        for poll, period_seconds in (
+            (self._poll_registry, _REGISTRY_POLL_SECONDS),
+            (self._poll_vms, _VM_POLL_SECONDS),
+        ):
+            threading.Thread(
+                target=self._repeat, args=(poll, period_seconds), daemon=True
+            ).start()
 
     def stop(self) -> None:
         """Stop the threads after their current calls."""
@@ -111,33 +117,40 @@
         if update.rows:
             self._post(JobRowsChanged(rows=update.rows))
 
-    def _poll_registry(self) -> None:
-        prefix = f"{self._ports.keys.registry}//"
+    def _repeat(
+        self, poll: collections.abc.Callable[[], None], period_seconds: float
+    ) -> None:
         while not self._stopped.is_set():
-            requested_at = _clock.monotonic_seconds()
-            match self._ports.table.scan((prefix,)):
-                case result.Success(scan):
-                    decoded = map(self._ports.documents.runner, scan.rows)
-                    entries = tuple(each for each in decoded if each)
-                    snapshot = RegistrySnapshot(
-                        entries=entries, requested_at=requested_at
-                    )
-                    self._latest_registry = snapshot
-                    self._post(snapshot)
-                case result.Failure(error):
-                    _logs.log("registry:scan_failed", reason=str(error))
-            self._stopped.wait(_REGISTRY_POLL_SECONDS)
+            try:
+                poll()
+            except Exception:
+                # Without this thread the scheduler would know no more of
+                # its runners, and go on.
+                _logs.log("feed:failed", traceback=traceback.format_exc())
+            self._stopped.wait(period_seconds)
+
+    def _poll_registry(self) -> None:
+        requested_at = _clock.monotonic_seconds()
+        match self._ports.table.scan((f"{self._ports.keys.registry}//",)):
+            case result.Success(scan):
+                decoded = map(self._ports.documents.runner, scan.rows)
+                entries = tuple(each for each in decoded if each)
+                snapshot = RegistrySnapshot(
+                    entries=entries, requested_at=requested_at
+                )
+                self._latest_registry = snapshot
+                self._post(snapshot)
+            case result.Failure(error):
+                _logs.log("registry:scan_failed", reason=str(error))
 
     def _poll_vms(self) -> None:
-        while not self._stopped.is_set():
-            requested_at = _clock.monotonic_seconds()
-            try:
-                vms = self._ports.vms.list_vms()
-            except exceptions.VmServiceError as error:
-                _logs.log("vms:list_failed", reason=str(error))
-            else:
-                self._post(VmListSnapshot(vms=vms, requested_at=requested_at))
-            self._stopped.wait(_VM_POLL_SECONDS)
+        requested_at = _clock.monotonic_seconds()
+        try:
+            vms = self._ports.vms.list_vms()
+        except exceptions.VmServiceError as error:
+            _logs.log("vms:list_failed", reason=str(error))
+        else:
+            self._post(VmListSnapshot(vms=vms, requested_at=requested_at))
 
 
 def _log_watch_failure(error: Exception) -> None:
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_following.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_following.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import threading
+import traceback
 
 import attrs
 import peridotsill
@@ -13,6 +14,8 @@
 
 # Pause after a failed call; short compared with the time a change may take.
 _RETRY_DELAY_SECONDS = 0.15
+# Pause after an error that is no failed call and may come again at once.
+_ERROR_DELAY_SECONDS = 1.0
 
 
 @attrs.frozen(kw_only=True)
@@ -54,7 +57,8 @@
     A snapshot is read again when the table has discarded the history since
     the last revision. While the table is unavailable, calls do not wait for
     changes: they fail sooner, and the first one after the table's recovery
-    is answered at once.
+    is answered at once. After any other error, also one of ``on_update``,
+    the same changes are read again.
     """
     revision = subscription.revision
     wait_seconds = subscription.wait_seconds
@@ -72,6 +76,14 @@
             subscription.on_failure(error)
             wait_seconds = 0.0
             stopped.wait(_RETRY_DELAY_SECONDS)
+        except Exception:
+            # Without this thread nobody would learn of a change any more.
+            _logs.log(
+                "feed:failed",
+                table=subscription.name,
+                traceback=traceback.format_exc(),
+            )
+            stopped.wait(_ERROR_DELAY_SECONDS)
 
 
 def _read_snapshot(subscription: Subscription) -> int:
--- a/tests/features/odd_entries.feature
+++ b/tests/features/odd_entries.feature
@@ -26,6 +26,31 @@
     Then only the two in order name runners
     And each odd row is logged once for each of its versions
 
+  # Guards against LOST: the list of runners isn't followed any more after an
+  # error that nobody expected.
+  Scenario Outline: A row whose decoding fails in any way is passed over (<kind>)
+    When decoding a row of <kind> ends with each of several errors
+    Then the row is passed over and logged each time
+
+    Examples:
+      | kind          |
+      | a runner      |
+      | a wave        |
+      | configuration |
+
+  # Guards against LOST: what is polled isn't followed any more after an error
+  # that nobody expected.
+  Scenario Outline: What is followed is followed on after any error (<feed>)
+    When <feed> are read, with an unexpected error at first
+    Then the error is logged, and they are read again within 3 s
+
+    Examples:
+      | feed            |
+      | the runners     |
+      | the VMs         |
+      | changes of rows |
+      | answers         |
+
   # Guards against LOST: processes that end, fall silent or follow the list no
   # more, each time one reads an odd entry.
   Scenario: Jobs complete beside odd entries, and the log goes on
--- a/tests/features/steps/odd_entry_steps.py
+++ b/tests/features/steps/odd_entry_steps.py
@@ -3,21 +3,36 @@
 import base64
 import io
 import json
+import threading
 import time
+import types
 
 from behave import given
 from behave import then
 from behave import when
 import eliot
 from emulator import nodes
+import peridotsill
+from returns import result
 
 from peridotsill_adapter import _documents
 from peridotsill_adapter import _table
 from peridotsill_adapter import _unreadable
+from peridotsill_jobs import _advice
+from peridotsill_jobs import _feeds
+from peridotsill_jobs import _following
 from peridotsill_jobs import _logs
+import peridotsill_scheduler
 
 _POOL = "trails"
 _JOB = "odd"
+_ERRORS = (
+    RecursionError("too deep"),
+    OverflowError("too large"),
+    KeyError("missing"),
+    AttributeError("another type"),
+    MemoryError("too much"),
+)
 _NESTED = "[" * 900 + "]" * 900
 _TOO_DEEP = "[" * 5000 + "]" * 5000
 # The JSON texts of an entry's fields. Nothing listens at its address.
@@ -200,6 +215,171 @@
         )
 
 
+class _FailingFields(dict):
+    """A row's value, every use of which raises an error."""
+
+    def __init__(self, error):
+        super().__init__()
+        self._error = error
+
+    def get(self, *_):
+        """Raise the error."""
+        raise self._error
+
+
+_DECODERS = {
+    "a runner": ("runner", "servers//i-1"),
+    "a wave": ("wave", "op//wave/1"),
+    "configuration": ("config", "op//config"),
+}
+
+
+@when("decoding a row of {kind} ends with each of several errors")
+def _decode_failing(context, kind):
+    context.lines = _capture_log(context)
+    documents = _documents.PlatformDocuments(
+        unreadable_rows=_unreadable.UnreadableRows()
+    )
+    method, key = _DECODERS[kind]
+    context.decoded = []
+    for version, error in enumerate(_ERRORS):
+        row = peridotsill.Row(
+            key=key, value=_FailingFields(error), version=version
+        )
+        context.decoded.append(getattr(documents, method)(row))
+
+
+@then("the row is passed over and logged each time")
+def _passed_over(context):
+    assert context.decoded == [None] * len(_ERRORS), context.decoded
+    problems = [
+        line["problems"]
+        for line in context.lines
+        if line["message_type"] == "row:unreadable"
+    ]
+    assert len(problems) == len(_ERRORS), problems
+    for error, text in zip(_ERRORS, problems):
+        assert type(error).__name__ in text, text
+
+
+class _FailsAtFirst:
+    """A function that raises an error at its first call."""
+
+    def __init__(self, answer):
+        self._answer = answer
+        self.call_count = 0
+
+    def __call__(self, *_, **__):
+        self.call_count += 1
+        if self.call_count == 1:
+            raise RecursionError("too deep")
+        return self._answer
+
+
+def _follow_feed(context, kind, posted):
+    """Start the thread of a feed of the scheduler; it posts to a list."""
+    scan = peridotsill.Scan(rows=(), revision=1)
+    ports = types.SimpleNamespace(
+        keys=types.SimpleNamespace(registry="servers"),
+        table=types.SimpleNamespace(scan=lambda _: result.Success(scan)),
+        documents=types.SimpleNamespace(runner=lambda row: None),
+        vms=types.SimpleNamespace(list_vms=lambda: ()),
+    )
+    failing = _FailsAtFirst(())
+    if kind is _feeds.VmListSnapshot:
+        ports.vms.list_vms = failing
+    else:
+        ports.table.scan = _FailsAtFirst(result.Success(scan))
+    feeds = _feeds.Feeds(
+        ports=ports,
+        post=lambda event: isinstance(event, kind) and posted.append(event),
+    )
+    context.stack.callback(feeds.stop)
+    feeds.start_polling()
+
+
+def _read_runners(context, posted):
+    _follow_feed(context, _feeds.RegistrySnapshot, posted)
+
+
+def _read_vms(context, posted):
+    _follow_feed(context, _feeds.VmListSnapshot, posted)
+
+
+def _read_changes(context, posted):
+    changes = types.SimpleNamespace(rows=(), deleted=(), revision=2)
+    failing = _FailsAtFirst(None)
+
+    def apply(update):
+        failing()
+        posted.append(update)
+
+    def watch(*_):
+        time.sleep(0.05)
+        return result.Success(changes)
+
+    subscription = _following.Subscription(
+        table=types.SimpleNamespace(watch=watch),
+        name="op",
+        prefix="op//",
+        wait_seconds=0.1,
+        on_update=apply,
+        on_failure=lambda error: None,
+        revision=1,
+    )
+    stopped = threading.Event()
+    context.stack.callback(stopped.set)
+    threading.Thread(
+        target=_following.follow, args=(subscription, stopped), daemon=True
+    ).start()
+
+
+def _read_answers(context, posted):
+    advisor = types.SimpleNamespace(advise=_FailsAtFirst(()))
+    queue = _advice.AdviceQueue(
+        advisor=advisor,
+        post=lambda outcome: outcome.answered and posted.append(outcome),
+    )
+    context.stack.callback(queue.stop)
+    job = types.SimpleNamespace(
+        final=False, spec=types.SimpleNamespace(id="j")
+    )
+    request = _advice.AdviceRequest(
+        job=job,
+        occurrence=0,
+        step=0,
+        runners=("i-1",),
+        timing=peridotsill_scheduler.AdviceTiming(
+            decision_seconds=0.1, vm_seconds=0.1, validity_seconds=1.0
+        ),
+    )
+    for _ in range(2):
+        queue.enqueue(request)
+
+
+_FEEDS = {
+    "the runners": _read_runners,
+    "the VMs": _read_vms,
+    "changes of rows": _read_changes,
+    "answers": _read_answers,
+}
+
+
+@when("{feed} are read, with an unexpected error at first")
+def _read_with_error(context, feed):
+    context.lines = _capture_log(context)
+    context.posted = []
+    _FEEDS[feed](context, context.posted)
+
+
+@then("the error is logged, and they are read again within {seconds:g} s")
+def _read_again(context, seconds):
+    nodes.wait_for(lambda: context.posted, seconds, "another read")
+    assert any("too deep" in str(line) for line in context.lines), (
+        context.lines
+    )
+
+
 @given("the registry holds an entry of each odd kind")
 def _odd_entries_in_registry(context):
     for name, fields in _ODD_FIELDS.items():
