Keep fleet nodes following the table after an odd row

Seen: a row of another writer in "vms/" whose address has no port ends the thread of each fleet node that reads the table (ValueError: invalid literal for int()). The nodes go on with the rows they had, and count as cut off from the table later.

Cause: each change of the view updates upstreams, siblings and slots in the thread that brought it, and nothing there expects what another writer may have put into a row. Also the thread that reads the platform's list of VMs, an operator's request and the start of the node call it.

Evidence: the scenario. Before, a service that was added to the table after such a row was served by no node within 5 s, and the traceback above was in their output; now each serves it.

The update logs an unexpected error with its traceback, and the thread goes on; the next change or reading updates again.

--- a/packages/peridotsill_node/src/peridotsill_node/_node.py
+++ b/packages/peridotsill_node/src/peridotsill_node/_node.py
@@ -321,7 +321,17 @@
         return peridotsill_siblings.ServiceSlots(service=spec, vms=open_vms)
 
     def sync(self) -> None:
-        """Update upstreams, siblings and slots to match the view."""
+        """Update upstreams, siblings and slots to match the view.
+
+        An error is logged: the view holds what others wrote, and the threads
+        that call this have more to do. The next call tries again.
+        """
+        try:
+            self._sync_with_view()
+        except Exception:
+            eliot.write_traceback()
+
+    def _sync_with_view(self) -> None:
         connections = {
             service.pool: service.connections_per_vm
             for service in self.view.resources("services")
--- a/tests/features/odd_entries.feature
+++ b/tests/features/odd_entries.feature
@@ -88,3 +88,11 @@
     Given 1 job nodes with 2 VMs in "trails" and 1 in standby
     When jobs with numbers beyond 64 bits are submitted
     Then each was answered with 400
+
+  # Guards against LOST: fleet nodes that follow the table no more since one
+  # of them was given a VM that can't be called.
+  Scenario: A VM with an address that is none stops no fleet node
+    Given 2 nodes and 3 VMs in pool "trails" with budget 2
+    When another writer adds a VM without a port to the table
+    And another writer adds service "lookup" to the table
+    Then every node serves "/lookup/x" within 5 s
--- a/tests/features/steps/odd_entry_steps.py
+++ b/tests/features/steps/odd_entry_steps.py
@@ -500,3 +500,39 @@
 @then("each was answered with 400")
 def _answered_400(context):
     assert set(context.statuses.values()) == {400}, context.statuses
+
+
+_VM = {"domain": "dc1", "rack": "rack0", "pool": _POOL}
+
+
+def _write_row(context, key, value):
+    client = peridotsill.JsonClient(
+        base=f"http://{context.fleet.platform_address}", connections=2
+    )
+    writes = [{"key": key, "value": value}]
+    client.call("POST", "/table/commit", {"checks": [], "writes": writes})
+
+
+@when("another writer adds a VM without a port to the table")
+def _add_vm_without_port(context):
+    _write_row(
+        context, "vms/odd", {"name": "odd", "address": "127.0.0.1", **_VM}
+    )
+    # Each node reads the table meanwhile.
+    time.sleep(2.0)
+
+
+@when('another writer adds service "{service}" to the table')
+def _add_service(context, service):
+    _write_row(
+        context, f"services/{service}", {"name": service, "pool": _POOL}
+    )
+
+
+@then('every node serves "{path}" within {seconds:g} s')
+def _served_everywhere(context, path, seconds):
+    def is_served(node):
+        return context.fleet.call(node, "GET", path).status == 200
+
+    for node in context.fleet.nodes:
+        nodes.wait_for(lambda: is_served(node), seconds, f"{node} serves")
