Refuse a VM whose address is no HOST:PORT from operators

Seen: `apply` of a VM with the address "127.0.0.1" or "127.0.0.1:x" was answered with 500, while its row had been written; with "127.0.0.1:99999" or ":8080" it was accepted.

Cause: the fields of a document are checked for types and ranges, and the address is a text of any form. Whoever connects to the VM splits it.

Evidence: the scenario in four variants, each failed before as said above (that the row was there after a 500 was read, not shown); now each is refused with the field's name.

Names of hosts are still taken: fleet nodes connect to a VM in threads of its own, where a slow resolution keeps nobody else waiting.

--- a/packages/peridotsill_node/src/peridotsill_node/_resources.py
+++ b/packages/peridotsill_node/src/peridotsill_node/_resources.py
@@ -7,6 +7,7 @@
 
 import attrs
 import peridotsill
+import peridotsill.exceptions
 
 from peridotsill_node import _grants
 from peridotsill_node import _placement
@@ -14,6 +15,8 @@
 import peridotsill_operators
 
 _NAME_PATTERN = re.compile(r"[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?")
+_PORT_PATTERN = re.compile(r"[1-9][0-9]{0,4}")
+_MAX_PORT = 65535
 # Fields by kind that only the system sets; an update by an operator keeps
 # their stored values.
 _MANAGED_FIELDS: dict[str, tuple[str, ...]] = {
@@ -255,7 +258,20 @@
         raise peridotsill.HttpProblem(
             400, f"only the system sets these fields: {', '.join(refused)}"
         )
-    return peridotsill.from_plain(document, peridotsill.RESOURCE_KINDS[kind])
+    resource: typing.Any = peridotsill.from_plain(
+        document, peridotsill.RESOURCE_KINDS[kind]
+    )
+    if kind == "vms":
+        _check_address(resource.address)
+    return resource
+
+
+def _check_address(address: str) -> None:
+    host, _, port = address.rpartition(":")
+    if not host or not _PORT_PATTERN.fullmatch(port) or int(port) > _MAX_PORT:
+        raise peridotsill.exceptions.InvalidResource(
+            (f"address: {address!r} is not HOST:PORT",)
+        )
 
 
 def _with_managed_fields(
--- a/tests/features/odd_entries.feature
+++ b/tests/features/odd_entries.feature
@@ -96,3 +96,15 @@
     When another writer adds a VM without a port to the table
     And another writer adds service "lookup" to the table
     Then every node serves "/lookup/x" within 5 s
+
+  Scenario Outline: Operators can't add a VM that can't be called (<address>)
+    Given 1 nodes and 1 VMs in pool "trails" with budget 1
+    When an operator adds a VM with the address "<address>"
+    Then it is refused, and the field is named
+
+    Examples:
+      | address         |
+      | 127.0.0.1       |
+      | 127.0.0.1:x     |
+      | 127.0.0.1:99999 |
+      | :8080           |
--- a/tests/features/steps/odd_entry_steps.py
+++ b/tests/features/steps/odd_entry_steps.py
@@ -13,6 +13,7 @@
 import eliot
 from emulator import nodes
 import peridotsill
+import peridotsill.exceptions
 from returns import result
 
 from peridotsill_adapter import _documents
@@ -536,3 +537,19 @@
 
     for node in context.fleet.nodes:
         nodes.wait_for(lambda: is_served(node), seconds, f"{node} serves")
+
+
+@when('an operator adds a VM with the address "{address}"')
+def _apply_vm(context, address):
+    try:
+        context.fleet.operator().apply(
+            "vms", "odd", {"address": address, **_VM}
+        )
+        context.refusal = "accepted"
+    except peridotsill.exceptions.PeridotsillError as error:
+        context.refusal = str(error)
+
+
+@then("it is refused, and the field is named")
+def _refused(context):
+    assert "address" in context.refusal, context.refusal
