--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_feeds.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_feeds.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import threading
+import traceback
 
 import attrs
 import peridotsill
@@ -88,8 +89,13 @@
 
     def start_polling(self) -> None:
         """Start polling the registry and the list of VMs."""
-        for poll_loop in (self._poll_registry, self._poll_vms):
-            threading.Thread(target=poll_loop, daemon=True).start()
+        for poll, wait in (
+            (self._poll_registry, self._wait_for_registry_poll),
+            (self._poll_vms, self._wait_for_vm_poll),
+        ):
+            threading.Thread(
+                target=self._repeat, args=(poll, wait), daemon=True
+            ).start()
 
     def request_vm_list(self) -> None:
         """Read the list of VMs soon, rather than after the usual period."""
@@ -119,37 +125,50 @@
         if update.rows:
             self._post(JobRowsChanged(rows=update.rows))
 
-    def _poll_registry(self) -> None:
-        prefix = f"{self._ports.keys.registry}//"
+    def _repeat(
+        self,
+        poll: collections.abc.Callable[[], None],
+        wait: collections.abc.Callable[[], object],
+    ) -> None:
         while not self._stopped.is_set():
-            requested_at = _clock.monotonic_seconds()
-            match self._ports.table.scan((prefix,)):
-                case result.Success(scan):
-                    decoded = map(self._ports.documents.runner, scan.rows)
-                    entries = tuple(each for each in decoded if each)
-                    snapshot = RegistrySnapshot(
-                        entries=entries, requested_at=requested_at
-                    )
-                    self._latest_registry = snapshot
-                    self._post(snapshot)
-                case result.Failure(error):
-                    _logs.log("registry:scan_failed", reason=str(error))
-            self._stopped.wait(_REGISTRY_POLL_SECONDS)
+            try:
+                poll()
+            except Exception:
+                # Without this thread the scheduler would know no more of
+                # its runners, and go on.
+                _logs.log("feed:failed", traceback=traceback.format_exc())
+            wait()
+
+    def _poll_registry(self) -> None:
+        requested_at = _clock.monotonic_seconds()
+        match self._ports.table.scan((f"{self._ports.keys.registry}//",)):
+            case result.Success(scan):
+                decoded = map(self._ports.documents.runner, scan.rows)
+                entries = tuple(each for each in decoded if each)
+                snapshot = RegistrySnapshot(
+                    entries=entries, requested_at=requested_at
+                )
+                self._latest_registry = snapshot
+                self._post(snapshot)
+            case result.Failure(error):
+                _logs.log("registry:scan_failed", reason=str(error))
 
     def _poll_vms(self) -> None:
-        while not self._stopped.is_set():
-            self._vm_list_requested.clear()
-            requested_at = _clock.monotonic_seconds()
-            try:
-                vms = self._ports.vms.list_vms()
-            except exceptions.VmServiceError as error:
-                _logs.log("vms:list_failed", reason=str(error))
-            else:
-                self._post(VmListSnapshot(vms=vms, requested_at=requested_at))
-            self._stopped.wait(_MIN_VM_POLL_SECONDS)
-            self._vm_list_requested.wait(
-                _VM_POLL_SECONDS - _MIN_VM_POLL_SECONDS
-            )
+        self._vm_list_requested.clear()
+        requested_at = _clock.monotonic_seconds()
+        try:
+            vms = self._ports.vms.list_vms()
+        except exceptions.VmServiceError as error:
+            _logs.log("vms:list_failed", reason=str(error))
+        else:
+            self._post(VmListSnapshot(vms=vms, requested_at=requested_at))
+
+    def _wait_for_registry_poll(self) -> None:
+        self._stopped.wait(_REGISTRY_POLL_SECONDS)
+
+    def _wait_for_vm_poll(self) -> None:
+        self._stopped.wait(_MIN_VM_POLL_SECONDS)
+        self._vm_list_requested.wait(_VM_POLL_SECONDS - _MIN_VM_POLL_SECONDS)
 
 
 def _log_watch_failure(error: Exception) -> None:
--- a/tests/features/steps/refusal_steps.py
+++ b/tests/features/steps/refusal_steps.py
@@ -14,6 +14,7 @@
 
 from peridotsill_adapter import _documents
 from peridotsill_adapter import _runners
+from peridotsill_adapter import _unreadable
 from peridotsill_jobs import _feeds
 from peridotsill_jobs import _link_events
 from peridotsill_jobs import _ports
@@ -123,7 +124,9 @@
         "machine": _VM,
     }
     row = peridotsill.Row(key="servers//i-1", value=fields, version=1)
-    entry = _documents.PlatformDocuments().runner(row)
+    entry = _documents.PlatformDocuments(
+        unreadable_rows=_unreadable.UnreadableRows()
+    ).runner(row)
     workers = context.controller._workers
     (placed,) = _worker(context).placed.values()
     del workers._workers["i-1"]
