Wait for runs also of a holder that refused connections

A node that found the lease's row unchanged, and whose question to the holder was refused, took the holder for gone. It took the lease over 0.6 s after the last change and counted its waits for runners that it did not reach from that takeover. But a cut may refuse connections for a process that lives. Such a holder uses its lease until it expires, up to 1.6 s after the last change, and extends leases of runs for 6 s more, so the new holder started their tasks again while they ran: TWICE.

The same followed where nothing is known of the holder before the last one: after a takeover whose answer was lost, after a next holder that left before it had read the rows, or was started again.

Every renewal of every earlier holder was requested before the new one first read the row that its takeover replaced. So all their leases have expired LEASE_SECONDS after that read, and the waits count from then, or from the takeover if that is later. Waits that a holder left when it stopped of its own accord count from the takeover, as before. The quick takeover itself stays: the row's version decides who wins, and runners refuse the older epoch.

Evidence: the new scenarios drive an old holder's poller against a runner that only it reaches, on a simulated clock.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_controller.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_controller.py
@@ -89,6 +89,7 @@
         self._workers = _workers.Workers(
             connect=self._connect_runner,
             inherited_waits=parts.lease.inherited_waits,
+            earlier_leases_end_at=parts.lease.earlier_leases_end_at,
         )
         self._feeds = _feeds.Feeds(ports=parts.ports, post=self._inbox.put)
         self._estimator = peridotsill_scheduler.Estimator()
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_holder_check.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_holder_check.py
@@ -1,8 +1,8 @@
 """Lets nodes ask the lease's holder directly whether it still schedules.
 
 A node that waits for the lease sees only that its row has not changed. The
-holder itself, or the fact that its process is gone, tells more, so that the
-lease needn't expire first.
+holder's answer, or a refused connection, tells more, so that the node may
+take over before the lease has expired.
 """
 
 import collections.abc
@@ -27,9 +27,10 @@
 class HolderState:
     """Whether a node still holds the lease under an epoch.
 
-    If it gave the lease up, ``waits`` are the seconds for which the next
-    holder has to wait for each runner that does not answer, None if they
-    are not known.
+    If it does not, others may take over; that is no proof that the row's
+    holder has stopped. If it gave the lease up, ``waits`` are the seconds
+    for which the next holder has to wait for each runner that does not
+    answer, None if they are not known.
     """
 
     holds: bool
@@ -71,8 +72,9 @@
     """Ask a node whether it holds the lease under an epoch.
 
     Example: ``ask_holder("10.0.0.1:7060", 7)`` is ``HolderState(holds=False)``
-    if nothing listens there, as the holder's process is gone. None without a
-    usable answer: the holder may be cut off, frozen or without power.
+    if the connection is refused: most likely the holder's process is gone,
+    but a cut may refuse connections for a process that lives. None without
+    a usable answer: the holder may be cut off, frozen or without power.
     """
     client = peridotsill.JsonClient(base=f"http://{address}", connections=1)
     try:
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_lease.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_lease.py
@@ -106,8 +106,10 @@
     runner that is gone.
 
     A node that finds the row unchanged asks the holder at its address. If
-    the holder's process is gone, or if the holder can't renew and gives the
-    lease up, the node takes over without waiting for the expiry.
+    the connection is refused, the node takes over without waiting for the
+    expiry, though the holder may live on behind a cut and use its lease
+    until then. If the holder can't renew and gives the lease up, the node
+    also takes over at once.
 
     Args:
         node: This node's name.
@@ -135,6 +137,7 @@
         self._silent_version = -1
         self._failed_renewals = 0
         self._unchanged_seconds_at_takeover = 0.0
+        self._earlier_leases_end_at = 0.0
         self._last_row: _ObservedRow | None = None
         self._max_capability = capability
         self._failed_reads = 0
@@ -163,11 +166,21 @@
     def seconds_since_last_holder(self) -> float:
         """Seconds for which the last holder had been silent at the takeover.
 
-        That is the lease's duration, unless the holder was known to be gone
+        That is the lease's duration, unless the holder was taken for gone
         before.
         """
         return self._unchanged_seconds_at_takeover
 
+    @property
+    def earlier_leases_end_at(self) -> float:
+        """When the leases of all earlier holders have certainly expired.
+
+        In seconds of `_clock.monotonic_seconds`; it may be after the
+        takeover. Every renewal of theirs was requested before this node
+        first read the row that its own takeover replaced.
+        """
+        return self._earlier_leases_end_at
+
     def set_waits_source(
         self, compute_waits: collections.abc.Callable[[], LeaseExpiryWaits]
     ) -> None:
@@ -221,6 +234,9 @@
             self._failed_reads += 1
             return False
         unchanged_seconds = self._unchanged_seconds(row)
+        self._earlier_leases_end_at = (
+            _clock.monotonic_seconds() - unchanged_seconds + LEASE_SECONDS
+        )
         waits = row.waits
         self._unchanged_seconds_at_takeover = LEASE_SECONDS
         if unchanged_seconds < self._takeover_delay_seconds(row):
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_workers.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_workers.py
@@ -269,6 +269,8 @@
         inherited_waits: The seconds to wait for each runner that the last
             holder of the lease left when it released it; None if it left
             none.
+        earlier_leases_end_at: When the leases of all earlier holders have
+            certainly expired.
     """
 
     def __init__(
@@ -278,9 +280,11 @@
             [_ports.RunnerEntry], _links.RunnerLink
         ],
         inherited_waits: _lease.LeaseExpiryWaits | None = None,
+        earlier_leases_end_at: float = float("-inf"),
     ) -> None:
         self._connect = connect
         self._inherited_waits = inherited_waits
+        self._earlier_leases_end_at = earlier_leases_end_at
         self._workers: dict[str, Worker] = {}
         self._awaiting_runner: dict[str, list[JobTask]] = {}
         self._created_at = _clock.monotonic_seconds()
@@ -476,9 +480,13 @@
         wait_seconds = _grants.inherited_lease_seconds(
             max_lease_seconds, released=released
         )
-        if waits is not None:
+        counted_from = self._created_at
+        if waits is None:
+            # An earlier holder may live, though it was taken for gone.
+            counted_from = max(counted_from, self._earlier_leases_end_at)
+        else:
             wait_seconds = waits.get(runner, wait_seconds)
-        return self._created_at + wait_seconds - _clock.monotonic_seconds()
+        return counted_from + wait_seconds - _clock.monotonic_seconds()
 
     def remaining_waits(self, max_lease_seconds: float) -> dict[str, float]:
         """Return the seconds that the next holder of the lease has to wait.
--- a/tests/features/lease.feature
+++ b/tests/features/lease.feature
@@ -49,6 +49,21 @@
       | does not answer               | 1.6     |
       | says that it holds the lease  | 1.6     |
 
+  # Guards against TWICE: a holder that was cut off, and whose connections were
+  # refused, kept a run alive after the next one had started its task again.
+  Scenario Outline: A holder that refuses connections may live on, as the next <how>
+    Given a lease that a node of 2 cores holds and renews
+    And a run that its holder keeps alive on a runner that only it reaches
+    When the holder is cut off and refuses connections, and the next <how>
+    Then the run is given up soon after its lease has ended, and not before
+
+    Examples:
+      | how                                 |
+      | takes over                          |
+      | gets no answer as it takes over     |
+      | leaves before it has read the rows  |
+      | is started again                    |
+
   Scenario: A less capable node leaves a holder that is gone to the others
     Given a lease that a node of 2 cores held and stopped renewing
     When a node of 0.2 cores polls it and the holder is no longer running
--- /dev/null
+++ b/tests/features/steps/holder_steps.py
@@ -0,0 +1,215 @@
+"""Steps on an earlier holder of the lease that lives on.
+
+They share the simulated clock and the table of ``lease_steps``.
+"""
+
+import unittest.mock
+
+from behave import given
+from behave import then
+from behave import when
+import returns.result
+
+from peridotsill_jobs import _grants
+from peridotsill_jobs import _holder_check
+from peridotsill_jobs import _lease
+from peridotsill_jobs import _links
+from peridotsill_jobs import _ports
+from peridotsill_jobs import _runner_client
+from peridotsill_jobs import _workers
+import peridotsill_platform.exceptions
+import peridotsill_scheduler as scheduler
+
+_STEP_SECONDS = 0.05
+_MAX_STEPS = 400
+_MAX_LEASE_SECONDS = 10.0
+_RUNNER_CLOCK_RATE = 0.98
+_RUNNER = "i-1"
+_NAME = _ports.TaskName(job="aa", task="0.0.0")
+_OUTCOME_UNKNOWN = returns.result.Failure(
+    peridotsill_platform.exceptions.OutcomeUnknown("no answer")
+)
+
+
+def _refused(address, epoch):
+    return _holder_check.HolderState(holds=False)
+
+
+def _make_lease(context, name, address=""):
+    return _lease.Lease(
+        node=name,
+        table=context.store,
+        capability=2.0,
+        address=address or f"{name}:1",
+        ask_holder=_refused,
+    )
+
+
+def _entry():
+    return _ports.RunnerEntry(
+        id=_RUNNER,
+        lifetime=1,
+        pool="p",
+        address="127.0.0.1:1",
+        domain="z",
+        rack="r",
+        labels=frozenset(),
+        capacity=scheduler.Resources(cores=32, memory_mib=65536),
+    )
+
+
+def _make_link(lease):
+    """Return a link to the runner, whose calls get no answer."""
+    link = _links.RunnerLink(
+        parts=_runner_client.LinkParts(
+            entry=_entry(),
+            loop=unittest.mock.Mock(),
+            calls=unittest.mock.Mock(),
+            lease=lease,
+            grants=_grants.Grants(
+                lease=lease, max_lease_seconds=_MAX_LEASE_SECONDS
+            ),
+            post=lambda event: None,
+        )
+    )
+    link._poller._client._connection = unittest.mock.Mock()
+    return link
+
+
+class _Runner:
+    """A runner that answers the polls of one holder, on a slow clock."""
+
+    def __init__(self, clock, link):
+        self._clock = clock
+        self._poller = link._poller
+        self._until_ms = float("-inf")
+        self._poller._parts.calls.poll.side_effect = self._answer
+        self._unanswered = []
+        connection = self._poller._client._connection
+        connection.call.side_effect = self._take_call
+        self._poller._poll()
+
+    @property
+    def _clock_ms(self):
+        return self._clock.now * 1000.0 * _RUNNER_CLOCK_RATE
+
+    @property
+    def lease_seconds_left(self):
+        return (self._until_ms - self._clock_ms) / 1000.0 / _RUNNER_CLOCK_RATE
+
+    def _take_call(self, call, done):
+        self._unanswered.append(done)
+
+    def _answer(self, *, lease_until_ms, **_):
+        if lease_until_ms is not None:
+            self._until_ms = max(self._until_ms, lease_until_ms)
+        report = _ports.RunnerReport(
+            lifetime=1,
+            clock_ms=self._clock_ms,
+            running=(_ports.ReportedRun(name=_NAME, run=1, checkpoint=""),),
+            ended=(),
+        )
+        answer = unittest.mock.Mock()
+        answer.read.return_value = report
+        return answer
+
+    def answer(self):
+        """Answer the holder's poll, after which it polls again if it may."""
+        if self._unanswered:
+            self._unanswered.pop()(returns.result.Success({}))
+
+
+def _make_job():
+    step = scheduler.Step(index=0, task_count=1)
+    queue = scheduler.Queue(name="q", host="h", prefix="/", pool="p")
+    spec = scheduler.JobSpec(id="aa", queue="q", payload="", steps=(step,))
+    job = scheduler.Job(spec=spec, queue=queue, arrived_at=0.0)
+    scheduler.open_occurrences(job, 0.0)
+    task = job.tasks[0]
+    task.phase = scheduler.TaskPhase.RUNNING
+    task.run, task.runner, task.lifetime = 1, _RUNNER, 1
+    return job
+
+
+@given("a run that its holder keeps alive on a runner that only it reaches")
+def _run_kept_alive(context):
+    context.job = _make_job()
+    context.runner = _Runner(context.clock, _make_link(context.holder))
+    context.runner.answer()
+    assert context.holder.renew()
+
+
+def _pass_time(context):
+    context.clock.now += _STEP_SECONDS
+    context.runner.answer()
+
+
+def _acquire(context, lease):
+    for _ in range(_MAX_STEPS):
+        if lease.try_acquire():
+            return lease
+        _pass_time(context)
+    raise AssertionError("the lease was not taken")
+
+
+def _take_over(context):
+    return _acquire(context, _make_lease(context, "next"))
+
+
+def _take_over_without_answer(context):
+    lease = _make_lease(context, "next")
+    commit = context.store.commit
+
+    def commit_and_lose_answer(transaction):
+        commit(transaction)
+        return _OUTCOME_UNKNOWN
+
+    with unittest.mock.patch.object(
+        context.store, "commit", side_effect=commit_and_lose_answer
+    ) as lossy_commit:
+        while not lossy_commit.called:
+            assert not lease.try_acquire()
+            _pass_time(context)
+    return _acquire(context, lease)
+
+
+def _release_to_another(context):
+    _take_over(context).release()
+    return _acquire(context, _make_lease(context, "third"))
+
+
+def _start_again(context):
+    _take_over(context)
+    _pass_time(context)
+    return _acquire(context, _make_lease(context, "next"))
+
+
+_TAKEOVERS = {
+    "takes over": _take_over,
+    "gets no answer as it takes over": _take_over_without_answer,
+    "leaves before it has read the rows": _release_to_another,
+    "is started again": _start_again,
+}
+
+
+@when("the holder is cut off and refuses connections, and the next {how}")
+def _take_over_from_refusing_holder(context, how):
+    lease = _TAKEOVERS[how](context)
+    context.workers = _workers.Workers(
+        connect=lambda entry: _make_link(lease),
+        inherited_waits=lease.inherited_waits,
+        earlier_leases_end_at=lease.earlier_leases_end_at,
+    )
+    context.workers.adopt(context.job, context.job.tasks[0])
+    context.workers.update((_entry(),))
+
+
+@then("the run is given up soon after its lease has ended, and not before")
+def _given_up_after_lease(context):
+    for _ in range(_MAX_STEPS):
+        _pass_time(context)
+        if context.workers.pop_expired(_MAX_LEASE_SECONDS):
+            break
+    seconds_left = context.runner.lease_seconds_left
+    assert seconds_left < 0, f"its lease lasts {seconds_left:.2f} s more"
+    assert seconds_left > -_lease.LEASE_SECONDS, seconds_left
--- a/tests/features/steps/waits_steps.py
+++ b/tests/features/steps/waits_steps.py
@@ -122,6 +122,7 @@
     context.workers = _workers.Workers(
         connect=lambda entry: _connect(context, entry),
         inherited_waits=context.lease.inherited_waits,
+        earlier_leases_end_at=context.lease.earlier_leases_end_at,
     )
     context.workers.adopt(context.job, context.job.tasks[0])
     context.workers.update((_entry(),))
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -433,6 +433,18 @@
         feature="lease",
         scenario="A holder that is asked does not answer",
     ),
+    Mutant(
+        promise="lease: a holder that refuses connections may live on",
+        package="peridotsill_jobs",
+        module="_workers.py",
+        old=(
+            "            counted_from = max(counted_from, self._earlier"
+            "_leases_end_at)"
+        ),
+        new="            pass",
+        feature="lease",
+        scenario="A holder that refuses connections may live on",
+    ),
     Mutant(
         promise="waves: a VM is used again when its operation ends",
         package="peridotsill_jobs",
