Let no renewal bring back a lease that was given up

A renewal that was in progress when the node gave its lease up to a peer that asked, or when its scheduler failed, marked the lease as held again once it succeeded. The scheduler had ended or was about to, so the node renewed the lease on and on, no other node could take it over, and nobody scheduled until the node was stopped. For as long as its scheduler had not noticed, it also granted leases of runs after it had told a peer the waits that count on no more of them.

A renewal that ends after its lease was lost now changes nothing. If it changed the row, a peer's takeover that it overtook conflicts as before, and the node itself takes the lease anew under the next epoch.

Evidence, on the code before: with a question during the third renewal the holder held the lease again; with a scheduler that fails during a renewal no second run of the scheduler began within 3 s ("ASSERT FAILED: [1]").

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_lease.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_lease.py
@@ -418,8 +418,7 @@
         requested_at = _clock.boottime_seconds()
         match self._commit_row(version, self._node, epoch):
             case result.Success(revision):
-                self._record_held(int(revision), epoch, requested_at)
-                return True
+                return self._record_held(int(revision), epoch, requested_at)
             case result.Failure(peridotsill_platform.exceptions.Conflict()):
                 return self._resolve_conflict(epoch, requested_at)
             case result.Failure(error):
@@ -438,21 +437,27 @@
             # The one that succeeded may be the first unanswered renewal, so
             # the lease is counted from its request.
             first_requested_at = self._first_unanswered_at
-            self._record_held(
+            return self._record_held(
                 row.version,
                 epoch,
                 requested_at
                 if first_requested_at is None
                 else first_requested_at,
             )
-            return True
         self.mark_lost(f"epoch {row.epoch} is held by {row.holder!r}")
         return False
 
     def _record_held(
         self, version: int, epoch: int, requested_at: float
-    ) -> None:
+    ) -> bool:
+        """Record a commit that succeeded; false if the lease is lost.
+
+        A renewal that was in progress when the lease was lost does not bring
+        it back: the scheduler ends, and waits may have been told to a peer.
+        """
         with self._lock:
+            if self._lost and epoch == self._epoch:
+                return False
             self._last_row = _ObservedRow(
                 version=version,
                 holder=self._node,
@@ -465,6 +470,7 @@
             self._valid_until = max(self._valid_until, valid_until)
             self._first_unanswered_at = None
             self._failed_renewals = 0
+        return True
 
     def _commit_row(
         self,
--- a/tests/features/lease.feature
+++ b/tests/features/lease.feature
@@ -75,6 +75,21 @@
     Then the holder keeps the lease until it is asked, and tells its waits
     And it grants no lease from then on
 
+  # Guards against LOST: a node that had given its lease up, or whose scheduler
+  # had failed, renewed it on and on, and no node scheduled.
+  Scenario: A renewal in progress does not bring back a lease that was given up
+    Given a lease that a node of 2 cores holds and renews
+    When two renewals fail
+    And the holder is asked during a third renewal, which succeeds
+    Then the holder does not hold the lease
+    And it grants no lease from then on
+
+  # Guards against LOST, as above.
+  Scenario: A scheduler that fails during a renewal begins again
+    Given a lease that no node has held
+    When a node takes it, and its scheduler fails while it renews the lease
+    Then its scheduler begins again
+
   Scenario: A holder is not given up for one renewal without an answer
     Given a lease that a node of 2 cores holds and renews
     When one renewal fails
--- a/tests/features/steps/holder_steps.py
+++ b/tests/features/steps/holder_steps.py
@@ -3,6 +3,8 @@
 They share the simulated clock and the table of ``lease_steps``.
 """
 
+import threading
+import time
 import unittest.mock
 
 from behave import given
@@ -22,6 +24,8 @@
 
 _STEP_SECONDS = 0.05
 _MAX_STEPS = 400
+# How long the steps with threads wait, in real time.
+_WAIT_SECONDS = 3.0
 _MAX_LEASE_SECONDS = 10.0
 _RUNNER_CLOCK_RATE = 0.98
 _RUNNER = "i-1"
@@ -213,3 +217,60 @@
     seconds_left = context.runner.lease_seconds_left
     assert seconds_left < 0, f"its lease lasts {seconds_left:.2f} s more"
     assert seconds_left > -_lease.LEASE_SECONDS, seconds_left
+
+
+@when("the holder is asked during a third renewal, which succeeds")
+def _asked_during_renewal(context):
+    commit = context.store.commit
+
+    def ask_and_commit(transaction):
+        answer = context.holder.answer_peer(context.holder.epoch)
+        assert not answer.holds
+        return commit(transaction)
+
+    with unittest.mock.patch.object(context.store, "commit", ask_and_commit):
+        context.renewed = context.holder.renew()
+
+
+@then("the holder does not hold the lease")
+def _not_held(context):
+    assert not context.renewed and not context.holder.held
+
+
+@when("a node takes it, and its scheduler fails while it renews the lease")
+def _scheduler_fails_during_renewal(context):
+    lease = _make_lease(context, "node")
+    commit = context.store.commit
+    renewing = threading.Event()
+    stopped = threading.Event()
+    context.add_cleanup(stopped.set)
+    context.scheduler_runs = []
+    context.began_again = threading.Event()
+
+    def commit_once_lost(transaction):
+        if context.scheduler_runs and not renewing.is_set():
+            renewing.set()
+            deadline = time.monotonic() + _WAIT_SECONDS
+            while not lease.lost and time.monotonic() < deadline:
+                time.sleep(_STEP_SECONDS / 10)
+        return commit(transaction)
+
+    def schedule():
+        context.scheduler_runs.append(lease.epoch)
+        if len(context.scheduler_runs) == 1:
+            renewing.wait(_WAIT_SECONDS)
+            raise ValueError("a fault")
+        context.began_again.set()
+        stopped.wait(_WAIT_SECONDS)
+
+    context.store.commit = commit_once_lost
+    threading.Thread(
+        target=_lease.acquire_and_schedule,
+        args=(lease, stopped, schedule),
+        daemon=True,
+    ).start()
+
+
+@then("its scheduler begins again")
+def _scheduler_begins_again(context):
+    assert context.began_again.wait(_WAIT_SECONDS), context.scheduler_runs
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -445,6 +445,15 @@
         feature="lease",
         scenario="A holder that refuses connections may live on",
     ),
+    Mutant(
+        promise="lease: a renewal does not bring back one that was given up",
+        package="peridotsill_jobs",
+        module="_lease.py",
+        old="            if self._lost and epoch == self._epoch:",
+        new="            if False:",
+        feature="lease",
+        scenario="A renewal in progress does not bring back",
+    ),
     Mutant(
         promise="waves: a VM is used again when its operation ends",
         package="peridotsill_jobs",
