Take a row for a node's own only if its address is, too

A node took a row in its own name for one of its previous process, and the lease at once, whatever the row's address. But a process of the same name at another address may live, as when a machine is replaced.

Now the address counts as well. What listens at an address has replaced the process that listened there before, so the quick takeover after a restart in place stays. Any other process is asked, and waited for, like a node of another name.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_lease.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_lease.py
@@ -339,7 +339,7 @@
         row = self._read_row()
         if row is None:
             return version
-        if (row.holder, row.epoch) == (self._node, self._epoch):
+        if self._is_own(row) and row.epoch == self._epoch:
             return row.version
         # An earlier attempt succeeded, or another node has taken the lease.
         _logs.log("lease:released", epoch=self._epoch, holder=row.holder)
@@ -379,11 +379,17 @@
 
     def _takeover_delay_seconds(self, row: _ObservedRow) -> float:
         """Return how long the row must be unchanged before a takeover."""
-        # A row in this node's name was written by its previous process.
-        held_by_other = row.holder not in ("", self._node)
-        expiry_delay = LEASE_SECONDS if held_by_other else 0.0
+        may_be_held = row.holder and not self._is_own(row)
+        expiry_delay = LEASE_SECONDS if may_be_held else 0.0
         return expiry_delay + self._less_capable_delay_seconds(row)
 
+    def _is_own(self, row: _ObservedRow) -> bool:
+        """Whether this process or an earlier one at its address wrote a row.
+
+        A process of the same name at another address may live.
+        """
+        return (row.holder, row.address) == (self._node, self._address)
+
     def _less_capable_delay_seconds(self, row: _ObservedRow) -> float:
         max_capability = row.max_capability or _DEFAULT_CAPABILITY_CORES
         less_capable = self._capability < max_capability * _LESS_CAPABLE_RATIO
@@ -433,7 +439,7 @@
         row = self._read_row()
         if row is None:
             return False
-        if row.holder == self._node and row.epoch == epoch:
+        if self._is_own(row) and row.epoch == epoch:
             # The one that succeeded may be the first unanswered renewal, so
             # the lease is counted from its request.
             first_requested_at = self._first_unanswered_at
--- a/tests/features/lease.feature
+++ b/tests/features/lease.feature
@@ -64,6 +64,24 @@
       | leaves before it has read the rows  |
       | is started again                    |
 
+  # Guards against ONE: a process of the holder's name at another address took
+  # the row for its own, as if the holder had ended.
+  Scenario Outline: A row in a node's name from <address> address is taken after <seconds> s
+    Given a lease that a node of 2 cores held and stopped renewing
+    When a process of the same name at <address> address polls it
+    Then it takes the lease after <seconds> s
+
+    Examples:
+      | address  | seconds |
+      | its own  | 0       |
+      | another  | 1.6     |
+
+  # Guards against ONE: two processes of one name held the lease under one epoch.
+  Scenario: A conflict with a process of the same name is lost
+    Given a lease that a node of 2 cores held and stopped renewing
+    When two processes of another name at two addresses take it at once
+    Then only one of them holds it
+
   Scenario: A less capable node leaves a holder that is gone to the others
     Given a lease that a node of 2 cores held and stopped renewing
     When a node of 0.2 cores polls it and the holder is no longer running
--- a/tests/features/steps/holder_steps.py
+++ b/tests/features/steps/holder_steps.py
@@ -39,13 +39,17 @@
     return _holder_check.HolderState(holds=False)
 
 
-def _make_lease(context, name, address=""):
+def _silent(address, epoch):
+    return None
+
+
+def _make_lease(context, name, address="", ask_holder=_refused):
     return _lease.Lease(
         node=name,
         table=context.store,
         capability=2.0,
         address=address or f"{name}:1",
-        ask_holder=_refused,
+        ask_holder=ask_holder,
     )
 
 
@@ -274,3 +278,49 @@
 @then("its scheduler begins again")
 def _scheduler_begins_again(context):
     assert context.began_again.wait(_WAIT_SECONDS), context.scheduler_runs
+
+
+_ADDRESSES = {"its own": "last:1", "another": "last:2"}
+
+
+@when("a process of the same name at {address} address polls it")
+def _poll_in_same_name(context, address):
+    lease = _make_lease(context, "last", _ADDRESSES[address], _silent)
+    context.polled_from = context.clock.now
+    for _ in range(_MAX_STEPS):
+        if lease.try_acquire():
+            return
+        context.clock.now += _STEP_SECONDS
+    raise AssertionError("the lease was not taken")
+
+
+@then("it takes the lease after {seconds:g} s")
+def _taken_in_same_name_after(context, seconds):
+    taken_after = context.clock.now - context.polled_from
+    assert -1e-6 < taken_after - seconds < 2 * _STEP_SECONDS, taken_after
+
+
+@when("two processes of another name at two addresses take it at once")
+def _two_processes_take(context):
+    context.clock.now += _lease.LEASE_SECONDS
+    first, second = (
+        _make_lease(context, "twin", f"twin:{number}") for number in (1, 2)
+    )
+    context.twins = (first, second)
+    assert not first.try_acquire() and not second.try_acquire()
+    context.clock.now += _lease.LEASE_SECONDS
+    commit = context.store.commit
+
+    def commit_after_other(transaction):
+        context.store.commit = commit
+        assert second.try_acquire()
+        return commit(transaction)
+
+    context.store.commit = commit_after_other
+    first.try_acquire()
+
+
+@then("only one of them holds it")
+def _one_twin_holds(context):
+    epochs = [lease.epoch for lease in context.twins if lease.held]
+    assert len(epochs) == 1, epochs
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -454,6 +454,15 @@
         feature="lease",
         scenario="A renewal in progress does not bring back",
     ),
+    Mutant(
+        promise="lease: a process of one's name elsewhere is another one",
+        package="peridotsill_jobs",
+        module="_lease.py",
+        old="(row.holder, row.address) == (self._node, self._address)",
+        new="row.holder == self._node",
+        feature="lease",
+        scenario="A conflict with a process of the same name",
+    ),
     Mutant(
         promise="waves: a VM is used again when its operation ends",
         package="peridotsill_jobs",
