Count the hand-over time in full for a row in one's own name

A node that took a row in its own name counted 1.6 s of silence towards the time that has to pass between the VM commands of two holders, though the row may have been written a moment ago: by its own takeover, whose answer was lost, or by its previous process. If that takeover was from a holder whose connections were refused, the node's commands came up to a second earlier than after any other takeover, counted from when the earlier holder was last known to be there.

Now the time for which a held row was seen unchanged counts, whoever wrote it. A restart in place waits up to 1.6 s longer for its first VM command. A row that was released counts as before.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_lease.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_lease.py
@@ -166,8 +166,7 @@
     def seconds_since_last_holder(self) -> float:
         """Seconds for which the last holder had been silent at the takeover.
 
-        That is the lease's duration, unless the holder was taken for gone
-        before.
+        At most the lease's duration; that, too, if the lease was released.
         """
         return self._unchanged_seconds_at_takeover
 
@@ -238,13 +237,17 @@
             _clock.monotonic_seconds() - unchanged_seconds + LEASE_SECONDS
         )
         waits = row.waits
-        self._unchanged_seconds_at_takeover = LEASE_SECONDS
+        # A holder that has released the lease sends no more commands.
+        self._unchanged_seconds_at_takeover = (
+            min(unchanged_seconds, LEASE_SECONDS)
+            if row.holder
+            else LEASE_SECONDS
+        )
         if unchanged_seconds < self._takeover_delay_seconds(row):
             state = self._holder_state(row, unchanged_seconds)
             if state is None or state.holds:
                 return False
             waits = state.waits
-            self._unchanged_seconds_at_takeover = unchanged_seconds
             _logs.log(
                 "lease:holder_gone",
                 holder=row.holder,
--- a/tests/features/lease.feature
+++ b/tests/features/lease.feature
@@ -64,6 +64,20 @@
       | leaves before it has read the rows  |
       | is started again                    |
 
+  # Guards against ONE: VM commands came before the hand-over time had passed
+  # since a holder that refuses connections was last known to be there.
+  Scenario Outline: The hand-over time counts in full, as the next <how>
+    Given a lease that a node of 2 cores holds and renews
+    And a run that its holder keeps alive on a runner that only it reaches
+    When the holder is cut off and refuses connections, and the next <how>
+    Then only the time since the last renewal counts for the hand-over
+
+    Examples:
+      | how                              |
+      | takes over                       |
+      | gets no answer as it takes over  |
+      | is started again                 |
+
   # Guards against ONE: a process of the holder's name at another address took
   # the row for its own, as if the holder had ended.
   Scenario Outline: A row in a node's name from <address> address is taken after <seconds> s
--- a/tests/features/steps/holder_steps.py
+++ b/tests/features/steps/holder_steps.py
@@ -145,6 +145,7 @@
     context.runner = _Runner(context.clock, _make_link(context.holder))
     context.runner.answer()
     assert context.holder.renew()
+    context.renewed_at = context.clock.now
 
 
 def _pass_time(context):
@@ -202,7 +203,7 @@
 
 @when("the holder is cut off and refuses connections, and the next {how}")
 def _take_over_from_refusing_holder(context, how):
-    lease = _TAKEOVERS[how](context)
+    context.lease = lease = _TAKEOVERS[how](context)
     context.workers = _workers.Workers(
         connect=lambda entry: _make_link(lease),
         inherited_waits=lease.inherited_waits,
@@ -223,6 +224,13 @@
     assert seconds_left > -_lease.LEASE_SECONDS, seconds_left
 
 
+@then("only the time since the last renewal counts for the hand-over")
+def _handover_counts_from_renewal(context):
+    elapsed = context.clock.now - context.renewed_at
+    counted = context.lease.seconds_since_last_holder
+    assert counted <= elapsed + 1e-6, (counted, elapsed)
+
+
 @when("the holder is asked during a third renewal, which succeeds")
 def _asked_during_renewal(context):
     commit = context.store.commit
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -463,6 +463,15 @@
         feature="lease",
         scenario="A conflict with a process of the same name",
     ),
+    Mutant(
+        promise="lease: the hand-over time counts from when the row was seen",
+        package="peridotsill_jobs",
+        module="_lease.py",
+        old="            min(unchanged_seconds, LEASE_SECONDS)",
+        new="            LEASE_SECONDS",
+        feature="lease",
+        scenario="The hand-over time counts in full",
+    ),
     Mutant(
         promise="waves: a VM is used again when its operation ends",
         package="peridotsill_jobs",
