Leave waits also for runners that the holder did not reach

A holder that released the lease left waits only for runners on which it knew of tasks; for any other the next holder waits for one grant, 3.9 s. That is enough if every run was known. But a holder whose connections were refused may live, hold its lease yet, and record and order a start after the next one has read the rows. If that one releases the lease before it has learned of it, the holder after it finds the run in the rows, and gave it up while the first holder still extended its lease: TWICE.

Now a wait is left for each runner that was not reached while leases that earlier holders granted there may last for longer than one grant. Runners that were reached refuse the earlier holders' orders.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_workers.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_workers.py
@@ -493,11 +493,21 @@
 
         There is one entry for each runner that may hold tasks and does not
         answer: how long its leases may last yet if no more are granted.
+        Without an entry, the next holder waits for as long as a grant lasts.
         """
         unreached = set(self._awaiting_runner)
         wait_seconds: dict[str, float] = {}
+        default_seconds = _grants.inherited_lease_seconds(
+            max_lease_seconds, released=True
+        )
         for worker in tuple(self._workers.values()):
             if not worker.placed and not worker.abandoned:
+                # An earlier holder that lives may have recorded a start
+                # there after this one had read the rows.
+                runner = worker.entry.id
+                left = self._inherited_wait_seconds(runner, max_lease_seconds)
+                if not worker.link.reached and left > default_seconds:
+                    unreached.add(runner)
                 continue
             if not worker.link.reached:
                 unreached.add(worker.entry.id)
--- a/tests/features/lease.feature
+++ b/tests/features/lease.feature
@@ -64,6 +64,14 @@
       | leaves before it has read the rows  |
       | is started again                    |
 
+  # Guards against TWICE: the next holder had read the rows before the old one
+  # recorded the run, and left no wait for its runner.
+  Scenario: A run is waited for though the next holder never learned of it
+    Given a lease that a node of 2 cores holds and renews
+    And a run that its holder keeps alive on a runner that only it reaches
+    When the holder is cut off and refuses connections, and the next leaves without knowing of the run
+    Then the run is given up soon after its lease has ended, and not before
+
   # Guards against ONE: VM commands came before the hand-over time had passed
   # since a holder that refuses connections was last known to be there.
   Scenario Outline: The hand-over time counts in full, as the next <how>
--- a/tests/features/steps/holder_steps.py
+++ b/tests/features/steps/holder_steps.py
@@ -127,6 +127,17 @@
             self._unanswered.pop()(returns.result.Success({}))
 
 
+def _make_workers(lease):
+    """Return a new holder's view of the runner, with no tasks placed."""
+    workers = _workers.Workers(
+        connect=lambda entry: _make_link(lease),
+        inherited_waits=lease.inherited_waits,
+        earlier_leases_end_at=lease.earlier_leases_end_at,
+    )
+    workers.update((_entry(),))
+    return workers
+
+
 def _make_job():
     step = scheduler.Step(index=0, task_count=1)
     queue = scheduler.Queue(name="q", host="h", prefix="/", pool="p")
@@ -187,6 +198,15 @@
     return _acquire(context, _make_lease(context, "third"))
 
 
+def _release_unaware(context):
+    lease = _take_over(context)
+    workers = _make_workers(lease)
+    _pass_time(context)
+    lease.set_waits_source(lambda: workers.remaining_waits(_MAX_LEASE_SECONDS))
+    lease.release()
+    return _acquire(context, _make_lease(context, "third"))
+
+
 def _start_again(context):
     _take_over(context)
     _pass_time(context)
@@ -197,6 +217,7 @@
     "takes over": _take_over,
     "gets no answer as it takes over": _take_over_without_answer,
     "leaves before it has read the rows": _release_to_another,
+    "leaves without knowing of the run": _release_unaware,
     "is started again": _start_again,
 }
 
@@ -204,13 +225,8 @@
 @when("the holder is cut off and refuses connections, and the next {how}")
 def _take_over_from_refusing_holder(context, how):
     context.lease = lease = _TAKEOVERS[how](context)
-    context.workers = _workers.Workers(
-        connect=lambda entry: _make_link(lease),
-        inherited_waits=lease.inherited_waits,
-        earlier_leases_end_at=lease.earlier_leases_end_at,
-    )
+    context.workers = _make_workers(lease)
     context.workers.adopt(context.job, context.job.tasks[0])
-    context.workers.update((_entry(),))
 
 
 @then("the run is given up soon after its lease has ended, and not before")
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -472,6 +472,15 @@
         feature="lease",
         scenario="The hand-over time counts in full",
     ),
+    Mutant(
+        promise="leases: waits are left for runners whose runs are not known",
+        package="peridotsill_jobs",
+        module="_workers.py",
+        old="                    unreached.add(runner)\n",
+        new="                    pass\n",
+        feature="lease",
+        scenario="A run is waited for though the next holder",
+    ),
     Mutant(
         promise="waves: a VM is used again when its operation ends",
         package="peridotsill_jobs",
