--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_lease.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_lease.py
@@ -106,8 +106,10 @@
     runner that is gone.
 
     A node that finds the row unchanged asks the holder at its address. If
-    the holder's process is gone, or if the holder can't renew and gives the
-    lease up, the node takes over without waiting for the expiry.
+    the connection is refused, the node takes over without waiting for the
+    expiry, though the holder may live on behind a cut and use its lease
+    until then. If the holder can't renew and gives the lease up, the node
+    also takes over at once.
 
     Args:
         node: This node's name.
@@ -135,6 +137,7 @@
         self._silent_version = -1
         self._failed_renewals = 0
         self._unchanged_seconds_at_takeover = 0.0
+        self._earlier_leases_end_at = 0.0
         self._last_row: _ObservedRow | None = None
         self._max_capability = capability
         self._failed_reads = 0
@@ -163,11 +166,20 @@
     def seconds_since_last_holder(self) -> float:
         """Seconds for which the last holder had been silent at the takeover.
 
-        That is the lease's duration, unless the holder was known to be gone
-        before.
+        At most the lease's duration; that, too, if the lease was released.
         """
         return self._unchanged_seconds_at_takeover
 
+    @property
+    def earlier_leases_end_at(self) -> float:
+        """When the leases of all earlier holders have certainly expired.
+
+        In seconds of `_clock.monotonic_seconds`; it may be after the
+        takeover. Every renewal of theirs was requested before this node
+        first read the row that its own takeover replaced.
+        """
+        return self._earlier_leases_end_at
+
     def set_waits_source(
         self, compute_waits: collections.abc.Callable[[], LeaseExpiryWaits]
     ) -> None:
@@ -221,14 +233,21 @@
             self._failed_reads += 1
             return False
         unchanged_seconds = self._unchanged_seconds(row)
+        self._earlier_leases_end_at = (
+            _clock.monotonic_seconds() - unchanged_seconds + LEASE_SECONDS
+        )
         waits = row.waits
-        self._unchanged_seconds_at_takeover = LEASE_SECONDS
+        # A holder that has released the lease sends no more commands.
+        self._unchanged_seconds_at_takeover = (
+            min(unchanged_seconds, LEASE_SECONDS)
+            if row.holder
+            else LEASE_SECONDS
+        )
         if unchanged_seconds < self._takeover_delay_seconds(row):
             state = self._holder_state(row, unchanged_seconds)
             if state is None or state.holds:
                 return False
             waits = state.waits
-            self._unchanged_seconds_at_takeover = unchanged_seconds
             _logs.log(
                 "lease:holder_gone",
                 holder=row.holder,
@@ -323,7 +342,7 @@
         row = self._read_row()
         if row is None:
             return version
-        if (row.holder, row.epoch) == (self._node, self._epoch):
+        if self._is_own(row) and row.epoch == self._epoch:
             return row.version
         # An earlier attempt succeeded, or another node has taken the lease.
         _logs.log("lease:released", epoch=self._epoch, holder=row.holder)
@@ -363,11 +382,17 @@
 
     def _takeover_delay_seconds(self, row: _ObservedRow) -> float:
         """Return how long the row must be unchanged before a takeover."""
-        # A row in this node's name was written by its previous process.
-        held_by_other = row.holder not in ("", self._node)
-        expiry_delay = LEASE_SECONDS if held_by_other else 0.0
+        may_be_held = row.holder and not self._is_own(row)
+        expiry_delay = LEASE_SECONDS if may_be_held else 0.0
         return expiry_delay + self._less_capable_delay_seconds(row)
 
+    def _is_own(self, row: _ObservedRow) -> bool:
+        """Whether this process or an earlier one at its address wrote a row.
+
+        A process of the same name at another address may live.
+        """
+        return (row.holder, row.address) == (self._node, self._address)
+
     def _less_capable_delay_seconds(self, row: _ObservedRow) -> float:
         max_capability = row.max_capability or _DEFAULT_CAPABILITY_CORES
         less_capable = self._capability < max_capability * _LESS_CAPABLE_RATIO
@@ -402,8 +427,7 @@
         requested_at = _clock.boottime_seconds()
         match self._commit_row(version, self._node, epoch):
             case result.Success(revision):
-                self._record_held(int(revision), epoch, requested_at)
-                return True
+                return self._record_held(int(revision), epoch, requested_at)
             case result.Failure(peridotsill_platform.exceptions.Conflict()):
                 return self._resolve_conflict(epoch, requested_at)
             case result.Failure(error):
@@ -418,25 +442,31 @@
         row = self._read_row()
         if row is None:
             return False
-        if row.holder == self._node and row.epoch == epoch:
+        if self._is_own(row) and row.epoch == epoch:
             # The one that succeeded may be the first unanswered renewal, so
             # the lease is counted from its request.
             first_requested_at = self._first_unanswered_at
-            self._record_held(
+            return self._record_held(
                 row.version,
                 epoch,
                 requested_at
                 if first_requested_at is None
                 else first_requested_at,
             )
-            return True
         self.mark_lost(f"epoch {row.epoch} is held by {row.holder!r}")
         return False
 
     def _record_held(
         self, version: int, epoch: int, requested_at: float
-    ) -> None:
+    ) -> bool:
+        """Record a commit that succeeded; false if the lease is lost.
+
+        A renewal that was in progress when the lease was lost does not bring
+        it back: the scheduler ends, and waits may have been told to a peer.
+        """
         with self._lock:
+            if self._lost and epoch == self._epoch:
+                return False
             self._last_row = _ObservedRow(
                 version=version,
                 holder=self._node,
@@ -449,6 +479,7 @@
             self._valid_until = max(self._valid_until, valid_until)
             self._first_unanswered_at = None
             self._failed_renewals = 0
+        return True
 
     def _commit_row(
         self,
--- a/tests/features/lease.feature
+++ b/tests/features/lease.feature
@@ -49,6 +49,61 @@
       | does not answer               | 1.6     |
       | says that it holds the lease  | 1.6     |
 
+  # Guards against TWICE: a holder that was cut off, and whose connections were
+  # refused, kept a run alive after the next one had started its task again.
+  Scenario Outline: A holder that refuses connections may live on, as the next <how>
+    Given a lease that a node of 2 cores holds and renews
+    And a run that its holder keeps alive on a runner that only it reaches
+    When the holder is cut off and refuses connections, and the next <how>
+    Then the run is given up soon after its lease has ended, and not before
+
+    Examples:
+      | how                                 |
+      | takes over                          |
+      | gets no answer as it takes over     |
+      | leaves before it has read the rows  |
+      | is started again                    |
+
+  # Guards against TWICE: the next holder had read the rows before the old one
+  # recorded the run, and left no wait for its runner.
+  Scenario: A run is waited for though the next holder never learned of it
+    Given a lease that a node of 2 cores holds and renews
+    And a run that its holder keeps alive on a runner that only it reaches
+    When the holder is cut off and refuses connections, and the next leaves without knowing of the run
+    Then the run is given up soon after its lease has ended, and not before
+
+  # Guards against ONE: VM commands came before the hand-over time had passed
+  # since a holder that refuses connections was last known to be there.
+  Scenario Outline: The hand-over time counts in full, as the next <how>
+    Given a lease that a node of 2 cores holds and renews
+    And a run that its holder keeps alive on a runner that only it reaches
+    When the holder is cut off and refuses connections, and the next <how>
+    Then only the time since the last renewal counts for the hand-over
+
+    Examples:
+      | how                              |
+      | takes over                       |
+      | gets no answer as it takes over  |
+      | is started again                 |
+
+  # Guards against ONE: a process of the holder's name at another address took
+  # the row for its own, as if the holder had ended.
+  Scenario Outline: A row in a node's name from <address> address is taken after <seconds> s
+    Given a lease that a node of 2 cores held and stopped renewing
+    When a process of the same name at <address> address polls it
+    Then it takes the lease after <seconds> s
+
+    Examples:
+      | address  | seconds |
+      | its own  | 0       |
+      | another  | 1.6     |
+
+  # Guards against ONE: two processes of one name held the lease under one epoch.
+  Scenario: A conflict with a process of the same name is lost
+    Given a lease that a node of 2 cores held and stopped renewing
+    When two processes of another name at two addresses take it at once
+    Then only one of them holds it
+
   Scenario: A less capable node leaves a holder that is gone to the others
     Given a lease that a node of 2 cores held and stopped renewing
     When a node of 0.2 cores polls it and the holder is no longer running
@@ -60,6 +115,21 @@
     Then the holder keeps the lease until it is asked, and tells its waits
     And it grants no lease from then on
 
+  # Guards against LOST: a node that had given its lease up, or whose scheduler
+  # had failed, renewed it on and on, and no node scheduled.
+  Scenario: A renewal in progress does not bring back a lease that was given up
+    Given a lease that a node of 2 cores holds and renews
+    When two renewals fail
+    And the holder is asked during a third renewal, which succeeds
+    Then the holder does not hold the lease
+    And it grants no lease from then on
+
+  # Guards against LOST, as above.
+  Scenario: A scheduler that fails during a renewal begins again
+    Given a lease that no node has held
+    When a node takes it, and its scheduler fails while it renews the lease
+    Then its scheduler begins again
+
   Scenario: A holder is not given up for one renewal without an answer
     Given a lease that a node of 2 cores holds and renews
     When one renewal fails
