Take no lifetime in the registry for proof that another one has ended

Callers saw a task run twice at the same time (TWICE) when the registry's entry named another lifetime than the one that ran the task: an entry with a higher number than the known one, or, after a takeover, with any other number than the row's. After a clock that was set back a runner that had started again at another address was never used, as its number was lower.

Cause: the numbers of lifetimes were compared to decide about runs, and an entry was taken as proof, though it may be the older one.

An entry of another lifetime now only closes the known one to starts, and the other one is connected to beside it. A runner has one process at a time, so a lifetime that was known when a request was sent has ended once another one has answered it; that alone replaces it, whichever number is higher. Tasks of the rows with another lifetime wait for that answer, or until the inherited wait is over. An answer without a lifetime proves nothing. A lifetime that has ended is not connected to again while the registry still names it.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_controller.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_controller.py
@@ -23,6 +23,7 @@
 from peridotsill_jobs import _grants
 from peridotsill_jobs import _job_store
 from peridotsill_jobs import _lease
+from peridotsill_jobs import _lifetimes
 from peridotsill_jobs import _link_events
 from peridotsill_jobs import _links
 from peridotsill_jobs import _live_settings
@@ -117,6 +118,11 @@
             requeue_lost=self._runs.requeue_lost,
             counters=parts.counters,
         )
+        self._lifetimes = _lifetimes.LifetimeTracker(
+            workers=self._workers,
+            runs=self._runs,
+            gone_runners=self._gone_runners,
+        )
         self._advice: _advice.AdviceRequester | None = None
         if parts.ports.advisor is not None:
             advice_queue = _advice.AdviceQueue(
@@ -260,20 +266,12 @@
 
     def _apply_registry(self, event: _feeds.RegistrySnapshot) -> None:
         self._registry = event
-        restarted, lost_tasks = self._workers.update(event.entries)
-        for worker in restarted:
-            self._gone_runners.handle_restart(worker)
-        self._runs.requeue_lost(lost_tasks, "runner restarted")
+        self._workers.update(event.entries)
 
     def _apply_report(self, event: _link_events.ReportReceived) -> None:
-        worker = self._workers.get(event.runner, event.lifetime)
-        lifetime = event.report.lifetime
-        if worker is not None and lifetime not in (0, worker.lifetime):
-            self._gone_runners.handle_restart(
-                self._workers.remove(event.runner, lifetime)
-            )
-            return
-        self._runs.apply_report(event)
+        self._lifetimes.apply_report(event)
+        if not _lifetimes.is_from_another(event):
+            self._runs.apply_report(event)
 
     def _apply_job_row(self, row: peridotsill.Row) -> None:
         open_before = len(self._job_store.open_jobs)
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_workers.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_workers.py
@@ -116,10 +116,11 @@
     is the number of the newest end that was applied. ``unknown_runs``
     counts the runs in the last report that are neither placed nor
     abandoned here. ``fleet_closed_reason`` says why the fleet lets nothing
-    start here, or is empty. ``listed`` tells that the registry has the
-    runner, ``gone`` that its process was found to have ended, ``avoided``
-    that its VM is due in a wave. Times are those of
-    `_clock.monotonic_seconds`.
+    start here, or is empty. ``listed`` tells that the registry has this
+    lifetime of the runner, ``gone`` that its process was found to have
+    ended, ``avoided`` that its VM is due in a wave. The lifetime is known
+    since ``known_at``; ``ended_lifetimes`` of the runner are over. Times are
+    those of `_clock.monotonic_seconds`.
     """
 
     entry: _ports.RunnerEntry
@@ -143,6 +144,8 @@
     avoided: bool = False
     paced_at: float = 0.0
     fleet_closed_reason: str = ""
+    known_at: float = 0.0
+    ended_lifetimes: frozenset[int] = frozenset()
 
     @property
     def lifetime(self) -> int:
@@ -282,7 +285,10 @@
         self._connect = connect
         self._inherited_waits = inherited_waits
         self._workers: dict[str, Worker] = {}
+        # Lifetimes that the registry names in place of the known ones.
+        self._candidates: dict[str, Worker] = {}
         self._awaiting_runner: dict[str, list[JobTask]] = {}
+        self._awaiting_since: dict[str, float] = {}
         self._created_at = _clock.monotonic_seconds()
 
     def __iter__(self) -> collections.abc.Iterator[Worker]:
@@ -315,6 +321,7 @@
             self._awaiting_runner.setdefault(task.runner, []).append(
                 (job, task)
             )
+            self._awaiting_since[task.runner] = _clock.monotonic_seconds()
             return
         self.place(worker, job, task, last_answered_at=0.0)
 
@@ -358,67 +365,128 @@
         for tasks in self._awaiting_runner.values():
             tasks[:] = [each for each in tasks if each[0] is not job]
 
-    def update(
-        self, entries: tuple[_ports.RunnerEntry, ...]
-    ) -> tuple[list[Worker], list[JobTask]]:
+    def update(self, entries: tuple[_ports.RunnerEntry, ...]) -> None:
         """Apply the registry.
 
-        Return the runners that restarted, which are removed, and the tasks
-        of earlier lifetimes of runners that were not known.
+        An entry of another lifetime than the known one may be the older one.
+        Nothing more is started on the known one, and the other one is
+        connected to, until the answer of one of them shows which has ended.
         """
-        restarted: list[Worker] = []
-        lost_tasks: list[JobTask] = []
         listed = {entry.id for entry in entries}
         for entry in entries:
             worker = self._workers.get(entry.id)
-            if worker is not None and entry.lifetime <= worker.lifetime:
-                if entry.lifetime == worker.lifetime:
-                    self._update_entry(worker, entry)
-                continue
-            if worker is not None:
-                restarted.append(self.remove(entry.id, entry.lifetime))
-            lost_tasks += self._add(entry)
+            if worker is None:
+                self._add(entry)
+            elif worker.lifetime == entry.lifetime:
+                self._update_entry(worker, entry)
+            else:
+                self._set_unlisted(worker)
+                self._update_candidate(worker, entry)
         for runner, worker in tuple(self._workers.items()):
             if runner in listed:
                 continue
-            if worker.listed:
-                worker.listed = False
-                _logs.log("runner:unlisted", runner=runner)
+            self._set_unlisted(worker)
+            self._drop_candidate(runner)
             if not worker.runs:
                 worker.link.stop()
                 del self._workers[runner]
-        return restarted, lost_tasks
+
+    def _set_unlisted(self, worker: Worker) -> None:
+        if worker.listed:
+            worker.listed = False
+            _logs.log("runner:unlisted", runner=worker.entry.id)
 
     def _update_entry(self, worker: Worker, entry: _ports.RunnerEntry) -> None:
         if worker.entry.state is not entry.state:
             _logs.log("runner:state", runner=entry.id, state=str(entry.state))
         worker.entry = entry
         worker.listed = True
+        self._drop_candidate(entry.id)
 
-    def _add(self, entry: _ports.RunnerEntry) -> list[JobTask]:
-        lost_tasks: list[JobTask] = []
-        link = self._connect(entry)
-        worker = Worker(entry=entry, link=link)
+    def _update_candidate(
+        self, worker: Worker, entry: _ports.RunnerEntry
+    ) -> None:
+        candidate = self._candidates.get(entry.id)
+        if candidate is not None and candidate.lifetime == entry.lifetime:
+            candidate.entry = entry
+            return
+        self._drop_candidate(entry.id)
+        if entry.lifetime not in worker.ended_lifetimes:
+            self._candidates[entry.id] = self._make_worker(entry)
+
+    def _drop_candidate(self, runner: str) -> None:
+        candidate = self._candidates.pop(runner, None)
+        if candidate is not None:
+            candidate.link.stop()
+
+    def _add(self, entry: _ports.RunnerEntry) -> None:
+        worker = self._make_worker(entry)
         self._workers[entry.id] = worker
+        awaiting = self._awaiting_runner.get(entry.id, [])
+        for job, task in tuple(awaiting):
+            if task.lifetime == entry.lifetime:
+                self.place(worker, job, task, last_answered_at=0.0)
+                awaiting.remove((job, task))
+        if not awaiting:
+            self._awaiting_runner.pop(entry.id, None)
+
+    def _make_worker(
+        self, entry: _ports.RunnerEntry, *, listed: bool = True
+    ) -> Worker:
+        known_at = _clock.monotonic_seconds()
         _logs.log(
-            "runner:listed",
+            "runner:listed" if listed else "runner:unlisted",
             runner=entry.id,
             lifetime=entry.lifetime,
             pool=entry.pool,
         )
-        for job, task in self._awaiting_runner.pop(entry.id, ()):
-            if task.lifetime == entry.lifetime:
-                self.place(worker, job, task, last_answered_at=0.0)
-            else:
-                lost_tasks.append((job, task))
-        return lost_tasks
+        return Worker(
+            entry=entry,
+            link=self._connect(entry),
+            listed=listed,
+            known_at=known_at,
+        )
 
-    def remove(self, runner: str, next_lifetime: int) -> Worker:
-        """Remove and return a runner that has restarted."""
-        _logs.log("runner:restarted", runner=runner, lifetime=next_lifetime)
-        worker = self._workers.pop(runner)
-        worker.link.stop()
-        return worker
+    def find_candidate(self, runner: str) -> Worker | None:
+        """Return another lifetime of a known runner that is connected to."""
+        return self._candidates.get(runner)
+
+    def end_candidate(self, worker: Worker) -> None:
+        """Disconnect a runner's candidate, as that lifetime is over."""
+        candidate = self._candidates[worker.entry.id]
+        worker.ended_lifetimes |= {candidate.lifetime}
+        self._drop_candidate(worker.entry.id)
+
+    def replace(self, ended: Worker, entry: _ports.RunnerEntry) -> Worker:
+        """Replace a runner by another lifetime of it.
+
+        Args:
+            ended: The runner.
+            entry: The entry at whose address the other lifetime answers.
+                Nothing is started there before the registry lists it.
+
+        Returns:
+            The other lifetime; its candidate if there is one.
+        """
+        successor = self._candidates.get(entry.id)
+        if successor is None or successor.lifetime != entry.lifetime:
+            self._drop_candidate(entry.id)
+            successor = self._make_worker(entry, listed=False)
+        self._candidates.pop(entry.id, None)
+        _logs.log("runner:restarted", runner=entry.id, lifetime=entry.lifetime)
+        ended.link.stop()
+        successor.ended_lifetimes = ended.ended_lifetimes | {ended.lifetime}
+        self._workers[entry.id] = successor
+        return successor
+
+    def take_awaiting(self, runner: str, requested_at: float) -> list[JobTask]:
+        """Remove and return the tasks that an answer of their runner settles.
+
+        It settles none if some were not known yet when it was asked for.
+        """
+        if requested_at < self._awaiting_since.get(runner, 0.0):
+            return []
+        return self._awaiting_runner.pop(runner, [])
 
     def replace_link(self, worker: Worker) -> None:
         """Connect anew to a runner whose process has ended.
@@ -523,5 +591,5 @@
 
     def stop(self) -> None:
         """Stop all links."""
-        for worker in self._workers.values():
+        for worker in (*self._workers.values(), *self._candidates.values()):
             worker.link.stop()
--- a/tests/emulator/runners.py
+++ b/tests/emulator/runners.py
@@ -53,12 +53,14 @@
     run counts as failed. With ``late_seconds`` the runner does not answer
     requests to start or stop a run, and executes them that much later; if
     ``answer_500`` is set too, it answers them with status 500 at once.
+    It takes ``hold_seconds`` more to answer a poll.
     """
 
     silent: bool = False
     fail_all: bool = False
     late_seconds: float = 0.0
     answer_500: bool = False
+    hold_seconds: float = 0.0
 
 
 class Runner:
@@ -67,7 +69,9 @@
     Reports the start and end of each run to the run log.
     """
 
-    def __init__(self, *, world, runner_id, vm, pool, capacity, labels):
+    def __init__(
+        self, *, world, runner_id, vm, pool, capacity, labels, listener=None
+    ):
         self.world = world
         self.id = runner_id
         self.vm = vm
@@ -87,7 +91,7 @@
         self.lease_until = 0.0
         self.lease_lapsed_at = float("-inf")
         self.up = True
-        self.listener = world.listen(world.address_of(self))
+        self.listener = listener or world.listen(world.address_of(self))
         self._clock_start = time.monotonic()
 
     def clock_ms(self):
@@ -198,6 +202,7 @@
         run to report it waits up to ``wait_ms`` for one.
         """
         self._inject_faults()
+        time.sleep(self.faults.hold_seconds)
         deadline = time.monotonic() + body.get("wait_ms", 0) / 1000.0
         with self.lock:
             self._end_due_runs()
@@ -271,14 +276,15 @@
         self.world.log.record_end(self, run.task, run.run, outcome, end_time)
         self.lock.notify_all()
 
-    def end_abruptly(self, outcome="gone", silent=False):
+    def end_abruptly(self, outcome="gone", silent=False, keeps_address=False):
         """End the process: all runs end, and its address refuses connections.
 
         ``outcome`` is how the runs are logged. A ``silent`` address accepts
-        connections and answers nothing.
+        connections and answers nothing. With ``keeps_address`` another process
+        listens there.
         """
         self.faults.silent = silent
-        if not silent:
+        if not silent and not keeps_address:
             self.listener.close()
         with self.lock:
             self._end_due_runs()
@@ -323,5 +329,5 @@
             "labels": self.labels,
             "clock_ms": int(self.clock_ms()),
             "seq": int(self.clock_ms()),
-            "born": self.born,
+            "born": self.born + self.world.born_offsets_ms.get(self.id, 0),
         }
--- a/tests/emulator/world.py
+++ b/tests/emulator/world.py
@@ -27,7 +27,8 @@
     whatever ``seconds`` says. ``cancelled_at`` holds, by job id, when a
     cancellation was acknowledged, and ``cancel_seconds`` how long after it
     a task may still start. A VM is unavailable for ``move_seconds`` during
-    a move, and for ``maintenance_seconds`` during maintenance.
+    a move, and for ``maintenance_seconds`` during maintenance. The registry
+    shows runners as started ``born_offsets_ms`` later than they were, by id.
     """
 
     def __init__(
@@ -64,6 +65,7 @@
         self.shrink_grace_seconds = shrink_grace_seconds
         self.crashed_vms_are_silent = False
         self.crash_count = 0
+        self.born_offsets_ms = {}
         self._expires_at = {}
         self.lock = threading.RLock()
         self.commands = []
@@ -103,14 +105,17 @@
             }
             self._start_runner(vm)
 
-    def _start_runner(self, vm):
+    def _start_runner(self, vm, former=None):
         with self.lock:
             if self._stopped.is_set():
                 return
             record = self.vms[vm]
             runner = runners.Runner(
                 world=self,
-                runner_id=f"i-{next(self._id_numbers)}",
+                runner_id=(
+                    former.id if former else f"i-{next(self._id_numbers)}"
+                ),
+                listener=former.listener if former else None,
                 vm=vm,
                 pool=record["pool"],
                 capacity=record["capacity"],
@@ -153,6 +158,17 @@
             self.crash_count += runner.up
         self.crash(runner, restart_after_seconds=self.crash_seconds)
 
+    def restart(self, runner):
+        """End a runner's process and start it anew under the same id.
+
+        The new process, which is returned, listens at once, so that no
+        connection is refused.
+        """
+        with self.lock:
+            runner.end_abruptly(keeps_address=True)
+            self._start_runner(runner.vm, runner)
+            return self.runners[runner.id]
+
     def address_of(self, runner):
         """Return a runner's address; each has its own loopback IP."""
         number = int(runner.id.split("-")[1])
