Keep starts that may have reached a runner's next lifetime

Callers saw tasks run twice at the same time (TWICE) when a runner started again under its id, at once and at the same address, while tasks were started on it. No clock step and no stale entry is needed.

Cause: starts name the runner's id only, which the next lifetime has too. One that was sent before the next lifetime was noticed is carried out by it. Its task was then requeued as lost with the former lifetime.

A run that the next lifetime lists is now placed there and goes on. One whose last order was answered after the request for that report, or not yet, is stopped there; its task is requeued once a later report does not list it. All others had their answers from the former lifetime, or would be listed. Such a late run also counts as one that the former lifetime may have crashed under, as before, unless the next one lists it.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_controller.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_controller.py
@@ -120,6 +120,7 @@
         )
         self._lifetimes = _lifetimes.LifetimeTracker(
             workers=self._workers,
+            job_store=self._job_store,
             runs=self._runs,
             gone_runners=self._gone_runners,
         )
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_lifetimes.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_lifetimes.py
@@ -9,9 +9,14 @@
 import attrs
 
 from peridotsill_jobs import _gone_runners
+from peridotsill_jobs import _job_store
 from peridotsill_jobs import _link_events
+from peridotsill_jobs import _ports
 from peridotsill_jobs import _runs
 from peridotsill_jobs import _workers
+import peridotsill_scheduler
+
+_RunId = tuple[str, str, int]
 
 
 def is_from_another(event: _link_events.LinkEvent) -> bool:
@@ -28,10 +33,12 @@
         self,
         *,
         workers: _workers.Workers,
+        job_store: _job_store.JobStore,
         runs: _runs.RunTracker,
         gone_runners: _gone_runners.GoneRunnerHandler,
     ) -> None:
         self._workers = workers
+        self._job_store = job_store
         self._runs = runs
         self._gone_runners = gone_runners
 
@@ -42,7 +49,7 @@
         if worker is None:
             return
         if ended is not None:
-            self._gone_runners.handle_restart(ended)
+            self._requeue_ended(ended, worker, event)
         self._settle_awaiting(worker, event)
 
     def _replace_ended(
@@ -68,20 +75,75 @@
         )
         return worker
 
+    def _requeue_ended(
+        self,
+        ended: _workers.Worker,
+        successor: _workers.Worker,
+        event: _link_events.ReportReceived,
+    ) -> None:
+        """Requeue an ended runner's tasks but those that may run on the next.
+
+        The next one has the same id, so it carries out orders that were sent
+        to the ended one and came late.
+        """
+        reported = _reported_runs(event.report)
+        moved: list[_workers.PlacedTask] = []
+        late: list[_workers.PlacedTask] = []
+        for key, placed in tuple(ended.placed.items()):
+            if (*key, placed.run) in reported:
+                moved.append(ended.placed.pop(key))
+            elif placed.last_answered_at >= event.requested_at:
+                late.append(ended.placed.pop(key))
+        # Those that came late may have caused the end by an earlier attempt.
+        ended.lost_runs += late
+        self._gone_runners.handle_restart(ended)
+        for placed in moved:
+            self._place(successor, placed.job, placed.task)
+        for placed in late:
+            self._stop_late(successor, placed)
+
+    def _stop_late(
+        self, successor: _workers.Worker, placed: _workers.PlacedTask
+    ) -> None:
+        """Stop a run that may begin yet, so that its task can be requeued."""
+        if not placed.task.active:
+            return
+        placed.task.phase = peridotsill_scheduler.TaskPhase.RUNNING
+        self._place(successor, placed.job, placed.task)
+        key = (placed.job.spec.id, placed.task.key)
+        self._runs.stop(successor, successor.placed[key])
+
     def _settle_awaiting(
         self, worker: _workers.Worker, event: _link_events.ReportReceived
     ) -> None:
-        """Place or requeue tasks that the rows have on the runner."""
+        """Place or requeue tasks that the rows have on the runner.
+
+        Those of another lifetime that the report lists came late to this one.
+        No others will: it refuses what an earlier scheduler has sent.
+        """
+        reported = _reported_runs(event.report)
         lost: list[_workers.JobTask] = []
         for job, task in self._workers.take_awaiting(
             event.runner, event.requested_at
         ):
-            if task.lifetime == worker.lifetime:
-                self._workers.place(worker, job, task, last_answered_at=0.0)
+            is_reported = (job.spec.id, task.key, task.run) in reported
+            if is_reported or task.lifetime == worker.lifetime:
+                self._place(worker, job, task)
             else:
                 lost.append((job, task))
         self._runs.requeue_lost(lost, "runner restarted")
 
+    def _place(
+        self,
+        worker: _workers.Worker,
+        job: peridotsill_scheduler.Job,
+        task: peridotsill_scheduler.Task,
+    ) -> None:
+        if task.lifetime != worker.lifetime:
+            task.lifetime = worker.lifetime
+            self._job_store.mark_dirty(job)
+        self._workers.place(worker, job, task, last_answered_at=0.0)
+
 
 def _has_ended(
     worker: _workers.Worker, event: _link_events.ReportReceived
@@ -90,3 +152,12 @@
         worker.lifetime != event.report.lifetime
         and worker.known_at <= event.requested_at
     )
+
+
+def _reported_runs(report: _ports.RunnerReport) -> frozenset[_RunId]:
+    """Return the runs that a report lists as running or ended."""
+    running = [(each.name, each.run) for each in report.running]
+    ended = [(each.name, each.run) for each in report.ended]
+    return frozenset(
+        (name.job, name.task, run) for name, run in running + ended
+    )
--- a/tests/features/lifetimes.feature
+++ b/tests/features/lifetimes.feature
@@ -95,6 +95,29 @@
     And the registry lists "i-1" with lifetime 6
     Then "i-1" is open
 
+  # Guards against TWICE: a start that was sent to a lifetime that had ended
+  # reached the next one, which has the same id, and its task was started
+  # again as lost.
+  Scenario: A start may have reached the next lifetime
+    Given a scheduler with an unanswered start of run 1 on "i-1" of lifetime 5
+    When lifetime 6 answers the link to lifetime 5 with nothing
+    Then run 1 of the task is not lost
+    And "i-1" is ordered to stop run 1 in lifetime 6
+    When lifetime 6 answers the link to it with nothing
+    And that stop is answered
+    And lifetime 6 answers the link to it with nothing
+    Then run 1 of the task is not lost
+    When lifetime 6 answers the link to it with nothing
+    Then run 1 of the task is lost
+
+  Scenario: A start has reached the next lifetime
+    Given a scheduler with run 1 on "i-1" of lifetime 5
+    When lifetime 6 answers the link to lifetime 5 with run 1
+    Then run 1 of the task is not lost
+    And run 1 of the task is placed on "i-1" of lifetime 6
+    When lifetime 6 answers the link to it with run 1
+    Then run 1 of the task is placed on "i-1" of lifetime 6
+
   # Guards against TWICE, with real nodes: what runs was started again as the
   # registry named another lifetime than the one that runs.
   Scenario Outline: The registry is behind, and <event>
@@ -114,3 +137,11 @@
       | 9   | nothing fails           |
       | -9  | the scheduler is killed |
       | 9   | the scheduler is killed |
+
+  # Guards against TWICE, with real nodes: starts that reached the next
+  # lifetime were taken for lost with the former one.
+  Scenario: A runner starts again under its id while tasks start on it
+    Given 3 job nodes with 4 VMs in "trails" and 0 in standby
+    When a runner starts again under its id while small jobs start on it
+    Then all jobs are completed within 20 s
+    And no rule is broken
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -685,6 +685,24 @@
         feature="lifetimes",
         scenario="An answer without a lifetime",
     ),
+    Mutant(
+        promise="lifetimes: a start may have reached the next one",
+        package="peridotsill_jobs",
+        module="_lifetimes.py",
+        old="            elif placed.last_answered_at >= event.requested_at:",
+        new="            elif False:",
+        feature="lifetimes",
+        scenario="A start may have reached the next",
+    ),
+    Mutant(
+        promise="lifetimes: a run that the next one lists goes on",
+        package="peridotsill_jobs",
+        module="_lifetimes.py",
+        old="            if (*key, placed.run) in reported:",
+        new="            if False:",
+        feature="lifetimes",
+        scenario="A start has reached the next lifetime",
+    ),
 )
 
 
