Wait for leases that a former lifetime's clock has set

A run that has reached the next lifetime of a runner has a lease that ends by the clock of the former one. The next one's clock begins anew, so the lease may be as long as the platform allows, 6 or 10 s. The scheduler counted the leases that it grants, 3.9 s; and none at all before the next lifetime had answered its own link, if it had begun over 10 s before. If the runner fell silent then, its tasks were requeued while they ran (TWICE).

Evidence: without this change both rows of "A start has reached the next lifetime, which falls silent" fail with run 1 lost as "lease ran out".

Runs on a runner that has taken over from another lifetime now count as lost only once the platform's longest lease has also passed since then. A runner that starts again under its id and falls silent within that time costs up to 10.3 s instead of 3.9 s until its tasks start elsewhere.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_workers.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_workers.py
@@ -34,6 +34,8 @@
 # For this long after a silent runner's leases have expired, a crash of it is
 # held against the runs that were there.
 _LOST_RUN_MEMORY_SECONDS = 60.0
+# On a runner's clock a second lasts at most this many of ours.
+_MAX_CLOCK_SLOWNESS = 1.03
 
 JobTask = tuple[peridotsill_scheduler.Job, peridotsill_scheduler.Task]
 
@@ -119,8 +121,9 @@
     start here, or is empty. ``listed`` tells that the registry has this
     lifetime of the runner, ``gone`` that its process was found to have
     ended, ``avoided`` that its VM is due in a wave. The lifetime is known
-    since ``known_at``; ``ended_lifetimes`` of the runner are over. Times are
-    those of `_clock.monotonic_seconds`.
+    since ``known_at``, and has been used since ``took_over_at`` in place of
+    those in ``ended_lifetimes``. Times are those of
+    `_clock.monotonic_seconds`.
     """
 
     entry: _ports.RunnerEntry
@@ -145,6 +148,7 @@
     paced_at: float = 0.0
     fleet_closed_reason: str = ""
     known_at: float = 0.0
+    took_over_at: float = float("-inf")
     ended_lifetimes: frozenset[int] = frozenset()
 
     @property
@@ -476,6 +480,7 @@
         _logs.log("runner:restarted", runner=entry.id, lifetime=entry.lifetime)
         ended.link.stop()
         successor.ended_lifetimes = ended.ended_lifetimes | {ended.lifetime}
+        successor.took_over_at = _clock.monotonic_seconds()
         self._workers[entry.id] = successor
         return successor
 
@@ -521,7 +526,10 @@
                     worker.entry.id, max_lease_seconds
                 )
                 expired = seconds_left < 0
-            if expired:
+            if (
+                expired
+                and _former_lease_seconds(worker, max_lease_seconds) < 0
+            ):
                 lost_tasks += [
                     (placed.job, placed.task)
                     for placed in worker.placed.values()
@@ -593,3 +601,13 @@
         """Stop all links."""
         for worker in (*self._workers.values(), *self._candidates.values()):
             worker.link.stop()
+
+
+def _former_lease_seconds(worker: Worker, max_lease_seconds: float) -> float:
+    """Return how long leases by a former lifetime's clock may still last.
+
+    An order that was sent to the former lifetime may have come to this one,
+    whose clock began anew. So its lease may be as long as the platform allows.
+    """
+    longest = max_lease_seconds * _MAX_CLOCK_SLOWNESS
+    return worker.took_over_at + longest - _clock.monotonic_seconds()
--- a/tests/features/lifetimes.feature
+++ b/tests/features/lifetimes.feature
@@ -118,6 +118,20 @@
     When lifetime 6 answers the link to it with run 1
     Then run 1 of the task is placed on "i-1" of lifetime 6
 
+  # Guards against TWICE: the lease of a start that has reached the next
+  # lifetime ends by the clock of the former one, and so may be the longest.
+  Scenario Outline: A start has reached the next lifetime, which falls silent
+    Given a scheduler with run 1 on "i-1" of lifetime 5
+    When lifetime 6 answers the link to lifetime 5 with run 1
+    And 60 s after the scheduler began lifetime 6 <state>
+    Then run 1 of the task is not lost within 10 s
+    And run 1 of the task is lost within 11 s
+
+    Examples:
+      | state                    |
+      | has answered no poll yet |
+      | is silent                |
+
   # Guards against TWICE, with real nodes: what runs was started again as the
   # registry named another lifetime than the one that runs.
   Scenario Outline: The registry is behind, and <event>
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -703,6 +703,15 @@
         feature="lifetimes",
         scenario="A start has reached the next lifetime",
     ),
+    Mutant(
+        promise="lifetimes: leases by the former one's clock are waited for",
+        package="peridotsill_jobs",
+        module="_workers.py",
+        old="    return worker.took_over_at + longest",
+        new="    return -longest",
+        feature="lifetimes",
+        scenario="A start has reached the next lifetime, which",
+    ),
 )
 
 
