Pause a link that another lifetime answers

A link went on to poll after another lifetime had answered it, until the scheduler had handled the report, and extended that lifetime's leases. No link to that lifetime counts these, so that its runs might have been requeued while they ran (TWICE). It matters now that two lifetimes of a runner may be connected to at its address.

Such a link now sends no more polls; the scheduler stops it when it handles the report.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_controller.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_controller.py
@@ -136,6 +136,12 @@
         return self._parts.settings.current.bounds.max_lease_ms / 1000.0
 
     def _connect_runner(self, entry: _ports.RunnerEntry) -> _links.RunnerLink:
+        def post(event: _link_events.LinkEvent) -> None:
+            if _lifetimes.is_from_another(event):
+                # More polls would extend leases that this link doesn't count.
+                link.set_paused(True)
+            self._inbox.put(event)
+
         link = _links.RunnerLink(
             parts=_runner_client.LinkParts(
                 entry=entry,
@@ -146,7 +152,7 @@
                     lease=self._parts.lease,
                     max_lease_seconds=self._max_lease_seconds,
                 ),
-                post=self._inbox.put,
+                post=post,
             )
         )
         link.start()
--- a/tests/features/lifetimes.feature
+++ b/tests/features/lifetimes.feature
@@ -132,6 +132,13 @@
       | has answered no poll yet |
       | is silent                |
 
+  # Guards against TWICE: leases that were granted to one lifetime by the link
+  # to another one are not counted where they are waited for.
+  Scenario: A link that another lifetime answers grants it no leases
+    Given a scheduler whose link to "i-1" of lifetime 1 gets answers
+    When lifetime 2 answers its polls for 0.2 s
+    Then it has sent 1 poll, which extends no lease
+
   # Guards against TWICE, with real nodes: what runs was started again as the
   # registry named another lifetime than the one that runs.
   Scenario Outline: The registry is behind, and <event>
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -712,6 +712,15 @@
         feature="lifetimes",
         scenario="A start has reached the next lifetime, which",
     ),
+    Mutant(
+        promise="lifetimes: a link that another one answers is paused",
+        package="peridotsill_jobs",
+        module="_controller.py",
+        old="                link.set_paused(True)",
+        new="                id(link)",
+        feature="lifetimes",
+        scenario="A link that another lifetime answers",
+    ),
 )
 
 
