--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_fleet.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_fleet.py
@@ -245,7 +245,7 @@
             worker.fleet_closed_reason = ""
             worker.link.set_paused(False)
 
-    def why_ended(self, vm: str, runner: str, known_since: float) -> str:
+    def why_ended(self, vm: str, runner: str, known_at: float) -> str:
         """Return how the list of VMs shows that a runner has ended.
 
         A VM has one runner at a time, and none while it is away. Empty if
@@ -254,11 +254,11 @@
         Args:
             vm: The runner's VM.
             runner: The runner's id.
-            known_since: When the runner was alive, in monotonic seconds. A
+            known_at: When the runner was alive, in monotonic seconds. A
                 list of before proves nothing.
         """
         record = self._vms.get(vm)
-        if record is None or not self.is_list_newer_than(known_since):
+        if record is None or not self.is_list_newer_than(known_at):
             return ""
         if record.state in _STATES_WITHOUT_RUNNER:
             return f"its VM is {record.state}"
@@ -269,11 +269,11 @@
             return f"its VM has runner {record.runner}"
         return ""
 
-    def is_list_newer_than(self, known_since: float) -> bool:
+    def is_list_newer_than(self, known_at: float) -> bool:
         """Tell whether the list certainly shows VMs as they were later."""
-        return self._list_requested_at >= known_since + _LIST_LAG_SECONDS
+        return self._list_requested_at >= known_at + _LIST_LAG_SECONDS
 
-    def may_have_ended(self, vm: str, runner: str, known_since: float) -> bool:
+    def may_have_ended(self, vm: str, runner: str, known_at: float) -> bool:
         """Tell whether a command on its VM may have ended a runner.
 
         A command ends the runner that the VM had when it was sent, and no
@@ -284,7 +284,7 @@
         if (
             record is not None
             and record.state in _STATES_OF_TAKEN_VMS
-            and self.is_list_newer_than(known_since)
+            and self.is_list_newer_than(known_at)
         ):
             return True
         operation = self._operations.get(vm)
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_gone_runners.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_gone_runners.py
@@ -80,13 +80,13 @@
             if worker.gone or not worker.runs or worker.link.may_grant:
                 continue
             evidence = self._fleet.why_ended(
-                worker.vm, worker.entry.id, worker.known_since
+                worker.vm, worker.entry.id, worker.known_at
             )
             if evidence:
                 self._requeue_tasks(worker, evidence, _last_answer_at(worker))
                 self._workers.replace_link(worker)
             elif worker.link.refused and not self._fleet.is_list_newer_than(
-                worker.known_since
+                worker.known_at
             ):
                 self._request_vm_list()
 
@@ -105,7 +105,7 @@
 
     def _why_gone(self, worker: _workers.Worker) -> str:
         if self._fleet.may_have_ended(
-            worker.vm, worker.entry.id, worker.known_since
+            worker.vm, worker.entry.id, worker.known_at
         ):
             return "VM taken away"
         if worker.draining:
--- a/tests/features/steps/refusal_steps.py
+++ b/tests/features/steps/refusal_steps.py
@@ -99,7 +99,7 @@
     context.controller._handle_event(
         _feeds.VmListSnapshot(
             vms=vms,
-            requested_at=_worker(context).known_since + 1.0
+            requested_at=_worker(context).known_at + 1.0
             if requested_at is None
             else requested_at,
         )
@@ -188,7 +188,7 @@
         lambda context: _list_vm(
             context,
             state=_ports.VmState.DOWN,
-            requested_at=_worker(context).known_since + 0.1,
+            requested_at=_worker(context).known_at + 0.1,
         )
     ),
     "its VM is listed as down while the runner answers": _list_while_answering,
