--- a/tests/features/odd_entries.feature
+++ b/tests/features/odd_entries.feature
@@ -108,3 +108,20 @@
       | 127.0.0.1:x     |
       | 127.0.0.1:99999 |
       | :8080           |
+
+  # Guards against TWICE: what the registry says of a known runner's start or
+  # address is taken as proof that its process has ended.
+  Scenario Outline: An entry of a runner proves no end of its runs (<change>)
+    Given 2 job nodes with 3 VMs in "trails" and 1 in standby
+    When 6 tasks of 3 s run, and the entry of a runner with some has <change>
+    And <event>
+    Then all jobs are completed within 30 s
+    And no rule is broken
+
+    Examples:
+      | change                | event                            |
+      | a later start time    | 8 jobs of two steps are submitted |
+      | a later start time    | the scheduler is killed          |
+      | an earlier start time | the scheduler is killed          |
+      | no start time         | the scheduler is killed          |
+      | another address       | the scheduler is killed          |
--- a/tests/features/steps/odd_entry_steps.py
+++ b/tests/features/steps/odd_entry_steps.py
@@ -437,11 +437,35 @@
     return name.encode().hex().rjust(16, "0")
 
 
+_CHANGES = {
+    "a later start time": lambda row: {**row, "born": row["born"] + 1000},
+    "an earlier start time": lambda row: {**row, "born": row["born"] - 1000},
+    "no start time": lambda row: {
+        name: value for name, value in row.items() if name != "born"
+    },
+    "another address": lambda row: {**row, "address": "127.0.0.1:9"},
+}
+
+
+@when(
+    "{count:d} tasks of {seconds:g} s run, and the entry of a runner with "
+    "some has {change}"
+)
+def _change_entry(context, count, seconds, change):
+    _run_and_change(context, count, seconds, _CHANGES[change])
+
+
 @when(
     "{count:d} tasks of {seconds:g} s run, and the entry of a runner with "
     "some turns odd"
 )
 def _turn_odd(context, count, seconds):
+    _run_and_change(
+        context, count, seconds, lambda row: {**row, "born": 1e300}
+    )
+
+
+def _run_and_change(context, count, seconds, change):
     cluster = context.cluster
     world = cluster.world
     reply = cluster.submit(
@@ -460,7 +484,7 @@
     nodes.wait_for(lambda: len(runs()) == count, 10.0, "all tasks running")
     context.odd_runner = runs()[0].runner
     # The refresh of the registry writes this row from now on.
-    row = {**context.odd_runner.row(), "born": 1e300}
+    row = change(context.odd_runner.row())
     context.odd_runner.row = lambda: row
     world.write("servers", context.odd_runner.id, row)
     # The scheduler reads the registry three times meanwhile.
