--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_grants.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_grants.py
@@ -93,10 +93,11 @@
     @property
     def may_extend(self) -> bool:
         """Whether the runner has answered recently enough for a lease."""
-        return (
-            self.reached
-            and not self.refused
-            and self.silent_seconds <= _GRANT_WINDOW_SECONDS
+        return self._may_extend_at(_clock.monotonic_seconds())
+
+    def _may_extend_at(self, now: float) -> bool:
+        return not self.refused and (
+            now - self._last_clock[1] <= _GRANT_WINDOW_SECONDS
         )
 
     @property
@@ -128,10 +129,12 @@
         also once the scheduler's own lease is lost or released, as the next
         holder relies on no more grants.
         """
-        if not self.may_extend or self._lease.lost:
+        # One time for all: a pause after it can only shorten the lease.
+        now = _clock.monotonic_seconds()
+        if not self._may_extend_at(now) or self._lease.lost:
             return None
         clock_ms, read_at = self._last_clock
-        passed_ms = (_clock.monotonic_seconds() - read_at) * 1000.0
+        passed_ms = (now - read_at) * 1000.0
         until = clock_ms + passed_ms + self._lease_seconds * 1000.0
         self._lease_until_ms = max(self._lease_until_ms, until)
         return float(int(until))
--- a/tests/features/refusals.feature
+++ b/tests/features/refusals.feature
@@ -87,6 +87,13 @@
     When its VM is listed as down
     Then run 1 is lost for "runner crashed"
 
+  # Guards against a paused process that acts on an expired permission: the
+  # lease that it granted counted from after the pause.
+  Scenario: A pause while a lease is granted does not lengthen it
+    Given a link to a runner that answers its first poll with a run
+    When the scheduler is paused for 30 s while it grants a lease there
+    Then the lease ends as if it had not been paused
+
   # Guards against TWICE: a refused start was taken to show that the start that
   # had been sent before it was not executed either.
   Scenario Outline: What a start whose connection is refused shows of it
--- a/tests/features/steps/refusal_steps.py
+++ b/tests/features/steps/refusal_steps.py
@@ -1,5 +1,6 @@
 """Steps on runners whose address refuses connections while they live."""
 
+import itertools
 import time
 import unittest.mock
 
@@ -16,6 +17,7 @@
 from peridotsill_adapter import _runners
 from peridotsill_adapter import _unreadable
 from peridotsill_jobs import _feeds
+from peridotsill_jobs import _grants
 from peridotsill_jobs import _link_events
 from peridotsill_jobs import _ports
 import peridotsill_jobs.exceptions
@@ -329,3 +331,26 @@
         resume()
         sender._send_next()
     assert calls.stop.call_count == 2
+
+
+@when(
+    "the scheduler is paused for {seconds:g} s while it grants a lease there"
+)
+def _pause_in_grant(context, seconds):
+    context.granted_at = time.monotonic()
+    times = itertools.chain(
+        [context.granted_at], itertools.repeat(context.granted_at + seconds)
+    )
+    grants = context.link._parts.grants
+    with unittest.mock.patch.object(
+        _grants._clock, "monotonic_seconds", lambda: next(times)
+    ):
+        context.until = grants.extend()
+
+
+@then("the lease ends as if it had not been paused")
+def _not_lengthened(context):
+    grants = context.link._parts.grants
+    clock_ms, read_at = grants._last_clock
+    seconds = grants._lease_seconds + context.granted_at - read_at
+    assert context.until == int(clock_ms + seconds * 1000.0), context.until
