Tell the next holder to wait for a restarted runner's former leases

A start that has reached the next lifetime of its runner may have the platform's longest lease. The scenario failed before: lost before the 7.3 s that are left.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_workers.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_workers.py
@@ -596,6 +596,10 @@
             wait_seconds[runner] = self._inherited_wait_seconds(
                 runner, max_lease_seconds
             )
+        for worker in tuple(self._workers.values()):
+            left = _former_lease_seconds(worker, max_lease_seconds)
+            if left > wait_seconds.get(worker.entry.id, default_seconds):
+                wait_seconds[worker.entry.id] = left
         return {
             runner: max(0.0, left) for runner, left in wait_seconds.items()
         }
--- a/tests/features/steps/waits_steps.py
+++ b/tests/features/steps/waits_steps.py
@@ -137,6 +137,12 @@
     context.lease.release()
 
 
+@when("the runner is found to have restarted just now")
+def _restarted(context):
+    (worker,) = context.workers
+    worker.took_over_at = context.clock.now
+
+
 @when("it releases the lease before it has read the rows")
 def _release_before_load(context):
     context.lease.release()
--- a/tests/features/waits.feature
+++ b/tests/features/waits.feature
@@ -39,6 +39,18 @@
     And another node takes the lease
     Then the task counts as lost after 0.9 s
 
+  # Guards against TWICE: the next holder was told to wait less than the lease
+  # of a start that had reached the next lifetime of its runner.
+  Scenario: A runner that has restarted is waited for by its former clock, too
+    Given a holder of the lease that reached all runners and released it
+    And a task on a runner that does not answer
+    When another node takes the lease
+    And the runner answers once and goes silent
+    And the runner is found to have restarted just now
+    And it releases the lease after 3 s
+    And another node takes the lease
+    Then the task counts as lost after 7.3 s
+
   Scenario: What is left in the row by another writer is not believed
     Given a lease that was released with waits that are not numbers
     And a task on a runner that does not answer
