--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_gone_runners.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_gone_runners.py
@@ -53,11 +53,12 @@
 
     def handle_restart(self, worker: _workers.Worker) -> None:
         """Requeue the tasks of a runner that was removed as it restarted."""
-        if worker.gone:
-            return
-        self._requeue_tasks(
-            worker, "another lifetime answers", _last_answer_at(worker)
-        )
+        # A runner that was found gone before has tasks only if their row was
+        # read again since.
+        if not worker.gone or worker.placed:
+            self._requeue_tasks(
+                worker, "another lifetime answers", _last_answer_at(worker)
+            )
 
     def handle_refusal(self, event: _link_events.RunnerRefuses) -> None:
         """Look whether a runner that refuses connections has ended."""
--- a/tests/features/lifetimes.feature
+++ b/tests/features/lifetimes.feature
@@ -132,6 +132,15 @@
       | has answered no poll yet |
       | is silent                |
 
+  # Guards against LOST: a task that a row that was read again has on a runner
+  # that was found gone before stayed there for good.
+  Scenario: A task on a runner that was found gone before it restarted is lost
+    Given a scheduler that knows "i-1" of lifetime 5
+    When "i-1" is found gone in lifetime 5
+    And a row names a task on "i-1" of lifetime 5
+    And lifetime 6 answers the link to lifetime 5 with nothing
+    Then run 1 of the task is lost
+
   # Guards against TWICE: leases that were granted to one lifetime by the link
   # to another one are not counted where they are waited for.
   Scenario: A link that another lifetime answers grants it no leases
--- a/tests/features/steps/lifetime_steps.py
+++ b/tests/features/steps/lifetime_steps.py
@@ -100,6 +100,18 @@
     context.controller._workers.adopt(context.job, context.task)
 
 
+@when('"i-1" is found gone in lifetime {lifetime:d}')
+def _find_gone(context, lifetime):
+    context.controller._handle_event(
+        _link_events.RunnerFoundGone(
+            runner=_RUNNER,
+            lifetime=lifetime,
+            evidence="status 421",
+            ended_at=time.monotonic(),
+        )
+    )
+
+
 @when("lifetime {lifetime:d} answers a request from before with nothing")
 def _answer_old_request(context, lifetime):
     _answer(context, lifetime, lifetime, requested_at=context.asked_before)
