Prove a runner's lifetime before a poll acknowledges or grants anything

Callers' tasks were started again after they were done (TWICE), found by the review. Polls name the runner's id only, which its next lifetime has too: one that acknowledged ends by the former lifetime's numbers made the next one forget its own, and extended leases by the former one's clock. After a failed poll the next one now acknowledges and grants nothing, until a report has shown the lifetime; ends that it repeats are known.

A status 421 proves a runner's end only where the runner itself had answered before: an entry may name another runner's address.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_link_events.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_link_events.py
@@ -51,7 +51,7 @@
 
 @attrs.frozen(kw_only=True)
 class RunnerRefuses:
-    """A runner's address has begun to refuse connections.
+    """A runner's address has begun to refuse connections, or is not its own.
 
     ``reason`` is the error of the first call that was refused.
     """
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_runner_client.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_runner_client.py
@@ -77,6 +77,10 @@
             self._handle_refusal(error)
             raise
         except exceptions.WrongLifetime as error:
+            if not self._parts.grants.reached:
+                # The registry may name another runner's address.
+                self._handle_refusal(error)
+                raise exceptions.ConnectionRefused(str(error)) from error
             self._parts.post(
                 _link_events.RunnerFoundGone(
                     runner=self._runner,
@@ -103,7 +107,7 @@
         self._failing_since = None
         return answer
 
-    def _handle_refusal(self, error: exceptions.ConnectionRefused) -> None:
+    def _handle_refusal(self, error: exceptions.RunnerUnavailable) -> None:
         """Grant no more leases, and post the first refusal in a row."""
         failing_since = self._record_failure()
         grants = self._parts.grants
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_runner_polling.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_runner_polling.py
@@ -44,6 +44,9 @@
         self._long_poll_seconds = _LONG_POLL_SECONDS
         self._commit_timer: peridotsill.Timer | None = None
         self._last_acknowledged_end = 0
+        # Whether the process that the connection leads to is known to be the
+        # lifetime that is polled, and not a later one.
+        self._lifetime_confirmed = False
         self._last_reported_end = 0
 
     @property
@@ -117,7 +120,7 @@
         if self._commit_timer:
             self._commit_timer.cancel()
             self._commit_timer = None
-        until = self._grants.extend()
+        until = self._grants.extend() if self._lifetime_confirmed else None
         may_long_poll = (
             until is not None
             and self._last_reported_end <= self._last_acknowledged_end
@@ -125,12 +128,16 @@
         wait_seconds = self._long_poll_seconds if may_long_poll else 0.0
         timeout_seconds = wait_seconds + _ANSWER_MARGIN_SECONDS
         requested_at = _clock.monotonic_seconds()
+        # A later lifetime would take the number for one of its own ends.
+        last_seen = (
+            self._last_acknowledged_end if self._lifetime_confirmed else 0
+        )
         self._polling = True
         self._timeout_at = requested_at + timeout_seconds
         self._client.call(
             self._parts.calls.poll(
                 fence=self._parts.lease.epoch,
-                last_seen=self._last_acknowledged_end,
+                last_seen=last_seen,
                 lease_until_ms=until,
                 wait_seconds=wait_seconds,
                 timeout_seconds=timeout_seconds,
@@ -149,6 +156,7 @@
             self._parts.lease.mark_lost(str(error))
             self._poll_later()
         except exceptions.RunnerError as error:
+            self._lifetime_confirmed = False
             self._log_failure(error)
             if self._may_repeat_at_once(error):
                 self._repeated_at_once = True
@@ -183,6 +191,7 @@
         if report.lifetime in (0, self._parts.entry.lifetime):
             # No run gets a lease on another lifetime's clock.
             self._grants.record_report(report)
+            self._lifetime_confirmed = True
         if report.ended:
             self._last_reported_end = max(
                 self._last_reported_end,
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/exceptions.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/exceptions.py
@@ -47,10 +47,12 @@
 
 
 class ConnectionRefused(RunnerUnavailable):
-    """The runner's address refuses connections.
+    """The runner's address refuses connections, or is not the runner's.
 
     The runner may live: a partition can refuse connections to it too. So
-    what it runs may go on, and an earlier call may still be executed.
+    what it runs may go on, and an earlier call may still be executed. An
+    address at which another runner answers, and this one never has, shows
+    no more than that.
     """
 
     def __init__(self, message: str) -> None:
@@ -60,7 +62,8 @@
 class WrongLifetime(RunnerUnavailable):
     """Another lifetime answers at the runner's address.
 
-    So the runner's process has ended, and with it all that it ran.
+    If the runner has answered there before, its process has ended, and with
+    it all that it ran.
     """
 
     def __init__(self, message: str) -> None:
--- a/tests/emulator/runners.py
+++ b/tests/emulator/runners.py
@@ -122,7 +122,10 @@
             except (RunnerStatusError, UnansweredError, CrashedError):
                 return
 
-        threading.Timer(self.faults.late_seconds, run_delayed).start()
+        timer = threading.Timer(self.faults.late_seconds, run_delayed)
+        # One that is due long after a scenario does not hold up its process.
+        timer.daemon = True
+        timer.start()
         if self.faults.answer_500:
             raise RunnerStatusError(500)
         raise UnansweredError(self.id)
--- a/tests/features/lifetimes.feature
+++ b/tests/features/lifetimes.feature
@@ -132,6 +132,23 @@
       | has answered no poll yet |
       | is silent                |
 
+  # Guards against TWICE: a poll for a lifetime that had ended acknowledged, by
+  # that one's numbers, ends that the next lifetime had not told anybody yet.
+  Scenario: A poll for a lifetime that has ended reaches the next one
+    Given 3 job nodes with 1 VMs in "trails" and 0 in standby
+    When 20 tasks have ended on the runner
+    And it starts again under its id while jobs of 0.1 s start on it
+    Then all jobs are completed within 20 s
+    And no rule is broken
+
+  # Guards against TWICE: a start reaches the next lifetime, whose clock begins
+  # anew, and that one falls silent before any poll of it was answered.
+  Scenario: A start reaches a next lifetime that is never heard of
+    Given 3 job nodes with 3 VMs in "trails" and 0 in standby
+    When its runner starts again, begins tasks of 8 s, and is cut off for 12 s
+    Then all jobs are completed within 40 s
+    And no rule is broken
+
   # Guards against LOST: a task that a row that was read again has on a runner
   # that was found gone before stayed there for good.
   Scenario: A task on a runner that was found gone before it restarted is lost
--- a/tests/features/odd_entries.feature
+++ b/tests/features/odd_entries.feature
@@ -125,3 +125,4 @@
       | an earlier start time | the scheduler is killed          |
       | no start time         | the scheduler is killed          |
       | another address       | the scheduler is killed          |
+      | another's address     | the scheduler is killed          |
--- a/tests/features/refusals.feature
+++ b/tests/features/refusals.feature
@@ -33,6 +33,14 @@
     Then all the jobs are completed within 60 s
     And no rule is broken
 
+  # Guards against LOST: a start that never comes, whose stops a runner refuses
+  # for its health while it answers polls, is waited for without end.
+  Scenario: A runner loses starts, and is too unhealthy for any stop
+    Given 3 job nodes with 2 VMs in "trails" and 0 in standby
+    When one runner loses starts and refuses stops, and 2 jobs are submitted
+    Then all the jobs are completed within 15 s
+    And no rule is broken
+
   # Guards against TWICE: whatever is only a reason to start nothing more on a
   # runner was taken for the end of its runs.
   Scenario Outline: What proves that a runner that refuses connections has ended
--- a/tests/features/steps/calls_steps.py
+++ b/tests/features/steps/calls_steps.py
@@ -283,7 +283,10 @@
 
 
 def _new_grants():
-    return _grants.Grants(lease=unittest.mock.Mock(), max_lease_seconds=6.0)
+    """Return the grants of a link whose first poll was answered."""
+    grants = _grants.Grants(lease=unittest.mock.Mock(), max_lease_seconds=6.0)
+    grants.record_report(unittest.mock.Mock(clock_ms=1.0, running=()))
+    return grants
 
 
 def _finish_runner_call(context, name, outcome):
--- a/tests/features/steps/odd_entry_steps.py
+++ b/tests/features/steps/odd_entry_steps.py
@@ -452,9 +452,22 @@
     "some has {change}"
 )
 def _change_entry(context, count, seconds, change):
+    if change == "another's address":
+        _run_and_change(context, count, seconds, _name_other_address(context))
+        return
     _run_and_change(context, count, seconds, _CHANGES[change])
 
 
+def _name_other_address(context):
+    world = context.cluster.world
+
+    def change(row):
+        addresses = {world.address_of(each) for each in world.runners.values()}
+        return {**row, "address": min(addresses - {row["address"]})}
+
+    return change
+
+
 @when(
     "{count:d} tasks of {seconds:g} s run, and the entry of a runner with "
     "some turns odd"
--- a/tests/features/steps/refusal_steps.py
+++ b/tests/features/steps/refusal_steps.py
@@ -61,6 +61,21 @@
     )
 
 
+@when("one runner loses starts and refuses stops, and 2 jobs are submitted")
+def _lose_starts(context):
+    cluster = context.cluster
+    runner = next(iter(cluster.world.runners.values()))
+    runner.faults.late_seconds = 300.0
+    runner.faults.unhealthy_stops = True
+    context.job_count = 2
+    step = {"count": 24, "cpu": 1000, "estimated_ms": 100}
+    for number in range(context.job_count):
+        reply = cluster.submit(
+            cluster.nodes[0], _POOL, _job_id(number), [step], seconds=0.2
+        )
+        assert reply is not None and reply.status == 200, reply
+
+
 @when("{count:d} of their runners refuse connections for {seconds:g} s")
 def _refuse(context, count, seconds):
     world = context.cluster.world
