Let a silent runner's VM come back before its crash counts

Several VMs lost power. A silent runner was taken for crashed as soon as its VM was listed as down, its task was started again at once on a VM that was the next to lose power, and was given up after the two crashes, so that the rest of its job was stopped.

The list counts for a silent runner as before: only if it shows another runner on the VM. For one that refuses connections, whose host is there, it counts as down, too.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_fleet.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_fleet.py
@@ -245,7 +245,9 @@
             worker.fleet_closed_reason = ""
             worker.link.set_paused(False)
 
-    def why_ended(self, vm: str, runner: str, known_at: float) -> str:
+    def why_ended(
+        self, vm: str, runner: str, known_at: float, *, refuses: bool
+    ) -> str:
         """Return how the list of VMs shows that a runner has ended.
 
         A VM has one runner at a time, and none while it is away. Empty if
@@ -256,11 +258,15 @@
             runner: The runner's id.
             known_at: When the runner was alive, in monotonic seconds. A
                 list of before proves nothing.
+            refuses: Whether the runner refuses connections. A silent one may
+                have lost power with its VM, as others do at the same time;
+                what it ran waits until the VM is back, as it is counted as
+                a crash of its tasks.
         """
         record = self._vms.get(vm)
         if record is None or not self.is_list_newer_than(known_at):
             return ""
-        if record.state in _STATES_WITHOUT_RUNNER:
+        if refuses and record.state in _STATES_WITHOUT_RUNNER:
             return f"its VM is {record.state}"
         if record.state is _ports.VmState.UP and record.runner not in (
             "",
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_gone_runners.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_gone_runners.py
@@ -14,6 +14,9 @@
 # Most runs in the log line about a runner that is gone, newest first.
 _MAX_LOGGED_RUNS = 12
 _CRASHED = "runner crashed"
+# A runner that has not answered for this long, longer than a poll takes, may
+# have been replaced.
+_SILENT_SECONDS = 2.5
 
 
 class GoneRunnerHandler:
@@ -78,10 +81,13 @@
     def handle_vm_list(self) -> None:
         """Record unreachable runners as ended that the list shows ended."""
         for worker in self._workers:
-            if worker.gone or not worker.runs or worker.link.may_grant:
+            if worker.gone or not worker.runs or not _is_out_of_reach(worker):
                 continue
             evidence = self._fleet.why_ended(
-                worker.vm, worker.entry.id, worker.known_at
+                worker.vm,
+                worker.entry.id,
+                worker.known_at,
+                refuses=worker.link.refused,
             )
             if evidence:
                 self._requeue_tasks(worker, evidence, _last_answer_at(worker))
@@ -114,6 +120,11 @@
         return _CRASHED
 
 
+def _is_out_of_reach(worker: _workers.Worker) -> bool:
+    link = worker.link
+    return link.refused or link.silent_seconds >= _SILENT_SECONDS
+
+
 def _last_answer_at(worker: _workers.Worker) -> float:
     """Return when a runner last answered, or when calls began to fail.
 
--- a/tests/features/refusals.feature
+++ b/tests/features/refusals.feature
@@ -67,6 +67,22 @@
       | its VM is listed as in maintenance                    | lost for "VM taken away"          |
       | the leases of its runs have expired                   | lost for "lease ran out"          |
 
+  # Guards against giving up an innocent task whose runners lose power one
+  # after another: each was counted as soon as its VM was listed as down.
+  Scenario Outline: What proves that a silent runner has ended
+    Given a scheduler with a task of run 1 on runner "i-1"
+    And its VM was listed with it
+    When runner "i-1" is silent for <seconds> s
+    And <listed>
+    Then run 1 is <held>
+
+    Examples:
+      | seconds | listed                               | held                      |
+      | 3       | its VM is listed as down             | still held to be there    |
+      | 3       | its VM is listed as moving           | still held to be there    |
+      | 2       | its VM is listed with another runner | still held to be there    |
+      | 3       | its VM is listed with another runner | lost for "runner crashed" |
+
   Scenario: A crash that shows after the leases have expired is held against it
     Given a scheduler with a task of run 1 on runner "i-1"
     And its VM was listed with it
--- a/tests/features/steps/refusal_steps.py
+++ b/tests/features/steps/refusal_steps.py
@@ -168,6 +168,14 @@
     )
 
 
+@when('runner "{runner}" is silent for {seconds:g} s')
+def _be_silent(context, runner, seconds):
+    link = context.links[runner]
+    link.may_grant = False
+    link.silent_seconds = seconds
+    link.may_have_begun = lambda name, run: True
+
+
 @then("the list of VMs is asked for")
 def _list_requested(context):
     context.request_vm_list.assert_called_once_with()
