--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_fleet.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_fleet.py
@@ -245,55 +245,48 @@
             worker.fleet_closed_reason = ""
             worker.link.set_paused(False)
 
-    def why_ended(
-        self, vm: str, runner: str, known_at: float, *, refuses: bool
-    ) -> str:
+    def why_ended(self, worker: _workers.Worker) -> str:
         """Return how the list of VMs shows that a runner has ended.
 
         A VM has one runner at a time, and none while it is away. Empty if
         the list shows nothing of the kind, which proves nothing.
 
-        Args:
-            vm: The runner's VM.
-            runner: The runner's id.
-            known_at: When the runner was alive, in monotonic seconds. A
-                list of before proves nothing.
-            refuses: Whether the runner refuses connections. A silent one may
-                have lost power with its VM, as others do at the same time;
-                what it ran waits until the VM is back, as it is counted as
-                a crash of its tasks.
+        A silent runner may have lost power with its VM, as others do at the
+        same time. What it ran waits until the VM is back, as its end counts
+        as a crash of its tasks.
         """
-        record = self._vms.get(vm)
-        if record is None or not self.is_list_newer_than(known_at):
+        record = self._vms.get(worker.vm)
+        if record is None or not self.has_listed_since(worker):
             return ""
-        if refuses and record.state in _STATES_WITHOUT_RUNNER:
+        if worker.link.refused and record.state in _STATES_WITHOUT_RUNNER:
             return f"its VM is {record.state}"
-        if record.state is _ports.VmState.UP and record.runner not in (
-            "",
-            runner,
-        ):
+        is_up = record.state is _ports.VmState.UP
+        if is_up and record.runner not in ("", worker.entry.id):
             return f"its VM has runner {record.runner}"
         return ""
 
-    def is_list_newer_than(self, known_at: float) -> bool:
-        """Tell whether the list certainly shows VMs as they were later."""
-        return self._list_requested_at >= known_at + _LIST_LAG_SECONDS
+    def has_listed_since(self, worker: _workers.Worker) -> bool:
+        """Tell whether the list is from after a runner was known.
 
-    def may_have_ended(self, vm: str, runner: str, known_at: float) -> bool:
+        An earlier one may show its VM without it.
+        """
+        return self._list_requested_at >= worker.known_at + _LIST_LAG_SECONDS
+
+    def may_have_ended(self, worker: _workers.Worker) -> bool:
         """Tell whether a command on its VM may have ended a runner.
 
         A command ends the runner that the VM had when it was sent, and no
-        runner that the VM comes back with. The arguments are those of
-        `why_ended`.
+        runner that the VM comes back with.
         """
-        record = self._vms.get(vm)
+        runner = worker.entry.id
+        record = self._vms.get(worker.vm)
         if (
             record is not None
             and record.state in _STATES_OF_TAKEN_VMS
-            and self.is_list_newer_than(known_at)
+            and self.has_listed_since(worker)
         ):
             return True
-        operation = self._operations.get(vm)
+        operation = self._operations.get(worker.vm)
         if operation is not None and operation.phase in (
             _OperationPhase.CALLING,
             _OperationPhase.AWAY,
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_gone_runners.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_gone_runners.py
@@ -83,17 +83,12 @@
         for worker in self._workers:
             if worker.gone or not worker.runs or not _is_out_of_reach(worker):
                 continue
-            evidence = self._fleet.why_ended(
-                worker.vm,
-                worker.entry.id,
-                worker.known_at,
-                refuses=worker.link.refused,
-            )
+            evidence = self._fleet.why_ended(worker)
             if evidence:
                 self._requeue_tasks(worker, evidence, _last_answer_at(worker))
                 self._workers.replace_link(worker)
-            elif worker.link.refused and not self._fleet.is_list_newer_than(
-                worker.known_at
+            elif worker.link.refused and not self._fleet.has_listed_since(
+                worker
             ):
                 self._request_vm_list()
 
@@ -111,9 +106,7 @@
         self._requeue_lost(tasks, reason)
 
     def _why_gone(self, worker: _workers.Worker) -> str:
-        if self._fleet.may_have_ended(
-            worker.vm, worker.entry.id, worker.known_at
-        ):
+        if self._fleet.may_have_ended(worker):
             return "VM taken away"
         if worker.draining:
             return "runner left"
