--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_advice.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_advice.py
@@ -3,7 +3,6 @@
 import collections.abc
 import queue
 import threading
-import traceback
 
 import attrs
 
@@ -80,7 +79,7 @@
                 advice_result = self._call_advisor(request)
             except Exception:
                 # Without this thread no step that needs advice would start.
-                _logs.log("feed:failed", traceback=traceback.format_exc())
+                _logs.log_traceback("feed:failed")
                 advice_result = AdviceResult(
                     request=request, permits=(), answered=False
                 )
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_feeds.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_feeds.py
@@ -2,7 +2,6 @@
 
 import collections.abc
 import threading
-import traceback
 
 import attrs
 import peridotsill
@@ -136,7 +135,7 @@
             except Exception:
                 # Without this thread the scheduler would know no more of
                 # its runners, and go on.
-                _logs.log("feed:failed", traceback=traceback.format_exc())
+                _logs.log_traceback("feed:failed")
             wait()
 
     def _poll_registry(self) -> None:
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_following.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_following.py
@@ -2,7 +2,6 @@
 
 import collections.abc
 import threading
-import traceback
 
 import attrs
 import peridotsill
@@ -78,11 +77,7 @@
             stopped.wait(_RETRY_DELAY_SECONDS)
         except Exception:
             # Without this thread nobody would learn of a change any more.
-            _logs.log(
-                "feed:failed",
-                table=subscription.name,
-                traceback=traceback.format_exc(),
-            )
+            _logs.log_traceback("feed:failed", table=subscription.name)
             stopped.wait(_ERROR_DELAY_SECONDS)
 
 
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_lease.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_lease.py
@@ -6,7 +6,6 @@
 import collections.abc
 import threading
 import time
-import traceback
 import typing
 
 import attrs
@@ -548,7 +547,7 @@
             # A holder that renews but does not schedule would keep every
             # other node from scheduling.
             lease.mark_lost(f"the scheduler failed: {error!r}")
-            _logs.log("scheduler:failed", traceback=traceback.format_exc())
+            _logs.log_traceback("scheduler:failed")
         renewal_thread.join()
 
 
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_logs.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_logs.py
@@ -5,6 +5,7 @@
 import contextlib
 import sys
 import threading
+import traceback
 import typing
 
 import eliot
@@ -120,3 +121,8 @@
 def log(event: str, **fields: object) -> None:
     """Log a message; ``event`` is its type, such as ``job:accepted``."""
     eliot.log_message(message_type=event, **fields)
+
+
+def log_traceback(event: str, **fields: object) -> None:
+    """Log a message with the traceback of the error that is handled."""
+    log(event, **fields, traceback=traceback.format_exc())
