Decide in one place whether another lifetime has answered

The poller and the controller both compared the lifetimes, and the controller paused the link from a closure around its inbox. The report knows now, and the poller pauses itself.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_controller.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_controller.py
@@ -139,12 +139,6 @@
         return self._parts.settings.current.bounds.max_lease_ms / 1000.0
 
     def _connect_runner(self, entry: _ports.RunnerEntry) -> _links.RunnerLink:
-        def post(event: _link_events.LinkEvent) -> None:
-            if _lifetimes.is_from_another(event):
-                # More polls would extend leases that this link doesn't count.
-                link.set_paused(True)
-            self._inbox.put(event)
-
         link = _links.RunnerLink(
             parts=_runner_client.LinkParts(
                 entry=entry,
@@ -155,7 +149,7 @@
                     lease=self._parts.lease,
                     max_lease_seconds=self._max_lease_seconds,
                 ),
-                post=post,
+                post=self._inbox.put,
             )
         )
         link.start()
@@ -282,7 +276,7 @@
 
     def _apply_report(self, event: _link_events.ReportReceived) -> None:
         self._lifetimes.apply_report(event)
-        if not _lifetimes.is_from_another(event):
+        if not event.is_from_another:
             self._runs.apply_report(event)
 
     def _apply_job_row(self, row: peridotsill.Row) -> None:
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_lifetimes.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_lifetimes.py
@@ -19,13 +19,6 @@
 _RunId = tuple[str, str, int]
 
 
-def is_from_another(event: _link_events.LinkEvent) -> bool:
-    """Tell whether a report is from another lifetime than was asked."""
-    return isinstance(
-        event, _link_events.ReportReceived
-    ) and event.report.lifetime not in (0, event.lifetime)
-
-
 class LifetimeTracker:
     """Replaces runners that have ended, and requeues what they ran."""
 
@@ -58,20 +51,17 @@
         """Return the runner that a report shows to have ended, if any."""
         worker = self._workers.find(event.runner)
         candidate = self._workers.find_candidate(event.runner)
-        asked = {
-            each.lifetime: each
-            for each in (worker, candidate)
-            if each is not None
-        }.get(event.lifetime)
+        known = [each for each in (worker, candidate) if each is not None]
+        asked = [each for each in known if each.lifetime == event.lifetime]
         lifetime = event.report.lifetime
-        if worker is None or asked is None or not lifetime:
+        if worker is None or not asked or not lifetime:
             return None
         if candidate is not None and _has_ended(candidate, event):
             self._workers.end_candidate(worker)
         if not _has_ended(worker, event):
             return None
         self._workers.replace(
-            worker, attrs.evolve(asked.entry, lifetime=lifetime)
+            worker, attrs.evolve(asked[0].entry, lifetime=lifetime)
         )
         return worker
 
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_link_events.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_link_events.py
@@ -48,6 +48,11 @@
     requested_at: float
     report: _ports.RunnerReport
 
+    @property
+    def is_from_another(self) -> bool:
+        """Whether another lifetime than the one that was asked answered."""
+        return self.report.lifetime not in (0, self.lifetime)
+
 
 @attrs.frozen(kw_only=True)
 class RunnerRefuses:
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_runner_polling.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_runner_polling.py
@@ -188,8 +188,16 @@
     ) -> None:
         if self._grants.silent_seconds > _LONG_POLL_SECONDS * 3:
             _logs.log("runner:reached", runner=self._parts.entry.id)
-        if report.lifetime in (0, self._parts.entry.lifetime):
-            # No run gets a lease on another lifetime's clock.
+        event = _link_events.ReportReceived(
+            runner=self._parts.entry.id,
+            lifetime=self._parts.entry.lifetime,
+            requested_at=requested_at,
+            report=report,
+        )
+        if event.is_from_another:
+            # More polls would extend leases that this link doesn't count.
+            self._paused = True
+        else:
             self._grants.record_report(report)
             self._lifetime_confirmed = True
         if report.ended:
@@ -197,14 +205,7 @@
                 self._last_reported_end,
                 max(each.number for each in report.ended),
             )
-        self._parts.post(
-            _link_events.ReportReceived(
-                runner=self._parts.entry.id,
-                lifetime=self._parts.entry.lifetime,
-                requested_at=requested_at,
-                report=report,
-            )
-        )
+        self._parts.post(event)
 
     def _log_failure(self, error: Exception) -> None:
         silent_seconds = self._grants.silent_seconds
