--- a/packages/peridotsill/src/peridotsill/_settings.py
+++ b/packages/peridotsill/src/peridotsill/_settings.py
@@ -1,12 +1,15 @@
 """Settings of one daemon, read from a JSON file and checked at start."""
 
 import pathlib
+import re
 
 import attrs
 
 from peridotsill import _codec
 from peridotsill import exceptions
 
+_PORT_PATTERN = re.compile(r"[1-9][0-9]{0,4}")
+
 
 @attrs.frozen(kw_only=True)
 class Address:
@@ -18,6 +21,25 @@
     def __str__(self) -> str:
         return f"{self.host}:{self.port}"
 
+    @classmethod
+    def parse(cls, text: str) -> "Address":
+        """Parse ``HOST:PORT``, such as ``10.0.0.1:8080``.
+
+        Raises:
+            InvalidResource: If it has another form, or a port that no
+                process can listen on.
+        """
+        host, _, port = text.rpartition(":")
+        if not host or not _PORT_PATTERN.fullmatch(port):
+            raise exceptions.InvalidResource(
+                (f"address: {text!r} is not HOST:PORT",)
+            )
+        try:
+            return _codec.from_plain({"host": host, "port": int(port)}, cls)
+        except exceptions.InvalidResource as error:
+            problems = tuple(f"address.{each}" for each in error.problems)
+            raise exceptions.InvalidResource(problems) from error
+
 
 @attrs.frozen(kw_only=True)
 class Limits:
--- a/packages/peridotsill_node/src/peridotsill_node/_resources.py
+++ b/packages/peridotsill_node/src/peridotsill_node/_resources.py
@@ -7,7 +7,6 @@
 
 import attrs
 import peridotsill
-import peridotsill.exceptions
 
 from peridotsill_node import _grants
 from peridotsill_node import _placement
@@ -15,8 +14,6 @@
 import peridotsill_operators
 
 _NAME_PATTERN = re.compile(r"[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?")
-_PORT_PATTERN = re.compile(r"[1-9][0-9]{0,4}")
-_MAX_PORT = 65535
 # Fields by kind that only the system sets; an update by an operator keeps
 # their stored values.
 _MANAGED_FIELDS: dict[str, tuple[str, ...]] = {
@@ -262,18 +259,10 @@
         document, peridotsill.RESOURCE_KINDS[kind]
     )
     if kind == "vms":
-        _check_address(resource.address)
+        peridotsill.Address.parse(resource.address)
     return resource
 
 
-def _check_address(address: str) -> None:
-    host, _, port = address.rpartition(":")
-    if not host or not _PORT_PATTERN.fullmatch(port) or int(port) > _MAX_PORT:
-        raise peridotsill.exceptions.InvalidResource(
-            (f"address: {address!r} is not HOST:PORT",)
-        )
-
-
 def _with_managed_fields(
     kind: str, requested: typing.Any, row: peridotsill.Row | None
 ) -> typing.Any:
