Share the entries, links and job ids of the scenarios' steps

Five step files built the same runner's entry, three the same link, and four the same job id. Assertions are as they were.

A node on the stand-in used the port that was found free and the two after it, at which nobody had looked. With the second one taken by another process no node is ready within 15 s, as was seen five times beside other tests. All three are now looked for, and a cluster that does not become ready says what its node wrote.

--- a/tests/emulator/nodes.py
+++ b/tests/emulator/nodes.py
@@ -26,6 +26,11 @@
 ]
 
 
+def job_id(name):
+    """Return the id of a job that scenarios call by a short name."""
+    return name.encode().hex().rjust(16, "0")
+
+
 @attrs.define
 class NodeProcess:
     """A node that runs as a process of its own.
@@ -105,11 +110,13 @@
 
     def _make_node(self, number):
         host = f"127.1.0.{number}"
-        port = wire.free_port()
+        callers, readiness, siblings = (
+            f"{host}:{port}" for port in wire.free_ports(3)
+        )
         node = NodeProcess(
             number=number,
-            callers=f"{host}:{port}",
-            readiness=f"{host}:{port + 1}",
+            callers=callers,
+            readiness=readiness,
             settings=self._folder / f"node-{number}.json",
             log=self._folder / f"node-{number}.log",
         )
@@ -122,7 +129,7 @@
                     "callers": node.callers,
                     "readiness": node.readiness,
                     "metrics": node.readiness,
-                    "siblings": f"{host}:{port + 2}",
+                    "siblings": siblings,
                     "platform": "gidgee",
                     "table": store,
                     "vm_service": store,
@@ -141,8 +148,15 @@
             self.wait_ready(node)
 
     def wait_ready(self, node):
-        """Wait until a node reports itself ready."""
-        wait_for(lambda: self.ready(node), _START_SECONDS, "a ready node")
+        """Wait until a node reports itself ready.
+
+        Raises:
+            AssertionError: It is not ready in time; with what it wrote.
+        """
+        try:
+            wait_for(lambda: self.ready(node), _START_SECONDS, "a ready node")
+        except AssertionError as error:
+            raise AssertionError(f"{error}\n{node.log.read_text()}") from error
 
     def ready(self, node):
         """Tell whether a node reports itself ready."""
--- a/tests/emulator/stubs.py
+++ b/tests/emulator/stubs.py
@@ -1,10 +1,16 @@
 """Test doubles for scenarios that run parts of a node in one process."""
 
+import unittest.mock
+
 import peridotsill
 from returns import result
 
 import peridotsill_jobs
+from peridotsill_jobs import _grants
+from peridotsill_jobs import _links
+from peridotsill_jobs import _runner_client
 import peridotsill_platform.exceptions
+import peridotsill_scheduler
 
 
 def node_settings():
@@ -21,6 +27,40 @@
     )
 
 
+def runner_entry(runner="i-1", **fields):
+    """Return a runner's entry in the registry; ``fields`` replace others."""
+    defaults = {
+        "lifetime": 1,
+        "pool": "p",
+        "address": "127.0.0.1:1",
+        "domain": "z",
+        "rack": "r",
+        "labels": frozenset(),
+        "capacity": peridotsill_scheduler.Resources(
+            cores=32, memory_mib=65536
+        ),
+    }
+    return peridotsill_jobs.RunnerEntry(id=runner, **{**defaults, **fields})
+
+
+def runner_link(lease, max_lease_seconds, entry=None):
+    """Return a link to a runner, whose calls get no answer."""
+    link = _links.RunnerLink(
+        parts=_runner_client.LinkParts(
+            entry=entry or runner_entry(),
+            loop=unittest.mock.Mock(),
+            calls=unittest.mock.Mock(),
+            lease=lease,
+            grants=_grants.Grants(
+                lease=lease, max_lease_seconds=max_lease_seconds
+            ),
+            post=lambda event: None,
+        )
+    )
+    link._poller._client._connection = unittest.mock.Mock()
+    return link
+
+
 class MemoryTable:
     """A table in memory with optimistic concurrency control.
 
--- a/tests/emulator/wire.py
+++ b/tests/emulator/wire.py
@@ -131,11 +131,13 @@
         """Discard errors; connections are closed deliberately here."""
 
 
-def free_port():
-    """Return a port that is free on all local addresses."""
-    with socket.socket() as probe:
-        probe.bind(("0.0.0.0", 0))
-        return probe.getsockname()[1]
+def free_ports(count):
+    """Return different ports that are free on all local addresses."""
+    with contextlib.ExitStack() as stack:
+        probes = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for probe in probes:
+            probe.bind(("0.0.0.0", 0))
+        return [probe.getsockname()[1] for probe in probes]
 
 
 class _RunnerListener:
@@ -164,8 +166,7 @@
 @contextlib.contextmanager
 def served(world):
     """Serve a world while the context lasts; yields its base URL."""
-    world.port = free_port()
-    world.runner_port = free_port()
+    world.port, world.runner_port = free_ports(2)
     server = _Server(
         ("0.0.0.0", world.port), App(world), numthreads=160, max=160
     )
--- a/tests/features/steps/controller_steps.py
+++ b/tests/features/steps/controller_steps.py
@@ -21,16 +21,13 @@
 from peridotsill_jobs import _controller
 from peridotsill_jobs import _feeds
 from peridotsill_jobs import _fleet
-from peridotsill_jobs import _grants
 from peridotsill_jobs import _job_store
 from peridotsill_jobs import _lease
 from peridotsill_jobs import _link_events
-from peridotsill_jobs import _links
 from peridotsill_jobs import _live_settings
 from peridotsill_jobs import _pending
 from peridotsill_jobs import _ports
 from peridotsill_jobs import _records
-from peridotsill_jobs import _runner_client
 from peridotsill_jobs import _settings
 from peridotsill_jobs import _submissions
 import peridotsill_platform
@@ -49,19 +46,6 @@
     )
 
 
-def _entry(runner):
-    return _ports.RunnerEntry(
-        id=runner,
-        lifetime=1,
-        pool="p",
-        address="127.0.0.1:1",
-        domain="z",
-        rack="r",
-        labels=frozenset(),
-        capacity=scheduler.Resources(cores=32, memory_mib=65536),
-    )
-
-
 class _Link:
     """Records orders in place of a runner's connections."""
 
@@ -143,7 +127,9 @@
         return context.links[entry.id]
 
     made._workers._connect = connect
-    made._workers.update((_entry("i-1"), _entry("i-2")))
+    made._workers.update(
+        (stubs.runner_entry("i-1"), stubs.runner_entry("i-2"))
+    )
 
 
 def _submit_job(context):
@@ -338,22 +324,12 @@
     lease = unittest.mock.Mock(
         epoch=1, seconds_since_expiry=-1.0, held=True, lost=False
     )
-    calls = unittest.mock.Mock()
-    context.link = _links.RunnerLink(
-        parts=_runner_client.LinkParts(
-            entry=_entry("i-1"),
-            loop=unittest.mock.Mock(),
-            calls=calls,
-            lease=lease,
-            grants=_grants.Grants(lease=lease, max_lease_seconds=3.0),
-            post=lambda event: None,
-        )
-    )
+    context.link = stubs.runner_link(lease, max_lease_seconds=3.0)
+    calls = context.link._parts.calls
     calls.poll.return_value.read.return_value = _ports.RunnerReport(
         lifetime=1, clock_ms=1000.0, running=running, ended=()
     )
     poller = context.link._poller
-    poller._client._connection = unittest.mock.Mock()
 
     def answer_once(call, done):
         # Another poll would grant another lease.
@@ -921,7 +897,9 @@
 
 
 def _registry_of(change):
-    entries = tuple(map(change, (_entry("i-1"), _entry("i-2"))))
+    entries = tuple(
+        map(change, (stubs.runner_entry("i-1"), stubs.runner_entry("i-2")))
+    )
     return _feeds.RegistrySnapshot(
         entries=tuple(entry for entry in entries if entry is not None),
         requested_at=time.monotonic(),
--- a/tests/features/steps/holder_steps.py
+++ b/tests/features/steps/holder_steps.py
@@ -10,14 +10,12 @@
 from behave import given
 from behave import then
 from behave import when
+from emulator import stubs
 import returns.result
 
-from peridotsill_jobs import _grants
 from peridotsill_jobs import _holder_check
 from peridotsill_jobs import _lease
-from peridotsill_jobs import _links
 from peridotsill_jobs import _ports
-from peridotsill_jobs import _runner_client
 from peridotsill_jobs import _workers
 import peridotsill_platform.exceptions
 import peridotsill_scheduler as scheduler
@@ -53,37 +51,6 @@
     )
 
 
-def _entry():
-    return _ports.RunnerEntry(
-        id=_RUNNER,
-        lifetime=1,
-        pool="p",
-        address="127.0.0.1:1",
-        domain="z",
-        rack="r",
-        labels=frozenset(),
-        capacity=scheduler.Resources(cores=32, memory_mib=65536),
-    )
-
-
-def _make_link(lease):
-    """Return a link to the runner, whose calls get no answer."""
-    link = _links.RunnerLink(
-        parts=_runner_client.LinkParts(
-            entry=_entry(),
-            loop=unittest.mock.Mock(),
-            calls=unittest.mock.Mock(),
-            lease=lease,
-            grants=_grants.Grants(
-                lease=lease, max_lease_seconds=_MAX_LEASE_SECONDS
-            ),
-            post=lambda event: None,
-        )
-    )
-    link._poller._client._connection = unittest.mock.Mock()
-    return link
-
-
 class _Runner:
     """A runner that answers the polls of one holder, on a slow clock."""
 
@@ -130,11 +97,11 @@
 def _make_workers(lease):
     """Return a new holder's view of the runner, with no tasks placed."""
     workers = _workers.Workers(
-        connect=lambda entry: _make_link(lease),
+        connect=lambda entry: stubs.runner_link(lease, _MAX_LEASE_SECONDS),
         inherited_waits=lease.inherited_waits,
         earlier_leases_end_at=lease.earlier_leases_end_at,
     )
-    workers.update((_entry(),))
+    workers.update((stubs.runner_entry(),))
     return workers
 
 
@@ -153,7 +120,9 @@
 @given("a run that its holder keeps alive on a runner that only it reaches")
 def _run_kept_alive(context):
     context.job = _make_job()
-    context.runner = _Runner(context.clock, _make_link(context.holder))
+    context.runner = _Runner(
+        context.clock, stubs.runner_link(context.holder, _MAX_LEASE_SECONDS)
+    )
     context.runner.answer()
     assert context.holder.renew()
     context.renewed_at = context.clock.now
--- a/tests/features/steps/lifetime_steps.py
+++ b/tests/features/steps/lifetime_steps.py
@@ -3,12 +3,12 @@
 import time
 import unittest.mock
 
-import attrs
 from behave import given
 from behave import then
 from behave import when
 import controller_steps as base
 from emulator import nodes
+from emulator import stubs
 import returns.result
 
 from peridotsill_jobs import _clock
@@ -62,7 +62,7 @@
 
 
 def _list_runner(context, lifetime):
-    entry = attrs.evolve(base._entry(_RUNNER), lifetime=lifetime)
+    entry = stubs.runner_entry(_RUNNER, lifetime=lifetime)
     context.controller._handle_event(
         _feeds.RegistrySnapshot(
             entries=(entry,), requested_at=time.monotonic()
@@ -325,7 +325,7 @@
     context.add_cleanup(controller._call_loop.stop)
     context.calls = unittest.mock.Mock()
     controller._parts.ports.runner_calls.return_value = context.calls
-    context.entry = attrs.evolve(base._entry(_RUNNER), lifetime=lifetime)
+    context.entry = stubs.runner_entry(_RUNNER, lifetime=lifetime)
 
 
 @when("lifetime {lifetime:d} answers its polls for {seconds:g} s")
@@ -374,7 +374,7 @@
     reply = context.cluster.submit(
         context.cluster.nodes[0],
         "trails",
-        name.encode().hex().rjust(16, "0"),
+        nodes.job_id(name),
         [{"count": 2, "cpu": 1000, "estimated_ms": 1000}],
         seconds=1.0,
     )
--- a/tests/features/steps/maintenance_steps.py
+++ b/tests/features/steps/maintenance_steps.py
@@ -439,19 +439,6 @@
     assert worker.fleet_closed_reason, worker.fleet_closed_reason
 
 
-def _runner_entry(runner, lifetime=1):
-    return _ports.RunnerEntry(
-        id=runner,
-        lifetime=lifetime,
-        pool="a",
-        address="127.0.0.1:1",
-        domain="z",
-        rack="r",
-        labels=frozenset(),
-        capacity=scheduler.Resources(cores=32, memory_mib=65536),
-    )
-
-
 def _track_workers(context):
     """Replace the stub of the workers with the scheduler's own class."""
     workers = _workers.Workers(connect=lambda entry: unittest.mock.Mock())
@@ -469,7 +456,7 @@
     }
     workers.update(
         tuple(
-            _runner_entry(runner, lifetime)
+            stubs.runner_entry(runner, lifetime=lifetime, pool="a")
             for runner, lifetime in runners.items()
             if lifetime
         )
@@ -498,7 +485,10 @@
 def _answer_next_lifetime(context, vm):
     _list_runners(context, **{vm: 2})
     workers = context.planner._parts.workers
-    workers.replace(workers.find(f"r-{vm}"), _runner_entry(f"r-{vm}", 2))
+    workers.replace(
+        workers.find(f"r-{vm}"),
+        stubs.runner_entry(f"r-{vm}", lifetime=2, pool="a"),
+    )
 
 
 def _make_running_task(runner, lifetime):
--- a/tests/features/steps/next_lifetime_steps.py
+++ b/tests/features/steps/next_lifetime_steps.py
@@ -10,7 +10,7 @@
     reply = context.cluster.submit(
         context.cluster.nodes[0],
         "trails",
-        name.encode().hex().rjust(16, "0"),
+        nodes.job_id(name),
         [{"count": count, "cpu": 1000, "estimated_ms": 100}],
         seconds=seconds,
     )
--- a/tests/features/steps/odd_entry_steps.py
+++ b/tests/features/steps/odd_entry_steps.py
@@ -433,10 +433,6 @@
         assert not context.cluster.events(event), event
 
 
-def _job_id(name):
-    return name.encode().hex().rjust(16, "0")
-
-
 _CHANGES = {
     "a later start time": lambda row: {**row, "born": row["born"] + 1000},
     "an earlier start time": lambda row: {**row, "born": row["born"] - 1000},
@@ -484,7 +480,7 @@
     reply = cluster.submit(
         cluster.nodes[0],
         _POOL,
-        _job_id(_JOB),
+        nodes.job_id(_JOB),
         [{"count": count, "cpu": 8000, "estimated_ms": seconds * 1000}],
         seconds=seconds,
     )
@@ -492,7 +488,7 @@
     context.jobs.append(_JOB)
 
     def runs():
-        return world.log.starts_of(_job_id(_JOB))
+        return world.log.starts_of(nodes.job_id(_JOB))
 
     nodes.wait_for(lambda: len(runs()) == count, 10.0, "all tasks running")
     context.odd_runner = runs()[0].runner
--- a/tests/features/steps/platform_steps.py
+++ b/tests/features/steps/platform_steps.py
@@ -25,12 +25,8 @@
 _EXIT_SECONDS = 6
 
 
-def _id(name):
-    return name.encode().hex().rjust(16, "0")
-
-
 def _intervals(context, name):
-    return context.cluster.world.log.starts_of(_id(name))
+    return context.cluster.world.log.starts_of(nodes.job_id(name))
 
 
 def _running(context, name):
@@ -90,13 +86,15 @@
     steps = [{"count": count, "cpu": 1000}]
     for _ in range(times):
         for node in context.cluster.nodes:
-            reply = context.cluster.submit(node, _POOL, _id(name), steps)
+            reply = context.cluster.submit(
+                node, _POOL, nodes.job_id(name), steps
+            )
             assert reply.status == 200, reply.status
 
 
 def _submit(context, name, steps, **options):
     reply = context.cluster.submit(
-        context.cluster.nodes[0], _POOL, _id(name), steps, **options
+        context.cluster.nodes[0], _POOL, nodes.job_id(name), steps, **options
     )
     assert reply.status == 200, reply.status
 
@@ -136,7 +134,7 @@
     for number, name in enumerate(context.jobs):
         node = context.cluster.nodes[number % len(context.cluster.nodes)]
         reply = context.cluster.submit(
-            node, _POOL, _id(name), nodes.TWO_STEPS, seconds=0.3
+            node, _POOL, nodes.job_id(name), nodes.TWO_STEPS, seconds=0.3
         )
         assert reply is not None and reply.status == 200, reply
 
@@ -149,7 +147,7 @@
 @when('job "{name}" is cancelled')
 def _cancel(context, name):
     cluster = context.cluster
-    reply = cluster.cancel(cluster.nodes[1], _POOL, _id(name))
+    reply = cluster.cancel(cluster.nodes[1], _POOL, nodes.job_id(name))
     assert reply.status == 200, reply.status
 
 
@@ -160,7 +158,7 @@
     row_key = next(
         each
         for each in tuple(world.store.rows)
-        if each[0] == "jobs" and each[2] == _id(name)
+        if each[0] == "jobs" and each[2] == nodes.job_id(name)
     )
     table, part, key = row_key
     row = world.read(table, key, part)
@@ -321,7 +319,7 @@
     "after its completion"
 )
 def _no_late_start(context, name, seconds):
-    context.cluster.wait_state(_POOL, _id(name), "completed", 1)
+    context.cluster.wait_state(_POOL, nodes.job_id(name), "completed", 1)
     completed_at = time.monotonic()
     time.sleep(4)
     late = [
@@ -392,7 +390,7 @@
 
 @then('job "{name}" is {state} within {seconds:d} s')
 def _job_state(context, name, state, seconds):
-    context.cluster.wait_state(_POOL, _id(name), state, seconds)
+    context.cluster.wait_state(_POOL, nodes.job_id(name), state, seconds)
 
 
 @then("all jobs are completed within {seconds:d} s")
@@ -400,13 +398,15 @@
     deadline = time.monotonic() + seconds
     for name in context.jobs:
         left = max(0.1, deadline - time.monotonic())
-        context.cluster.wait_state(_POOL, _id(name), "completed", left)
+        context.cluster.wait_state(
+            _POOL, nodes.job_id(name), "completed", left
+        )
 
 
 @then('every node shows job "{name}" as {state}')
 def _state_at_every_node(context, name, state):
     for node in context.cluster.nodes:
-        shown_state = context.cluster.state(_POOL, _id(name), node)
+        shown_state = context.cluster.state(_POOL, nodes.job_id(name), node)
         assert shown_state == state, (node.number, shown_state)
 
 
@@ -448,18 +448,18 @@
 
 @then("a call of an unknown queue is answered 404")
 def _unknown_queue(context):
-    _assert_status(context, "GET", f"/nowhere/{_id('x')}", 404)
+    _assert_status(context, "GET", f"/nowhere/{nodes.job_id('x')}", 404)
 
 
 @then("a call of an unknown job is answered 410")
 def _unknown_job(context):
-    _assert_status(context, "GET", f"/{_POOL}/{_id('x')}", 410)
-    _assert_status(context, "DELETE", f"/{_POOL}/{_id('x')}", 410)
+    _assert_status(context, "GET", f"/{_POOL}/{nodes.job_id('x')}", 410)
+    _assert_status(context, "DELETE", f"/{_POOL}/{nodes.job_id('x')}", 410)
 
 
 @then("a submission without steps is answered 400")
 def _no_steps(context):
-    path = f"/{_POOL}/{_id('y')}"
+    path = f"/{_POOL}/{nodes.job_id('y')}"
     for body in (b"{}", b"[1]", b"\xff", b'{"steps":[{"count":0}]}'):
         _assert_status(context, "POST", path, 400, body)
 
@@ -588,7 +588,7 @@
 def _submit_until_accepted(context, node, name):
     def accepted():
         steps = [{"count": 1, "cpu": 1000, "mem_mb": 100}]
-        reply = context.cluster.submit(node, _POOL, _id(name), steps)
+        reply = context.cluster.submit(node, _POOL, nodes.job_id(name), steps)
         return reply is not None and reply.status == 200
 
     nodes.wait_for(accepted, 10, f"{name} is accepted")
@@ -624,7 +624,7 @@
     scheduler = context.cluster.scheduler()
     assert found["holder"] == f"node-{scheduler.number}", found
     _, found, _ = _run_service_command(context, "jobs", "--state", "completed")
-    ids = {_id(name) for name in context.jobs}
+    ids = {nodes.job_id(name) for name in context.jobs}
     assert {each["id"] for each in found} == ids, found
     _, found, _ = _run_service_command(context, "vms")
     assert len(found) == count, found
@@ -633,7 +633,7 @@
 
 @then("it shows a job's tasks and explains its decisions from the logs")
 def _service_explains(context):
-    queue, job = f"q-{_POOL}", _id(context.jobs[0])
+    queue, job = f"q-{_POOL}", nodes.job_id(context.jobs[0])
     _, found, _ = _run_service_command(context, "job", queue, job)
     assert [each["phase"] for each in found["tasks"]] == ["done"] * 6, found
     logs = [str(node.log) for node in context.cluster.nodes]
@@ -700,7 +700,7 @@
         name = f"j{len(context.jobs)}"
         node = cluster.nodes[len(context.jobs) % len(cluster.nodes)]
         reply = cluster.submit(
-            node, _POOL, _id(name), nodes.TWO_STEPS, seconds=0.3
+            node, _POOL, nodes.job_id(name), nodes.TWO_STEPS, seconds=0.3
         )
         if reply is not None and reply.status == 200:
             context.jobs.append(name)
--- a/tests/features/steps/suspect_steps.py
+++ b/tests/features/steps/suspect_steps.py
@@ -7,9 +7,9 @@
 from behave import given
 from behave import then
 from behave import when
+from emulator import stubs
 import peridotsill
 
-from peridotsill_jobs import _ports
 from peridotsill_jobs import _records
 from peridotsill_jobs import _suspects
 from peridotsill_jobs import _workers
@@ -268,16 +268,7 @@
     """Make a runner with the first task of each job on it."""
     _prepare(context)
     worker = _workers.Worker(
-        entry=_ports.RunnerEntry(
-            id=runner,
-            lifetime=1,
-            pool="p",
-            address=f"host-{runner}:1",
-            domain="z",
-            rack="r",
-            labels=frozenset(),
-            capacity=scheduler.Resources(cores=32),
-        ),
+        entry=stubs.runner_entry(runner, address=f"host-{runner}:1"),
         link=unittest.mock.Mock(),
     )
     for name in names:
--- a/tests/features/steps/waits_steps.py
+++ b/tests/features/steps/waits_steps.py
@@ -9,12 +9,9 @@
 import returns.result
 
 from peridotsill_jobs import _clock
-from peridotsill_jobs import _grants
 from peridotsill_jobs import _lease
-from peridotsill_jobs import _links
 from peridotsill_jobs import _ports
 from peridotsill_jobs import _records
-from peridotsill_jobs import _runner_client
 from peridotsill_jobs import _workers
 import peridotsill_scheduler as scheduler
 
@@ -85,34 +82,9 @@
     task.run, task.runner, task.lifetime = 1, _RUNNER, 1
 
 
-def _entry():
-    return _ports.RunnerEntry(
-        id=_RUNNER,
-        lifetime=1,
-        pool="p",
-        address="127.0.0.1:1",
-        domain="z",
-        rack="r",
-        labels=frozenset(),
-        capacity=scheduler.Resources(cores=32, memory_mib=65536),
-    )
-
-
 def _connect(context, entry):
-    context.link = _links.RunnerLink(
-        parts=_runner_client.LinkParts(
-            entry=entry,
-            loop=unittest.mock.Mock(),
-            calls=unittest.mock.Mock(),
-            lease=context.lease,
-            grants=_grants.Grants(
-                lease=context.lease, max_lease_seconds=_MAX_LEASE_SECONDS
-            ),
-            post=lambda event: None,
-        )
-    )
+    context.link = stubs.runner_link(context.lease, _MAX_LEASE_SECONDS, entry)
     context.poller = context.link._poller
-    context.poller._client._connection = unittest.mock.Mock()
     return context.link
 
 
@@ -125,7 +97,7 @@
         earlier_leases_end_at=context.lease.earlier_leases_end_at,
     )
     context.workers.adopt(context.job, context.job.tasks[0])
-    context.workers.update((_entry(),))
+    context.workers.update((stubs.runner_entry(),))
 
 
 @when("it releases the lease after {seconds:g} s")
@@ -184,7 +156,7 @@
 @given("a link to a runner under a lease that is released")
 def _link_under_released_lease(context):
     _holder_killed(context)
-    _connect(context, _entry())
+    _connect(context, stubs.runner_entry())
     _prepare_one_answer(context)
     context.poller._poll()
     context.lease.release()
