Refuse connections beside other faults and with other kinds of tasks

Runs behind an address that refuses were tried with plain tasks and a takeover only. Now also while the scheduler is frozen, the store is down or loses answers, and with gangs, long-lived and speculative tasks. Nothing starts while the store is down, and copies of speculative tasks may run twice; these two hold that the jobs complete.

--- a/tests/features/refusals.feature
+++ b/tests/features/refusals.feature
@@ -24,6 +24,42 @@
     Then all the jobs are completed within 40 s
     And no rule is broken
 
+  # The same failure where something else fails at the same time.
+  Scenario Outline: Runs go on behind an address that refuses while <fault>
+    Given 3 job nodes with 6 VMs in "trails" and 1 in standby
+    When 6 jobs with tasks of 3 s run
+    And 2 of their runners refuse connections for 3 s
+    And the fault is that <fault>
+    Then all the jobs are completed within 40 s
+    And no rule is broken
+
+    Examples:
+      | fault                                   |
+      | the scheduler is frozen for 4 s         |
+      | the store is down for 3 s               |
+      | the store loses answers of transactions |
+
+  # The same failure in tasks that are placed or copied in other ways.
+  Scenario Outline: Runs of <kind> tasks go on behind an address that refuses
+    Given 3 job nodes with 6 VMs in "trails" and 1 in standby
+    When 4 jobs with <kind> tasks of 3 s run
+    And 2 of their runners refuse connections for 3 s
+    Then all the jobs are completed within 40 s
+    And no rule is broken
+
+    Examples:
+      | kind        |
+      | gang        |
+      | speculative |
+
+  Scenario: A long-lived task goes on behind an address that refuses
+    Given 3 job nodes with 6 VMs in "trails" and 1 in standby
+    When job "a1" of 3 long-lived tasks is submitted
+    And job "a1" runs
+    And 1 of their runners refuse connections for 3 s
+    Then job "a1" keeps the same runs for 5 s
+    And no rule is broken
+
   # Guards against TWICE: a stop that a runner refused for its health counted
   # as carried out, so that a start before it came late beside the next run.
   Scenario: A stop that an unhealthy runner did not carry out is sent again
--- a/tests/features/steps/refusal_steps.py
+++ b/tests/features/steps/refusal_steps.py
@@ -26,7 +26,7 @@
 _POOL = "trails"
 _VM = "m-1"
 _TASK = _ports.TaskName(job="00000000000000aa", task="0.0.0")
-_STEPS = [{"count": 6, "cpu": 4000, "estimated_ms": 3000}]
+_STEP = {"count": 6, "cpu": 4000, "estimated_ms": 3000}
 
 
 def _job_id(number):
@@ -39,21 +39,20 @@
     return sorted(runners, key=lambda runner: -len(runner.runs))
 
 
-@when("{count:d} jobs with tasks of {seconds:g} s are submitted")
-def _submit(context, count, seconds):
-    cluster = context.cluster
+def _submit_jobs(context, count, steps, seconds, nodes_used):
     context.job_count = count
     for number in range(count):
-        node = cluster.nodes[number % len(cluster.nodes)]
-        reply = cluster.submit(
-            node, _POOL, _job_id(number), _STEPS, seconds=seconds
+        reply = context.cluster.submit(
+            nodes_used[number % len(nodes_used)],
+            _POOL,
+            _job_id(number),
+            steps,
+            seconds=seconds,
         )
         assert reply is not None and reply.status == 200, reply
 
 
-@when("{count:d} jobs with tasks of {seconds:g} s run")
-def _submit_and_wait(context, count, seconds):
-    _submit(context, count, seconds)
+def _wait_for_runs(context):
     nodes.wait_for(
         lambda: len(_runners_by_load(context.cluster.world)) > 1,
         10,
@@ -61,19 +60,32 @@
     )
 
 
+@when("{count:d} jobs with tasks of {seconds:g} s are submitted")
+def _submit(context, count, seconds):
+    _submit_jobs(context, count, [_STEP], seconds, context.cluster.nodes)
+
+
+@when("{count:d} jobs with tasks of {seconds:g} s run")
+def _submit_and_wait(context, count, seconds):
+    _submit(context, count, seconds)
+    _wait_for_runs(context)
+
+
+@when("{count:d} jobs with {kind} tasks of {seconds:g} s run")
+def _submit_kind_and_wait(context, count, kind, seconds):
+    step = {**_STEP, kind: True}
+    _submit_jobs(context, count, [step], seconds, context.cluster.nodes)
+    _wait_for_runs(context)
+
+
 @when("one runner loses starts and refuses stops, and 2 jobs are submitted")
 def _lose_starts(context):
     cluster = context.cluster
     runner = next(iter(cluster.world.runners.values()))
     runner.faults.late_seconds = 300.0
     runner.faults.unhealthy_stops = True
-    context.job_count = 2
     step = {"count": 24, "cpu": 1000, "estimated_ms": 100}
-    for number in range(context.job_count):
-        reply = cluster.submit(
-            cluster.nodes[0], _POOL, _job_id(number), [step], seconds=0.2
-        )
-        assert reply is not None and reply.status == 200, reply
+    _submit_jobs(context, 2, [step], 0.2, cluster.nodes[:1])
 
 
 @when("{count:d} of their runners refuse connections for {seconds:g} s")
