Log what a wait for a runner after a takeover is made of

After a takeover `task:lost` says only that a lease ran out, and `lease:acquired` only the epoch. So nobody could tell a wait that is long by itself from one that is counted from too late, nor whether the runner was known to have left.

`lease:acquired` now has the previous holder, whether the row was the node's own, for how long it had been unchanged and whether waits were handed over. `runner:awaited` is logged once for each runner that a new scheduler has not reached after 2 s: its VM, whether the registry has it, and the parts of the wait. What computes the wait has a module of its own; nothing else changes.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_controller.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_controller.py
@@ -21,6 +21,7 @@
 from peridotsill_jobs import _fleet
 from peridotsill_jobs import _gone_runners
 from peridotsill_jobs import _grants
+from peridotsill_jobs import _inherited_leases
 from peridotsill_jobs import _job_store
 from peridotsill_jobs import _lease
 from peridotsill_jobs import _lifetimes
@@ -90,8 +91,10 @@
         self._call_loop = peridotsill.CallLoop(on_error=_log_failed_call)
         self._workers = _workers.Workers(
             connect=self._connect_runner,
-            inherited_waits=parts.lease.inherited_waits,
-            earlier_leases_end_at=parts.lease.earlier_leases_end_at,
+            inherited_leases=_inherited_leases.InheritedLeases(
+                waits=parts.lease.inherited_waits,
+                earlier_leases_end_at=parts.lease.earlier_leases_end_at,
+            ),
         )
         self._feeds = _feeds.Feeds(ports=parts.ports, post=self._inbox.put)
         self._estimator = peridotsill_scheduler.Estimator()
--- /dev/null
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_inherited_leases.py
@@ -0,0 +1,75 @@
+"""Tells how long leases of runs last that earlier schedulers granted."""
+
+from peridotsill_jobs import _clock
+from peridotsill_jobs import _grants
+from peridotsill_jobs import _lease
+
+_LogFields = dict[str, float | bool]
+
+
+class InheritedLeases:
+    """Leases of runs on runners that have not answered this scheduler.
+
+    Example: the last holder of the scheduler's lease released it and left a
+    wait of 2 s for runner ``i-1``. Half a second after the takeover
+    ``seconds_left("i-1", 10.0)`` is 1.5.
+
+    Args:
+        waits: The seconds to wait for each runner that the last holder of
+            the lease left when it released it; None if it left none.
+        earlier_leases_end_at: When the leases of all earlier holders have
+            certainly expired, in seconds of `_clock.monotonic_seconds`.
+    """
+
+    def __init__(
+        self,
+        *,
+        waits: _lease.LeaseExpiryWaits | None = None,
+        earlier_leases_end_at: float = float("-inf"),
+    ) -> None:
+        self._waits = waits
+        self._earlier_leases_end_at = earlier_leases_end_at
+        self._taken_over_at = _clock.monotonic_seconds()
+
+    @property
+    def age_seconds(self) -> float:
+        """Seconds since this scheduler took over."""
+        return _clock.monotonic_seconds() - self._taken_over_at
+
+    def seconds_left(self, runner: str, max_lease_seconds: float) -> float:
+        """Return how long leases of earlier holders may still last there.
+
+        Negative once they have certainly expired.
+        """
+        wait_seconds = self._wait_seconds(runner, max_lease_seconds)
+        return self._counted_from + wait_seconds - _clock.monotonic_seconds()
+
+    def describe(self, runner: str, max_lease_seconds: float) -> _LogFields:
+        """Return what the wait for a runner is made of, for a log line.
+
+        ``counted_from_seconds`` is relative to the takeover.
+        """
+        wait_seconds = self._wait_seconds(runner, max_lease_seconds)
+        counted_from_seconds = self._counted_from - self._taken_over_at
+        return {
+            "wait_seconds": round(wait_seconds, 3),
+            "counted_from_seconds": round(counted_from_seconds, 3),
+            "waits_handed_over": self._waits is not None,
+        }
+
+    @property
+    def _counted_from(self) -> float:
+        if self._waits is not None:
+            return self._taken_over_at
+        # An earlier holder may live, though it was taken for gone.
+        return max(self._taken_over_at, self._earlier_leases_end_at)
+
+    def _wait_seconds(self, runner: str, max_lease_seconds: float) -> float:
+        if self._waits is None:
+            return _grants.inherited_lease_seconds(
+                max_lease_seconds, released=False
+            )
+        default_seconds = _grants.inherited_lease_seconds(
+            max_lease_seconds, released=True
+        )
+        return self._waits.get(runner, default_seconds)
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_lease.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_lease.py
@@ -257,7 +257,17 @@
         self._max_capability = max(row.max_capability, self._capability)
         self._inherited_waits = waits
         self._compute_waits = None
-        return self._commit_as_holder(row.version, row.epoch + 1)
+        if not self._commit_as_holder(row.version, row.epoch + 1):
+            return False
+        _logs.log(
+            "lease:acquired",
+            epoch=self._epoch,
+            previous_holder=row.holder,
+            was_own=self._is_own(row),
+            unchanged_seconds=round(unchanged_seconds, 3),
+            waits_handed_over=waits is not None,
+        )
+        return True
 
     def _holder_state(
         self, row: _ObservedRow, unchanged_seconds: float
@@ -533,7 +543,6 @@
         if not lease.try_acquire():
             stopped.wait(lease.poll_delay_seconds)
             continue
-        _logs.log("lease:acquired", epoch=lease.epoch)
         renewal_thread = threading.Thread(
             target=_renew_until_lost,
             args=(lease, stopped),
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_workers.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_workers.py
@@ -7,7 +7,7 @@
 
 from peridotsill_jobs import _clock
 from peridotsill_jobs import _grants
-from peridotsill_jobs import _lease
+from peridotsill_jobs import _inherited_leases
 from peridotsill_jobs import _links
 from peridotsill_jobs import _logs
 from peridotsill_jobs import _ports
@@ -30,6 +30,9 @@
 # A runner that refused a start, other than for its ticket, gets no starts
 # for this long.
 _REFUSAL_PAUSE_SECONDS = 1.0
+# A runner that a new scheduler has not reached after this long, one long poll
+# and its retry, is logged.
+_AWAITED_LOG_SECONDS = 2.0
 _FULL_SPEED_PERCENT = 100
 # For this long after a silent runner's leases have expired, a crash of it is
 # held against the runs that were there.
@@ -275,11 +278,7 @@
 
     Args:
         connect: Returns a started link to a runner.
-        inherited_waits: The seconds to wait for each runner that the last
-            holder of the lease left when it released it; None if it left
-            none.
-        earlier_leases_end_at: When the leases of all earlier holders have
-            certainly expired.
+        inherited_leases: Leases of runs that earlier schedulers granted.
     """
 
     def __init__(
@@ -288,18 +287,19 @@
         connect: collections.abc.Callable[
             [_ports.RunnerEntry], _links.RunnerLink
         ],
-        inherited_waits: _lease.LeaseExpiryWaits | None = None,
-        earlier_leases_end_at: float = float("-inf"),
+        inherited_leases: _inherited_leases.InheritedLeases | None = None,
     ) -> None:
         self._connect = connect
-        self._inherited_waits = inherited_waits
-        self._earlier_leases_end_at = earlier_leases_end_at
+        self._inherited_leases = (
+            inherited_leases or _inherited_leases.InheritedLeases()
+        )
         self._workers: dict[str, Worker] = {}
         # Lifetimes that the registry names in place of the known ones.
         self._candidates: dict[str, Worker] = {}
         self._awaiting_runner: dict[str, list[JobTask]] = {}
         self._awaiting_since: dict[str, float] = {}
-        self._created_at = _clock.monotonic_seconds()
+        # Runners that were logged as waited for.
+        self._logged_awaited: set[str] = set()
 
     def __iter__(self) -> collections.abc.Iterator[Worker]:
         return iter(tuple(self._workers.values()))
@@ -529,10 +529,9 @@
             if worker.link.reached:
                 expired = worker.link.leases_expired
             else:
-                seconds_left = self._inherited_wait_seconds(
-                    worker.entry.id, max_lease_seconds
+                expired = self._has_inherited_expired(
+                    worker.entry.id, len(worker.runs), max_lease_seconds
                 )
-                expired = seconds_left < 0
             if (
                 expired
                 and _former_lease_seconds(worker, max_lease_seconds) < 0
@@ -542,30 +541,37 @@
                     for placed in worker.placed.values()
                 ]
                 worker.lose_runs(now)
-        for runner in tuple(self._awaiting_runner):
-            if self._inherited_wait_seconds(runner, max_lease_seconds) < 0:
+        for runner, tasks in tuple(self._awaiting_runner.items()):
+            if self._has_inherited_expired(
+                runner, len(tasks), max_lease_seconds
+            ):
                 lost_tasks += self._awaiting_runner.pop(runner)
         return lost_tasks
 
-    def _inherited_wait_seconds(
-        self, runner: str, max_lease_seconds: float
-    ) -> float:
-        """Return how long leases of earlier holders may still last there.
+    def _has_inherited_expired(
+        self, runner: str, run_count: int, max_lease_seconds: float
+    ) -> bool:
+        """Tell whether earlier holders' leases there have expired.
 
-        Negative once they have certainly expired.
+        A wait that has lasted for some time is logged once.
         """
-        waits = self._inherited_waits
-        released = waits is not None
-        wait_seconds = _grants.inherited_lease_seconds(
-            max_lease_seconds, released=released
-        )
-        counted_from = self._created_at
-        if waits is None:
-            # An earlier holder may live, though it was taken for gone.
-            counted_from = max(counted_from, self._earlier_leases_end_at)
-        else:
-            wait_seconds = waits.get(runner, wait_seconds)
-        return counted_from + wait_seconds - _clock.monotonic_seconds()
+        leases = self._inherited_leases
+        is_logged = runner in self._logged_awaited
+        if not is_logged and leases.age_seconds > _AWAITED_LOG_SECONDS:
+            self._logged_awaited.add(runner)
+            worker = self._workers.get(runner)
+            _logs.log(
+                "runner:awaited",
+                runner=runner,
+                vm=worker.vm if worker else "",
+                listed=worker is not None and worker.listed,
+                run_count=run_count,
+                seconds_left=round(
+                    leases.seconds_left(runner, max_lease_seconds), 3
+                ),
+                **leases.describe(runner, max_lease_seconds),
+            )
+        return leases.seconds_left(runner, max_lease_seconds) < 0
 
     def remaining_waits(self, max_lease_seconds: float) -> dict[str, float]:
         """Return the seconds that the next holder of the lease has to wait.
@@ -584,7 +590,9 @@
                 # An earlier holder that lives may have recorded a start
                 # there after this one had read the rows.
                 runner = worker.entry.id
-                left = self._inherited_wait_seconds(runner, max_lease_seconds)
+                left = self._inherited_leases.seconds_left(
+                    runner, max_lease_seconds
+                )
                 if not worker.link.reached and left > default_seconds:
                     unreached.add(runner)
                 continue
@@ -593,7 +601,7 @@
             elif worker.link.silent_seconds > _SILENT_SECONDS:
                 wait_seconds[worker.entry.id] = worker.link.seconds_to_expiry
         for runner in unreached:
-            wait_seconds[runner] = self._inherited_wait_seconds(
+            wait_seconds[runner] = self._inherited_leases.seconds_left(
                 runner, max_lease_seconds
             )
         for worker in tuple(self._workers.values()):
--- a/tests/features/steps/holder_steps.py
+++ b/tests/features/steps/holder_steps.py
@@ -14,6 +14,7 @@
 import returns.result
 
 from peridotsill_jobs import _holder_check
+from peridotsill_jobs import _inherited_leases
 from peridotsill_jobs import _lease
 from peridotsill_jobs import _ports
 from peridotsill_jobs import _workers
@@ -98,8 +99,10 @@
     """Return a new holder's view of the runner, with no tasks placed."""
     workers = _workers.Workers(
         connect=lambda entry: stubs.runner_link(lease, _MAX_LEASE_SECONDS),
-        inherited_waits=lease.inherited_waits,
-        earlier_leases_end_at=lease.earlier_leases_end_at,
+        inherited_leases=_inherited_leases.InheritedLeases(
+            waits=lease.inherited_waits,
+            earlier_leases_end_at=lease.earlier_leases_end_at,
+        ),
     )
     workers.update((stubs.runner_entry(),))
     return workers
--- a/tests/features/steps/lifetime_steps.py
+++ b/tests/features/steps/lifetime_steps.py
@@ -289,8 +289,9 @@
 
 @when("60 s after the scheduler began lifetime 6 {state}")
 def _fall_silent(context, state):
-    context.controller._workers._created_at -= 60.0
-    context.controller._workers._earlier_leases_end_at -= 60.0
+    inherited = context.controller._workers._inherited_leases
+    inherited._taken_over_at -= 60.0
+    inherited._earlier_leases_end_at -= 60.0
     (link,) = [each for each in context.made_links if each.lifetime == 6]
     link.reached = state == "is silent"
     link.leases_expired = True
--- a/tests/features/steps/waits_steps.py
+++ b/tests/features/steps/waits_steps.py
@@ -9,6 +9,7 @@
 import returns.result
 
 from peridotsill_jobs import _clock
+from peridotsill_jobs import _inherited_leases
 from peridotsill_jobs import _lease
 from peridotsill_jobs import _ports
 from peridotsill_jobs import _records
@@ -93,8 +94,10 @@
     _acquire_lease(context)
     context.workers = _workers.Workers(
         connect=lambda entry: _connect(context, entry),
-        inherited_waits=context.lease.inherited_waits,
-        earlier_leases_end_at=context.lease.earlier_leases_end_at,
+        inherited_leases=_inherited_leases.InheritedLeases(
+            waits=context.lease.inherited_waits,
+            earlier_leases_end_at=context.lease.earlier_leases_end_at,
+        ),
     )
     context.workers.adopt(context.job, context.job.tasks[0])
     context.workers.update((stubs.runner_entry(),))
