Count the wait after a takeover from the holder's last renewal

A long-lived task whose runner had left stayed away for 11.4 s after a takeover that an outage of the table had delayed: the wait for leases that the earlier holder may have granted was counted from the takeover, or from a time that the outage had moved.

But a holder stops to grant leases of runs a fixed time after its own lease has expired, whoever takes over and when. Every renewal of theirs was requested before this node first read the row that its takeover replaced, so the wait now counts from that read, which an outage does not move. A runner still has 2.5 s to answer its first poll, as the leases may all have run out by the takeover, and it may tell how its runs ended.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_inherited_leases.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_inherited_leases.py
@@ -4,6 +4,10 @@
 from peridotsill_jobs import _grants
 from peridotsill_jobs import _lease
 
+# A runner has this long to answer a new scheduler that knows its address,
+# also if its leases have expired by then: it may tell how its runs ended.
+_FIRST_ANSWER_SECONDS = 2.5
+
 _LogFields = dict[str, float | bool]
 
 
@@ -36,6 +40,16 @@
         """Seconds since this scheduler took over."""
         return _clock.monotonic_seconds() - self._taken_over_at
 
+    def may_be_answered(self, known_at: float) -> bool:
+        """Tell whether a runner known since a time may answer its first poll.
+
+        A holder that left waits had tried to reach its runners.
+        """
+        return (
+            self._waits is None
+            and _clock.monotonic_seconds() < known_at + _FIRST_ANSWER_SECONDS
+        )
+
     def seconds_left(self, runner: str, max_lease_seconds: float) -> float:
         """Return how long leases of earlier holders may still last there.
 
@@ -61,8 +75,9 @@
     def _counted_from(self) -> float:
         if self._waits is not None:
             return self._taken_over_at
-        # An earlier holder may live, though it was taken for gone.
-        return max(self._taken_over_at, self._earlier_leases_end_at)
+        # An earlier holder may live, though it was taken for gone. It grants
+        # leases for as long after its own has expired, whoever took over when.
+        return self._earlier_leases_end_at
 
     def _wait_seconds(self, runner: str, max_lease_seconds: float) -> float:
         if self._waits is None:
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_lease.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_lease.py
@@ -75,13 +75,15 @@
 class _ObservedRow:
     """The lease's row.
 
-    ``unchanged_since`` is when this version was first read. After an outage
-    of the table it may be moved to a later time.
+    ``first_read_at`` is when this version was first read, and
+    ``unchanged_since`` the time from which its age counts for a takeover:
+    the same, or later after an outage of the table.
     """
 
     version: int
     holder: str
     epoch: int
+    first_read_at: float
     unchanged_since: float
     max_capability: float = 0.0
     waits: LeaseExpiryWaits | None = None
@@ -173,8 +175,8 @@
     def earlier_leases_end_at(self) -> float:
         """When the leases of all earlier holders have certainly expired.
 
-        In seconds of `_clock.monotonic_seconds`; it may be after the
-        takeover. Every renewal of theirs was requested before this node
+        In seconds of `_clock.monotonic_seconds`; it may be before or after
+        the takeover. Every renewal of theirs was requested before this node
         first read the row that its own takeover replaced.
         """
         return self._earlier_leases_end_at
@@ -232,9 +234,7 @@
             self._failed_reads += 1
             return False
         unchanged_seconds = self._unchanged_seconds(row)
-        self._earlier_leases_end_at = (
-            _clock.monotonic_seconds() - unchanged_seconds + LEASE_SECONDS
-        )
+        self._earlier_leases_end_at = self._first_read_at(row) + LEASE_SECONDS
         waits = row.waits
         # A holder that has released the lease sends no more commands.
         self._unchanged_seconds_at_takeover = (
@@ -364,6 +364,12 @@
             and row.version == self._last_row.version
         )
 
+    def _first_read_at(self, row: _ObservedRow) -> float:
+        """Return when a row's version was first read."""
+        if self._last_row is None or not self._is_unchanged(row):
+            return row.first_read_at
+        return self._last_row.first_read_at
+
     def _unchanged_seconds(self, row: _ObservedRow) -> float:
         """Return for how long the row has been unchanged, in seconds.
 
@@ -410,20 +416,22 @@
     def _read_row(self) -> _ObservedRow | None:
         match self._table.read((_records.LEASE_KEY,)):
             case result.Success(rows):
-                unchanged_since = _clock.monotonic_seconds()
+                read_at = _clock.monotonic_seconds()
                 if not rows:
                     return _ObservedRow(
                         version=0,
                         holder="",
                         epoch=0,
-                        unchanged_since=unchanged_since,
+                        first_read_at=read_at,
+                        unchanged_since=read_at,
                     )
                 value = rows[0].value
                 return _ObservedRow(
                     version=rows[0].version,
                     holder=str(value.get("holder", "")),
                     epoch=int(value.get("epoch", 0)),
-                    unchanged_since=unchanged_since,
+                    first_read_at=read_at,
+                    unchanged_since=read_at,
                     max_capability=float(value.get("strongest", 0.0)),
                     waits=_parse_waits(value),
                     address=str(value.get("address", "")),
@@ -476,11 +484,13 @@
         with self._lock:
             if self._lost and epoch == self._epoch:
                 return False
+            recorded_at = _clock.monotonic_seconds()
             self._last_row = _ObservedRow(
                 version=version,
                 holder=self._node,
                 epoch=epoch,
-                unchanged_since=_clock.monotonic_seconds(),
+                first_read_at=recorded_at,
+                unchanged_since=recorded_at,
             )
             self._epoch = epoch
             self._lost = False
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_workers.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_workers.py
@@ -30,8 +30,7 @@
 # A runner that refused a start, other than for its ticket, gets no starts
 # for this long.
 _REFUSAL_PAUSE_SECONDS = 1.0
-# A runner that a new scheduler has not reached after this long, one long poll
-# and its retry, is logged.
+# A runner that a new scheduler has not reached after this long is logged.
 _AWAITED_LOG_SECONDS = 2.0
 _FULL_SPEED_PERCENT = 100
 # For this long after a silent runner's leases have expired, a crash of it is
@@ -300,6 +299,8 @@
         self._awaiting_since: dict[str, float] = {}
         # Runners that were logged as waited for.
         self._logged_awaited: set[str] = set()
+        # When the registry was first read.
+        self._registry_read_at = float("inf")
 
     def __iter__(self) -> collections.abc.Iterator[Worker]:
         return iter(tuple(self._workers.values()))
@@ -382,6 +383,8 @@
         Nothing more is started on the known one, and the other one is
         connected to, until the answer of one of them shows which has ended.
         """
+        if self._registry_read_at == float("inf"):
+            self._registry_read_at = _clock.monotonic_seconds()
         listed = {entry.id for entry in entries}
         for entry in entries:
             worker = self._workers.get(entry.id)
@@ -529,7 +532,9 @@
             if worker.link.reached:
                 expired = worker.link.leases_expired
             else:
-                expired = self._has_inherited_expired(
+                expired = not self._inherited_leases.may_be_answered(
+                    worker.known_at
+                ) and self._has_inherited_expired(
                     worker.entry.id, len(worker.runs), max_lease_seconds
                 )
             if (
@@ -541,6 +546,8 @@
                     for placed in worker.placed.values()
                 ]
                 worker.lose_runs(now)
+        if self._inherited_leases.may_be_answered(self._registry_read_at):
+            return lost_tasks
         for runner, tasks in tuple(self._awaiting_runner.items()):
             if self._has_inherited_expired(
                 runner, len(tasks), max_lease_seconds
--- a/tests/features/steps/waits_steps.py
+++ b/tests/features/steps/waits_steps.py
@@ -14,10 +14,14 @@
 from peridotsill_jobs import _ports
 from peridotsill_jobs import _records
 from peridotsill_jobs import _workers
+import peridotsill_platform.exceptions
 import peridotsill_scheduler as scheduler
 
 _MAX_LEASE_SECONDS = 10.0
 _RUNNER = "i-1"
+_TABLE_UNAVAILABLE = returns.result.Failure(
+    peridotsill_platform.exceptions.TableUnavailable("away")
+)
 
 
 class _Clock:
@@ -71,8 +75,15 @@
     context.store.rows[_records.LEASE_KEY] = (bad, version)
 
 
+@given("a task on a runner that is not in the registry")
+def _task_on_unlisted_runner(context):
+    _task_on_silent_runner(context)
+    context.entries = ()
+
+
 @given("a task on a runner that does not answer")
 def _task_on_silent_runner(context):
+    context.entries = (stubs.runner_entry(),)
     step = scheduler.Step(index=0, task_count=1)
     queue = scheduler.Queue(name="q", host="h", prefix="/", pool="p")
     spec = scheduler.JobSpec(id="aa", queue="q", payload="", steps=(step,))
@@ -89,9 +100,36 @@
     return context.link
 
 
+@when(
+    "another node has read the lease's row before the table is away for "
+    "{seconds:d} s"
+)
+def _read_before_outage(context, seconds):
+    context.lease = _lease.Lease(node="reader", table=context.store)
+    assert not context.lease.try_acquire()
+    context.first_read_at = context.clock.now
+    with unittest.mock.patch.object(
+        context.store, "read", return_value=_TABLE_UNAVAILABLE
+    ):
+        for _ in range(seconds):
+            context.clock.now += 1.0
+            assert not context.lease.try_acquire()
+
+
+@when("that node takes the lease")
+def _reader_takes_lease(context):
+    while not context.lease.try_acquire():
+        context.clock.now += 0.1
+    _begin_scheduling(context)
+
+
 @when("another node takes the lease")
 def _other_node_takes_lease(context):
     _acquire_lease(context)
+    _begin_scheduling(context)
+
+
+def _begin_scheduling(context):
     context.workers = _workers.Workers(
         connect=lambda entry: _connect(context, entry),
         inherited_leases=_inherited_leases.InheritedLeases(
@@ -100,7 +138,7 @@
         ),
     )
     context.workers.adopt(context.job, context.job.tasks[0])
-    context.workers.update((stubs.runner_entry(),))
+    context.workers.update(context.entries)
 
 
 @when("it releases the lease after {seconds:g} s")
@@ -146,6 +184,14 @@
     context.poller._poll()
 
 
+@then(
+    "the task counts as lost {seconds:g} s after that node first read the row"
+)
+def _task_lost_after_first_read(context, seconds):
+    elapsed = context.clock.now - context.first_read_at
+    _task_lost_after(context, seconds - elapsed)
+
+
 @then("the task counts as lost after {seconds:g} s")
 def _task_lost_after(context, seconds):
     began = context.clock.now
--- a/tests/features/waits.feature
+++ b/tests/features/waits.feature
@@ -12,6 +12,28 @@
     When another node takes the lease
     Then the task counts as lost after 3.9 s
 
+  # Guards against LOST: the wait was counted from the takeover, which an outage
+  # of the table had delayed, and not from when the holder had last renewed.
+  Scenario: After an outage, for what is left of the holder's last grants
+    Given a holder of the lease that was killed
+    And a task on a runner that does not answer
+    When another node has read the lease's row before the table is away for 4 s
+    And that node takes the lease
+    Then the task counts as lost 11.5 s after that node first read the row
+
+  # Guards against repeated work: ends of runs that a runner could still tell.
+  Scenario Outline: A runner has time to answer, though all leases have run out
+    Given a holder of the lease that was killed
+    And a task on a runner that <state>
+    When another node has read the lease's row before the table is away for 12 s
+    And that node takes the lease
+    Then the task counts as lost after 2.5 s
+
+    Examples:
+      | state                  |
+      | does not answer        |
+      | is not in the registry |
+
   Scenario: A wait goes on over holders that leave one after another
     Given a holder of the lease that was killed
     And a task on a runner that does not answer
