Wait for a killed holder's last grant only, once it has been replaced

After a takeover from a holder that was killed, runners that did not answer were waited for as if that holder lived on and extended leases of runs for 6 s more, also if its next process was running by then. The node itself, started again, is often the first to take over after an outage of the table, and it waited for its own former process, 11.4 s from the takeover. A long-lived task of a runner that had left stayed away for as long.

The lease's row now names the process that wrote it, and says for how long the holders before it may grant leases. A holder has ended if the node that takes over is its next process, or if another process of its name answers at its address, with how long it has been listening. Then only its last grant is waited for, 3.9 s from when the next process began, and what the holders before it may have granted. A refused connection, a node of another name and a lost lease prove nothing, as before. Rows and answers of earlier versions lack the fields and are waited for in full.

Two steps compared a whole answer of the holder; they now compare the fields that they are about, as the answer also names its process.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_grants.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_grants.py
@@ -7,11 +7,6 @@
 # A runner gets new leases for this long after its last answer: one long
 # poll, and the time that its answer takes to arrive.
 _GRANT_WINDOW_SECONDS = 1.6
-# A scheduler whose lease has expired polls for this long and then no longer
-# extends leases of runs, so that a new scheduler knows when they have
-# expired. With the lease's own time and the last grant, runs survive 10
-# seconds without the table.
-POLL_WITHOUT_LEASE_SECONDS = 6.0
 # Share of the platform's longest lease for which runs are leased; the rest
 # is a margin for clock errors.
 _MAX_LEASE_SHARE = 0.9
@@ -23,19 +18,13 @@
 _MIN_CLOCK_RATE = 0.98
 
 
-def inherited_lease_seconds(
-    max_lease_seconds: float, *, released: bool
-) -> float:
-    """Return how long run leases of the previous holder may still last.
+def longest_lease_seconds(max_lease_seconds: float) -> float:
+    """Return how long a lease of a run may last that was granted just now.
 
     Args:
         max_lease_seconds: The platform's longest lease of a run.
-        released: Whether the holder released its own lease and has granted
-            none since; else it may have granted leases for
-            ``POLL_WITHOUT_LEASE_SECONDS`` longer.
     """
-    granted_seconds = _granted_seconds(max_lease_seconds) / _MIN_CLOCK_RATE
-    return granted_seconds + (0.0 if released else POLL_WITHOUT_LEASE_SECONDS)
+    return _granted_seconds(max_lease_seconds) / _MIN_CLOCK_RATE
 
 
 def _granted_seconds(max_lease_seconds: float) -> float:
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_holder_check.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_holder_check.py
@@ -30,11 +30,16 @@
     If it does not, others may take over; that is no proof that the row's
     holder has stopped. If it gave the lease up, ``waits`` are the seconds
     for which the next holder has to wait for each runner that does not
-    answer, None if they are not known.
+    answer, None if they are not known. ``node`` and ``process`` name the
+    process that answers, and ``up_seconds`` says for how long it has been
+    listening; empty and 0 if no process answers.
     """
 
     holds: bool
     waits: dict[str, float] | None = None
+    node: str = ""
+    process: str = ""
+    up_seconds: float = 0.0
 
 
 class HolderApp:
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_inherited_leases.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_inherited_leases.py
@@ -21,18 +21,18 @@
     Args:
         waits: The seconds to wait for each runner that the last holder of
             the lease left when it released it; None if it left none.
-        earlier_leases_end_at: When the leases of all earlier holders have
-            certainly expired, in seconds of `_clock.monotonic_seconds`.
+        earlier_grants_end_at: When no earlier holder grants leases of runs
+            any more, in seconds of `_clock.monotonic_seconds`.
     """
 
     def __init__(
         self,
         *,
         waits: _lease.LeaseExpiryWaits | None = None,
-        earlier_leases_end_at: float = float("-inf"),
+        earlier_grants_end_at: float = float("-inf"),
     ) -> None:
         self._waits = waits
-        self._earlier_leases_end_at = earlier_leases_end_at
+        self._earlier_grants_end_at = earlier_grants_end_at
         self._taken_over_at = _clock.monotonic_seconds()
 
     @property
@@ -75,16 +75,10 @@
     def _counted_from(self) -> float:
         if self._waits is not None:
             return self._taken_over_at
-        # An earlier holder may live, though it was taken for gone. It grants
-        # leases for as long after its own has expired, whoever took over when.
-        return self._earlier_leases_end_at
+        return self._earlier_grants_end_at
 
     def _wait_seconds(self, runner: str, max_lease_seconds: float) -> float:
+        longest_seconds = _grants.longest_lease_seconds(max_lease_seconds)
         if self._waits is None:
-            return _grants.inherited_lease_seconds(
-                max_lease_seconds, released=False
-            )
-        default_seconds = _grants.inherited_lease_seconds(
-            max_lease_seconds, released=True
-        )
-        return self._waits.get(runner, default_seconds)
+            return longest_seconds
+        return self._waits.get(runner, longest_seconds)
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_lease.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_lease.py
@@ -4,14 +4,17 @@
 """
 
 import collections.abc
+import math
 import threading
 import time
 import typing
+import uuid
 
 import attrs
 from returns import result
 
 from peridotsill_jobs import _clock
+from peridotsill_jobs import _earlier_grants
 from peridotsill_jobs import _holder_check
 from peridotsill_jobs import _logs
 from peridotsill_jobs import _records
@@ -77,7 +80,10 @@
 
     ``first_read_at`` is when this version was first read, and
     ``unchanged_since`` the time from which its age counts for a takeover:
-    the same, or later after an outage of the table.
+    the same, or later after an outage of the table. ``process`` names the
+    process that wrote it, and ``earlier_grants_seconds`` says for how long
+    from then on the holders before it may grant leases of runs; negative
+    once they have stopped, None if it is not known.
     """
 
     version: int
@@ -88,6 +94,8 @@
     max_capability: float = 0.0
     waits: LeaseExpiryWaits | None = None
     address: str = ""
+    process: str = ""
+    earlier_grants_seconds: float | None = None
 
 
 class Lease:
@@ -138,7 +146,11 @@
         self._silent_version = -1
         self._failed_renewals = 0
         self._unchanged_seconds_at_takeover = 0.0
-        self._earlier_leases_end_at = 0.0
+        self._earlier_grants_end_at = 0.0
+        # Names this process for others: its node's name may have had another.
+        self._process = uuid.uuid4().hex
+        # When this process listened at its address for the first time.
+        self._listening_since: float | None = None
         self._last_row: _ObservedRow | None = None
         self._max_capability = capability
         self._failed_reads = 0
@@ -172,14 +184,13 @@
         return self._unchanged_seconds_at_takeover
 
     @property
-    def earlier_leases_end_at(self) -> float:
-        """When the leases of all earlier holders have certainly expired.
+    def earlier_grants_end_at(self) -> float:
+        """When no earlier holder grants leases of runs any more.
 
         In seconds of `_clock.monotonic_seconds`; it may be before or after
-        the takeover. Every renewal of theirs was requested before this node
-        first read the row that its own takeover replaced.
+        the takeover.
         """
-        return self._earlier_leases_end_at
+        return self._earlier_grants_end_at
 
     def set_waits_source(
         self, compute_waits: collections.abc.Callable[[], LeaseExpiryWaits]
@@ -228,13 +239,15 @@
         """Take the lease if it is free; true if this node then holds it."""
         if self._released:
             return False
+        if self._listening_since is None:
+            self._listening_since = _clock.monotonic_seconds()
         row = self._read_row()
         self._row_unchanged = row is not None and self._is_unchanged(row)
         if row is None:
             self._failed_reads += 1
             return False
         unchanged_seconds = self._unchanged_seconds(row)
-        self._earlier_leases_end_at = self._first_read_at(row) + LEASE_SECONDS
+        state = None
         waits = row.waits
         # A holder that has released the lease sends no more commands.
         self._unchanged_seconds_at_takeover = (
@@ -255,6 +268,9 @@
                 unchanged_seconds=round(unchanged_seconds, 2),
             )
         self._max_capability = max(row.max_capability, self._capability)
+        self._earlier_grants_end_at = self._compute_grants_end(
+            row, state, waits
+        )
         self._inherited_waits = waits
         self._compute_waits = None
         if not self._commit_as_holder(row.version, row.epoch + 1):
@@ -266,9 +282,57 @@
             was_own=self._is_own(row),
             unchanged_seconds=round(unchanged_seconds, 3),
             waits_handed_over=waits is not None,
+            earlier_grants_seconds=round(
+                self._earlier_grants_end_at - _clock.monotonic_seconds(), 3
+            ),
         )
         return True
 
+    def _compute_grants_end(
+        self,
+        row: _ObservedRow,
+        state: _holder_check.HolderState | None,
+        waits: LeaseExpiryWaits | None,
+    ) -> float:
+        """Return when no earlier holder grants leases of runs any more.
+
+        Every renewal of theirs was requested before this node first read the
+        row that its own takeover replaces.
+        """
+        if waits is not None:
+            longest_wait = max(waits.values(), default=0.0)
+            return _clock.monotonic_seconds() + longest_wait
+        first_read_at = self._first_read_at(row)
+        earlier_seconds = row.earlier_grants_seconds
+        return _earlier_grants.grants_end_at(
+            lease_ends_at=first_read_at + LEASE_SECONDS,
+            stopped_at=self._when_stopped(row, state),
+            earlier_grants_end_at=(
+                None
+                if earlier_seconds is None
+                else first_read_at + earlier_seconds
+            ),
+        )
+
+    def _when_stopped(
+        self, row: _ObservedRow, state: _holder_check.HolderState | None
+    ) -> float | None:
+        """Return when a row's holder had stopped; None if it may live.
+
+        An address has one process at a time, so another process of the
+        holder's name that listens there has replaced it.
+        """
+        now = _clock.monotonic_seconds()
+        if not row.process or not row.holder or not row.address:
+            return None
+        if self._is_own(row):
+            is_former = row.process != self._process
+            return self._listening_since if is_former else now
+        if state is None or not state.process or state.node != row.holder:
+            return None
+        is_other = state.process != row.process
+        return now - state.up_seconds if is_other else None
+
     def _holder_state(
         self, row: _ObservedRow, unchanged_seconds: float
     ) -> _holder_check.HolderState | None:
@@ -294,17 +358,30 @@
         """
         with self._lock:
             if self.lost or epoch != self._epoch:
-                return _holder_check.HolderState(holds=False)
+                return self._make_state(holds=False)
             failed = self._failed_renewals
         if failed < _GIVE_UP_FAILED_RENEWALS:
-            return _holder_check.HolderState(holds=True)
+            return self._make_state(holds=True)
         # From here on this node grants no more leases to runners.
         self.mark_lost(f"given up after {failed} failed renewals")
         waits = self._compute_waits() if self._compute_waits else None
-        return _holder_check.HolderState(
+        return self._make_state(
             holds=False, waits=None if waits is None else dict(waits)
         )
 
+    def _make_state(
+        self, *, holds: bool, waits: dict[str, float] | None = None
+    ) -> _holder_check.HolderState:
+        now = _clock.monotonic_seconds()
+        since = self._listening_since
+        return _holder_check.HolderState(
+            holds=holds,
+            waits=waits,
+            node=self._node,
+            process=self._process,
+            up_seconds=0.0 if since is None else now - since,
+        )
+
     def renew(self) -> bool:
         """Extend the lease; false if it could not be extended.
 
@@ -435,6 +512,10 @@
                     max_capability=float(value.get("strongest", 0.0)),
                     waits=_parse_waits(value),
                     address=str(value.get("address", "")),
+                    process=str(value.get("process", "")),
+                    earlier_grants_seconds=_parse_seconds(
+                        value.get("earlier_grants_seconds")
+                    ),
                 )
             case result.Failure(error):
                 _logs.log("lease:unreadable", reason=str(error))
@@ -518,6 +599,10 @@
                 "strongest": self._max_capability,
                 "waits": None if waits is None else dict(waits),
                 "address": self._address,
+                "process": self._process,
+                "earlier_grants_seconds": (
+                    self._earlier_grants_end_at - _clock.monotonic_seconds()
+                ),
             },
         )
         return self._table.commit(
@@ -537,6 +622,13 @@
     return waits
 
 
+def _parse_seconds(value: object) -> float | None:
+    """Return a number of a row; None if an earlier version wrote the row."""
+    if isinstance(value, (int, float)) and math.isfinite(value):
+        return float(value)
+    return None
+
+
 def acquire_and_schedule(
     lease: Lease,
     stopped: threading.Event,
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_runner_polling.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_runner_polling.py
@@ -3,7 +3,7 @@
 import peridotsill
 
 from peridotsill_jobs import _clock
-from peridotsill_jobs import _grants
+from peridotsill_jobs import _earlier_grants
 from peridotsill_jobs import _link_events
 from peridotsill_jobs import _logs
 from peridotsill_jobs import _ports
@@ -86,7 +86,7 @@
         if self._polling or self._stopped or self._paused:
             return
         seconds_since_expiry = self._parts.lease.seconds_since_expiry
-        if seconds_since_expiry > _grants.POLL_WITHOUT_LEASE_SECONDS:
+        if seconds_since_expiry > _earlier_grants.POLL_WITHOUT_LEASE_SECONDS:
             self._poll_later()
             return
         if (
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_workers.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_workers.py
@@ -589,9 +589,7 @@
         """
         unreached = set(self._awaiting_runner)
         wait_seconds: dict[str, float] = {}
-        default_seconds = _grants.inherited_lease_seconds(
-            max_lease_seconds, released=True
-        )
+        default_seconds = _grants.longest_lease_seconds(max_lease_seconds)
         for worker in tuple(self._workers.values()):
             if not worker.placed and not worker.abandoned:
                 # An earlier holder that lives may have recorded a start
--- a/tests/features/steps/lease_steps.py
+++ b/tests/features/steps/lease_steps.py
@@ -302,7 +302,7 @@
     assert context.holder.held
     context.holder.set_waits_source(lambda: {"r1": 2.5})
     answer = context.holder.answer_peer(context.holder.epoch)
-    assert answer == _holder_check.HolderState(holds=False, waits={"r1": 2.5})
+    assert not answer.holds and answer.waits == {"r1": 2.5}, answer
     assert not context.holder.held
 
 
@@ -318,7 +318,7 @@
 @then("the holder says that it holds the lease, and holds it")
 def _still_holds(context):
     answer = context.holder.answer_peer(context.holder.epoch)
-    assert answer == _holder_check.HolderState(holds=True)
+    assert answer.holds and answer.waits is None, answer
     assert context.holder.held
 
 
--- a/tests/features/steps/waits_steps.py
+++ b/tests/features/steps/waits_steps.py
@@ -9,6 +9,7 @@
 import returns.result
 
 from peridotsill_jobs import _clock
+from peridotsill_jobs import _holder_check
 from peridotsill_jobs import _inherited_leases
 from peridotsill_jobs import _lease
 from peridotsill_jobs import _ports
@@ -18,6 +19,7 @@
 import peridotsill_scheduler as scheduler
 
 _MAX_LEASE_SECONDS = 10.0
+_POLL_SECONDS = 0.1
 _RUNNER = "i-1"
 _TABLE_UNAVAILABLE = returns.result.Failure(
     peridotsill_platform.exceptions.TableUnavailable("away")
@@ -44,9 +46,18 @@
     context.node_count = 0
 
 
+def _make_lease(context, node, ask_holder=lambda address, epoch: None):
+    return _lease.Lease(
+        node=node,
+        table=context.store,
+        address=f"{node}:1",
+        ask_holder=ask_holder,
+    )
+
+
 def _acquire_lease(context):
     context.node_count += 1
-    lease = _lease.Lease(node=f"n{context.node_count}", table=context.store)
+    lease = _make_lease(context, f"n{context.node_count}")
     if not lease.try_acquire():
         context.clock.now += _lease.LEASE_SECONDS
         assert lease.try_acquire()
@@ -105,7 +116,7 @@
     "{seconds:d} s"
 )
 def _read_before_outage(context, seconds):
-    context.lease = _lease.Lease(node="reader", table=context.store)
+    context.lease = _make_lease(context, "reader")
     assert not context.lease.try_acquire()
     context.first_read_at = context.clock.now
     with unittest.mock.patch.object(
@@ -119,10 +130,85 @@
 @when("that node takes the lease")
 def _reader_takes_lease(context):
     while not context.lease.try_acquire():
-        context.clock.now += 0.1
+        context.clock.now += _POLL_SECONDS
     _begin_scheduling(context)
 
 
+@given("a holder that renewed the lease for 12 s and was killed")
+def _renewing_holder_killed(context):
+    _holder_killed(context)
+    for _ in range(12):
+        context.clock.now += 1.0
+        assert context.lease.renew()
+
+
+@when("its node starts again and takes the lease")
+def _restarted_takes_lease(context):
+    context.lease = _make_lease(context, context.lease._node)
+    _reader_takes_lease(context)
+
+
+@when("its node starts again, is without table for 2 s and takes the lease")
+def _restarted_takes_lease_later(context):
+    context.lease = _make_lease(context, context.lease._node)
+    with unittest.mock.patch.object(
+        context.store, "read", return_value=_TABLE_UNAVAILABLE
+    ):
+        assert not context.lease.try_acquire()
+    context.clock.now += 2.0
+    _reader_takes_lease(context)
+
+
+def _answer_of_next_process(context):
+    next_process = _make_lease(context, context.lease._node)
+    return next_process.answer_peer
+
+
+def _answer_of_other_name(context):
+    return _make_lease(context, "other").answer_peer
+
+
+def _answer_of_holder(context):
+    context.lease.mark_lost("cut off")
+    return context.lease.answer_peer
+
+
+def _refusal(context):
+    return lambda epoch: _holder_check.HolderState(holds=False)
+
+
+_ANSWERS = {
+    "its connections are refused": _refusal,
+    "a node of another name answers": _answer_of_other_name,
+    "the holder itself answers that it lost it": _answer_of_holder,
+}
+
+
+def _ask_and_take_lease(context, answer):
+    context.lease = _make_lease(
+        context, "asker", lambda address, epoch: answer(epoch)
+    )
+    _reader_takes_lease(context)
+
+
+@when("another node is answered by its next process and takes the lease")
+def _asker_takes_lease(context):
+    _ask_and_take_lease(context, _answer_of_next_process(context))
+
+
+@when("another node takes the lease as {answer}")
+def _asker_takes_lease_as(context, answer):
+    _ask_and_take_lease(context, _ANSWERS[answer](context))
+
+
+@when("another node takes the lease and is killed 3 s later")
+def _next_holder_killed(context):
+    _acquire_lease(context)
+    for _ in range(3):
+        context.clock.now += 1.0
+        assert context.lease.renew()
+
+
 @when("another node takes the lease")
 def _other_node_takes_lease(context):
     _acquire_lease(context)
@@ -134,7 +220,7 @@
         connect=lambda entry: _connect(context, entry),
         inherited_leases=_inherited_leases.InheritedLeases(
             waits=context.lease.inherited_waits,
-            earlier_leases_end_at=context.lease.earlier_leases_end_at,
+            earlier_grants_end_at=context.lease.earlier_grants_end_at,
         ),
     )
     context.workers.adopt(context.job, context.job.tasks[0])
--- a/tests/features/waits.feature
+++ b/tests/features/waits.feature
@@ -34,6 +34,42 @@
       | does not answer        |
       | is not in the registry |
 
+  # Guards against LOST: the next process of a killed holder, and a node that
+  # this process answers, waited as if the former process lived on.
+  Scenario Outline: After a killed holder that <next>, for its last grant only
+    Given a holder that renewed the lease for 12 s and was killed
+    And a task on a runner that does not answer
+    When <next> and takes the lease
+    Then the task counts as lost after <seconds> s
+
+    Examples:
+      | next                                             | seconds |
+      | its node starts again                            | 3.9     |
+      | its node starts again, is without table for 2 s  | 2.5     |
+      | another node is answered by its next process     | 3.9     |
+
+  # Guards against TWICE: what answers at the address of a holder that may live,
+  # or refuses there, is no proof that it has stopped.
+  Scenario Outline: A holder may live, though <answer>
+    Given a holder that renewed the lease for 12 s and was killed
+    And a task on a runner that does not answer
+    When another node takes the lease as <answer>
+    Then the task counts as lost after 10.9 s
+
+    Examples:
+      | answer                                      |
+      | its connections are refused                 |
+      | a node of another name answers              |
+      | the holder itself answers that it lost it   |
+
+  # Guards against TWICE: the holder before a killed one may live and grant.
+  Scenario: After a killed holder that had just taken over, for both
+    Given a holder of the lease that was killed
+    And a task on a runner that does not answer
+    When another node takes the lease and is killed 3 s later
+    And its node starts again and takes the lease
+    Then the task counts as lost after 6.9 s
+
   Scenario: A wait goes on over holders that leave one after another
     Given a holder of the lease that was killed
     And a task on a runner that does not answer
