Learn after a takeover that a killed holder has been replaced

A node takes over within a second from a holder whose connections are refused, before that one's next process has begun. So it never learned that the holder had ended, and waited for runners that had left 11.4 s from the holder's last renewal.

It now asks at the last holder's address every 0.5 s until another process answers there, or until all earlier grants have ended anyway. The question goes to a sibling, not to the table, and to nobody while the lease is lost.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_controller.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_controller.py
@@ -93,7 +93,7 @@
             connect=self._connect_runner,
             inherited_leases=_inherited_leases.InheritedLeases(
                 waits=parts.lease.inherited_waits,
-                earlier_grants_end_at=parts.lease.earlier_grants_end_at,
+                get_grants_end=lambda: parts.lease.earlier_grants_end_at,
             ),
         )
         self._feeds = _feeds.Feeds(ports=parts.ports, post=self._inbox.put)
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_inherited_leases.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_inherited_leases.py
@@ -1,5 +1,7 @@
 """Tells how long leases of runs last that earlier schedulers granted."""
 
+import collections.abc
+
 from peridotsill_jobs import _clock
 from peridotsill_jobs import _grants
 from peridotsill_jobs import _lease
@@ -21,18 +23,19 @@
     Args:
         waits: The seconds to wait for each runner that the last holder of
             the lease left when it released it; None if it left none.
-        earlier_grants_end_at: When no earlier holder grants leases of runs
-            any more, in seconds of `_clock.monotonic_seconds`.
+        get_grants_end: Returns when no earlier holder grants leases of runs
+            any more, in seconds of `_clock.monotonic_seconds`. It may become
+            earlier as more is known of them.
     """
 
     def __init__(
         self,
         *,
         waits: _lease.LeaseExpiryWaits | None = None,
-        earlier_grants_end_at: float = float("-inf"),
+        get_grants_end: collections.abc.Callable[[], float],
     ) -> None:
         self._waits = waits
-        self._earlier_grants_end_at = earlier_grants_end_at
+        self._get_grants_end = get_grants_end
         self._taken_over_at = _clock.monotonic_seconds()
 
     @property
@@ -75,7 +78,7 @@
     def _counted_from(self) -> float:
         if self._waits is not None:
             return self._taken_over_at
-        return self._earlier_grants_end_at
+        return self._get_grants_end()
 
     def _wait_seconds(self, runner: str, max_lease_seconds: float) -> float:
         longest_seconds = _grants.longest_lease_seconds(max_lease_seconds)
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_lease.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_lease.py
@@ -57,6 +57,8 @@
 # The holder is asked whether it still holds the lease once the row has not
 # changed for this long: a renewal was due, and its commit takes some time.
 _ASK_HOLDER_SECONDS = 0.6
+# Period in which a new holder asks whether the last one has been replaced.
+_ASK_PREDECESSOR_SECONDS = 0.5
 # A holder that is asked gives the lease up after this many failed renewals
 # in a row; a single one may be a lost answer.
 _GIVE_UP_FAILED_RENEWALS = 2
@@ -147,6 +149,8 @@
         self._failed_renewals = 0
         self._unchanged_seconds_at_takeover = 0.0
         self._earlier_grants_end_at = 0.0
+        # The row that the last takeover replaced.
+        self._replaced_row: _ObservedRow | None = None
         # Names this process for others: its node's name may have had another.
         self._process = uuid.uuid4().hex
         # When this process listened at its address for the first time.
@@ -188,7 +192,8 @@
         """When no earlier holder grants leases of runs any more.
 
         In seconds of `_clock.monotonic_seconds`; it may be before or after
-        the takeover.
+        the takeover, and becomes earlier once `ask_predecessor` shows that
+        the last holder has ended.
         """
         return self._earlier_grants_end_at
 
@@ -247,6 +252,7 @@
             self._failed_reads += 1
             return False
         unchanged_seconds = self._unchanged_seconds(row)
+        row = attrs.evolve(row, first_read_at=self._first_read_at(row))
         state = None
         waits = row.waits
         # A holder that has released the lease sends no more commands.
@@ -268,9 +274,11 @@
                 unchanged_seconds=round(unchanged_seconds, 2),
             )
         self._max_capability = max(row.max_capability, self._capability)
-        self._earlier_grants_end_at = self._compute_grants_end(
-            row, state, waits
-        )
+        with self._lock:
+            self._replaced_row = row
+            self._earlier_grants_end_at = self._grants_end_at(
+                row, state, waits
+            )
         self._inherited_waits = waits
         self._compute_waits = None
         if not self._commit_as_holder(row.version, row.epoch + 1):
@@ -288,11 +296,11 @@
         )
         return True
 
-    def _compute_grants_end(
+    def _grants_end_at(
         self,
         row: _ObservedRow,
         state: _holder_check.HolderState | None,
-        waits: LeaseExpiryWaits | None,
+        waits: LeaseExpiryWaits | None = None,
     ) -> float:
         """Return when no earlier holder grants leases of runs any more.
 
@@ -302,18 +310,44 @@
         if waits is not None:
             longest_wait = max(waits.values(), default=0.0)
             return _clock.monotonic_seconds() + longest_wait
-        first_read_at = self._first_read_at(row)
         earlier_seconds = row.earlier_grants_seconds
         return _earlier_grants.grants_end_at(
-            lease_ends_at=first_read_at + LEASE_SECONDS,
+            lease_ends_at=row.first_read_at + LEASE_SECONDS,
             stopped_at=self._when_stopped(row, state),
             earlier_grants_end_at=(
                 None
                 if earlier_seconds is None
-                else first_read_at + earlier_seconds
+                else row.first_read_at + earlier_seconds
             ),
         )
 
+    def ask_predecessor(self) -> None:
+        """Ask at the last holder's address whether it has been replaced.
+
+        A process that ended just before the takeover is started again a
+        moment later.
+        """
+        row = self._replaced_row
+        if row is None or not row.holder or self._is_own(row):
+            return
+        state = self._ask_holder(row.address, row.epoch)
+        if state is None or self._when_stopped(row, state) is None:
+            return
+        grants_end_at = self._grants_end_at(row, state)
+        with self._lock:
+            # Meanwhile this node may have taken the lease over once more.
+            if row is not self._replaced_row:
+                return
+            if grants_end_at >= self._earlier_grants_end_at:
+                return
+            self._earlier_grants_end_at = grants_end_at
+        _logs.log(
+            "lease:predecessor_replaced",
+            holder=row.holder,
+            epoch=row.epoch,
+            up_seconds=round(state.up_seconds, 3),
+        )
+
     def _when_stopped(
         self, row: _ObservedRow, state: _holder_check.HolderState | None
     ) -> float | None:
@@ -652,6 +686,12 @@
             name="lease",
         )
         renewal_thread.start()
+        threading.Thread(
+            target=_ask_predecessor_until_known,
+            args=(lease, stopped),
+            daemon=True,
+            name="predecessor",
+        ).start()
         try:
             schedule()
         except Exception as error:
@@ -662,6 +702,20 @@
         renewal_thread.join()
 
 
+def _ask_predecessor_until_known(
+    lease: Lease, stopped: threading.Event
+) -> None:
+    """Ask until it is known that no earlier holder grants leases of runs."""
+    epoch = lease.epoch
+    while (
+        not stopped.wait(_ASK_PREDECESSOR_SECONDS)
+        and not lease.lost
+        and lease.epoch == epoch
+        and lease.earlier_grants_end_at > _clock.monotonic_seconds()
+    ):
+        lease.ask_predecessor()
+
+
 def _renew_until_lost(lease: Lease, stopped: threading.Event) -> None:
     pause = _RENEWAL_PERIOD_SECONDS
     while not stopped.wait(pause) and not lease.lost:
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_workers.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_workers.py
@@ -290,7 +290,10 @@
     ) -> None:
         self._connect = connect
         self._inherited_leases = (
-            inherited_leases or _inherited_leases.InheritedLeases()
+            inherited_leases
+            or _inherited_leases.InheritedLeases(
+                get_grants_end=lambda: float("-inf")
+            )
         )
         self._workers: dict[str, Worker] = {}
         # Lifetimes that the registry names in place of the known ones.
--- a/tests/features/steps/holder_steps.py
+++ b/tests/features/steps/holder_steps.py
@@ -101,7 +101,7 @@
         connect=lambda entry: stubs.runner_link(lease, _MAX_LEASE_SECONDS),
         inherited_leases=_inherited_leases.InheritedLeases(
             waits=lease.inherited_waits,
-            earlier_grants_end_at=lease.earlier_grants_end_at,
+            get_grants_end=lambda: lease.earlier_grants_end_at,
         ),
     )
     workers.update((stubs.runner_entry(),))
--- a/tests/features/steps/lifetime_steps.py
+++ b/tests/features/steps/lifetime_steps.py
@@ -291,7 +291,7 @@
 def _fall_silent(context, state):
     inherited = context.controller._workers._inherited_leases
     inherited._taken_over_at -= 60.0
-    inherited._earlier_grants_end_at -= 60.0
+    context.controller._parts.lease._earlier_grants_end_at -= 60.0
     (link,) = [each for each in context.made_links if each.lifetime == 6]
     link.reached = state == "is silent"
     link.leases_expired = True
--- a/tests/features/steps/waits_steps.py
+++ b/tests/features/steps/waits_steps.py
@@ -184,7 +184,19 @@
 }
 
 
+@when("1 s later the killed holder's next process answers")
+def _next_process_answers(context):
+    context.clock.now += 1.0
+    context.lease.ask_predecessor()
+    next_process = _make_lease(context, context.killed_node)
+    context.lease._ask_holder = lambda address, epoch: (
+        next_process.answer_peer(epoch)
+    )
+    context.lease.ask_predecessor()
+
+
 def _ask_and_take_lease(context, answer):
+    context.killed_node = context.lease._node
     context.lease = _make_lease(
         context, "asker", lambda address, epoch: answer(epoch)
     )
@@ -220,7 +232,7 @@
         connect=lambda entry: _connect(context, entry),
         inherited_leases=_inherited_leases.InheritedLeases(
             waits=context.lease.inherited_waits,
-            earlier_grants_end_at=context.lease.earlier_grants_end_at,
+            get_grants_end=lambda: context.lease.earlier_grants_end_at,
         ),
     )
     context.workers.adopt(context.job, context.job.tasks[0])
--- a/tests/features/waits.feature
+++ b/tests/features/waits.feature
@@ -48,6 +48,15 @@
       | its node starts again, is without table for 2 s  | 2.5     |
       | another node is answered by its next process     | 3.9     |
 
+  # Guards against LOST: the next holder takes over before the killed one's next
+  # process has begun, and never learned of it.
+  Scenario: A killed holder's node starts again after the takeover
+    Given a holder that renewed the lease for 12 s and was killed
+    And a task on a runner that does not answer
+    When another node takes the lease as its connections are refused
+    And 1 s later the killed holder's next process answers
+    Then the task counts as lost after 3.9 s
+
   # Guards against TWICE: what answers at the address of a holder that may live,
   # or refuses there, is no proof that it has stopped.
   Scenario Outline: A holder may live, though <answer>
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -292,6 +292,15 @@
         feature="waits",
         scenario="After a killed holder that",
     ),
+    Mutant(
+        promise="leases: a holder that is replaced later is noticed",
+        package="peridotsill_jobs",
+        module="_lease.py",
+        old="            self._earlier_grants_end_at = grants_end_at\n",
+        new="            pass\n",
+        feature="waits",
+        scenario="A killed holder's node starts again",
+    ),
     Mutant(
         promise="leases: a process of another name replaces no holder",
         package="peridotsill_jobs",
