Lose the tasks of a runner that left before a takeover

From its first reads on, the new scheduler found the runner neither in the registry nor on any VM, and used neither.

Neither is proof alone. A runner that can't reach the store is not in the registry, nor are entries in a read that is behind; and the list of VMs is read page by page while VMs come and go. `_departures.py` takes both together: no VM names the runner in complete lists that were asked for over 1 s, no VM that may have a runner lacks one there, and each read of the registry over 2 s lacks its id. The two seconds, after which the protocol treats a missing entry as gone, begin anew after a failed read or a pause, and count from the answer of the first read. VMs of standby pools are off and are listed as up without a runner; without leaving them out nothing would be proven on sites that have them.

Only runners that have not answered this scheduler are looked at. Their tasks are requeued with the proof as the reason and may start in the same round; `runner:departed` is logged. The link is replaced, so that no queued order reaches a later process at the address. The lease by a next lifetime's clock is not waited for: the lists were asked for after that lifetime was known, and have no process of the id. A late write may bring the entry back; that lifetime stays ended unless it answers, which is logged as before, and another lifetime is not affected. The next holder is left no wait for such a runner.

The feeds now pass on failed reads of the registry and the ids of entries that can't be read.

The stub catalog of the controller's steps names no standby pools, as the scheduler now asks for them, and the stub job may be other than speculative.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_catalog.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_catalog.py
@@ -62,6 +62,13 @@
         age = _clock.boottime_seconds() - self._last_answer_at
         return age < _UNREACHABLE_AFTER_SECONDS
 
+    @property
+    def standby_pools(self) -> frozenset[str]:
+        """The names of the pools whose VMs are off."""
+        config = self._config
+        pools = config.pools if config else ()
+        return frozenset(each.name for each in pools if each.standby)
+
     def queue(self, name: str) -> peridotsill_scheduler.Queue | None:
         """Return a queue as in the newest configuration that has it."""
         return self._queues.get(name)
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_controller.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_controller.py
@@ -17,6 +17,7 @@
 from peridotsill_jobs import _catalog
 from peridotsill_jobs import _clock
 from peridotsill_jobs import _commands
+from peridotsill_jobs import _departures
 from peridotsill_jobs import _feeds
 from peridotsill_jobs import _fleet
 from peridotsill_jobs import _gone_runners
@@ -54,6 +55,7 @@
 Event = (
     _feeds.JobRowsChanged
     | _feeds.RegistrySnapshot
+    | _feeds.RegistryReadFailed
     | _feeds.VmListSnapshot
     | _link_events.ReportReceived
     | _link_events.OrderOutcome
@@ -89,8 +91,10 @@
             counters=parts.counters,
         )
         self._call_loop = peridotsill.CallLoop(on_error=_log_failed_call)
+        self._departures = _departures.Departures()
         self._workers = _workers.Workers(
             connect=self._connect_runner,
+            departures=self._departures,
             inherited_leases=_inherited_leases.InheritedLeases(
                 waits=parts.lease.inherited_waits,
                 get_grants_end=lambda: parts.lease.earlier_grants_end_at,
@@ -256,7 +260,12 @@
                     self._apply_job_row(row)
             case _feeds.RegistrySnapshot():
                 self._apply_registry(event)
+            case _feeds.RegistryReadFailed():
+                self._departures.record_registry_failure()
             case _feeds.VmListSnapshot():
+                self._departures.record_vm_list(
+                    event, self._parts.catalog.standby_pools
+                )
                 self._fleet.apply_vm_list(event)
                 self._gone_runners.handle_vm_list()
             case _commands.CommandOutcome():
@@ -275,6 +284,7 @@
 
     def _apply_registry(self, event: _feeds.RegistrySnapshot) -> None:
         self._registry = event
+        self._departures.record_registry(event)
         self._workers.update(event.entries)
 
     def _apply_report(self, event: _link_events.ReportReceived) -> None:
@@ -299,6 +309,8 @@
 
     def _run_round(self) -> None:
         now = _clock.monotonic_seconds()
+        for ended in self._workers.pop_ended():
+            self._runs.requeue_lost(ended.tasks, ended.evidence)
         self._runs.requeue_lost(
             self._workers.pop_expired(self._max_lease_seconds), "lease ran out"
         )
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_feeds.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_feeds.py
@@ -39,10 +39,24 @@
 
 @attrs.frozen(kw_only=True)
 class RegistrySnapshot:
-    """All runners in the registry, read at ``requested_at``."""
+    """All runners in the registry, read at ``requested_at``.
+
+    ``unreadable_ids`` are those of entries that name no runner to use.
+    """
 
     entries: tuple[_ports.RunnerEntry, ...]
     requested_at: float
+    received_at: float = attrs.field()
+    unreadable_ids: frozenset[str] = frozenset()
+
+    @received_at.default
+    def _not_later(self) -> float:
+        return self.requested_at
+
+    @property
+    def runner_ids(self) -> frozenset[str]:
+        """The ids of all entries, whether they can be read or not."""
+        return self.unreadable_ids | {entry.id for entry in self.entries}
 
     @property
     def valid_until(self) -> float:
@@ -50,6 +64,11 @@
         return self.requested_at + _REGISTRY_VALID_SECONDS
 
 
+@attrs.frozen(kw_only=True)
+class RegistryReadFailed:
+    """The registry could not be read."""
+
+
 @attrs.frozen(kw_only=True)
 class VmListSnapshot:
     """All VMs listed by the VM service, read at ``requested_at``."""
@@ -59,7 +78,8 @@
 
 
 PostEvent = collections.abc.Callable[
-    [JobRowsChanged | RegistrySnapshot | VmListSnapshot], None
+    [JobRowsChanged | RegistrySnapshot | RegistryReadFailed | VmListSnapshot],
+    None,
 ]
 
 
@@ -80,6 +100,10 @@
         """The newest snapshot, which may not have been handled yet."""
         return self._latest_registry
 
+    @property
+    def _registry_prefix(self) -> str:
+        return f"{self._ports.keys.registry}//"
+
     def start_following_jobs(self, revision: int) -> None:
         """Start following submissions from a revision of the table."""
         threading.Thread(
@@ -140,17 +164,38 @@
 
     def _poll_registry(self) -> None:
         requested_at = _clock.monotonic_seconds()
-        match self._ports.table.scan((f"{self._ports.keys.registry}//",)):
+        match self._ports.table.scan((self._registry_prefix,)):
             case result.Success(scan):
-                decoded = map(self._ports.documents.runner, scan.rows)
-                entries = tuple(each for each in decoded if each)
-                snapshot = RegistrySnapshot(
-                    entries=entries, requested_at=requested_at
+                received_at = _clock.monotonic_seconds()
+                snapshot = self._decode_registry(
+                    scan.rows, requested_at, received_at
                 )
                 self._latest_registry = snapshot
                 self._post(snapshot)
             case result.Failure(error):
                 _logs.log("registry:scan_failed", reason=str(error))
+                self._post(RegistryReadFailed())
+
+    def _decode_registry(
+        self,
+        rows: tuple[peridotsill.Row, ...],
+        requested_at: float,
+        received_at: float,
+    ) -> RegistrySnapshot:
+        entries: list[_ports.RunnerEntry] = []
+        unreadable_ids: set[str] = set()
+        for row in rows:
+            entry = self._ports.documents.runner(row)
+            if entry is None:
+                unreadable_ids.add(row.key.removeprefix(self._registry_prefix))
+            else:
+                entries.append(entry)
+        return RegistrySnapshot(
+            entries=tuple(entries),
+            requested_at=requested_at,
+            received_at=received_at,
+            unreadable_ids=frozenset(unreadable_ids),
+        )
 
     def _poll_vms(self) -> None:
         self._vm_list_requested.clear()
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_runs.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_runs.py
@@ -53,7 +53,7 @@
         if worker is None:
             return
         if worker.gone:
-            worker.gone = False
+            self._workers.mark_alive(worker)
             _logs.log("runner:answers_again", runner=event.runner)
         report = event.report
         for end in report.ended:
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_workers.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_workers.py
@@ -6,6 +6,7 @@
 import attrs
 
 from peridotsill_jobs import _clock
+from peridotsill_jobs import _departures
 from peridotsill_jobs import _grants
 from peridotsill_jobs import _inherited_leases
 from peridotsill_jobs import _links
@@ -108,6 +109,14 @@
         return _ports.TaskName(job=self.job.spec.id, task=self.task.key)
 
 
+@attrs.frozen(kw_only=True)
+class EndedRunner:
+    """Tasks of a runner that the platform shows to have ended."""
+
+    tasks: list[JobTask]
+    evidence: str
+
+
 @attrs.define(kw_only=True, eq=False)
 class Worker:
     """A runner, its link and its tasks.
@@ -278,6 +287,7 @@
     Args:
         connect: Returns a started link to a runner.
         inherited_leases: Leases of runs that earlier schedulers granted.
+        departures: Tells which runners the platform shows to have ended.
     """
 
     def __init__(
@@ -287,8 +297,10 @@
             [_ports.RunnerEntry], _links.RunnerLink
         ],
         inherited_leases: _inherited_leases.InheritedLeases | None = None,
+        departures: _departures.Departures | None = None,
     ) -> None:
         self._connect = connect
+        self._departures = departures or _departures.Departures()
         self._inherited_leases = (
             inherited_leases
             or _inherited_leases.InheritedLeases(
@@ -300,6 +312,9 @@
         self._candidates: dict[str, Worker] = {}
         self._awaiting_runner: dict[str, list[JobTask]] = {}
         self._awaiting_since: dict[str, float] = {}
+        # By runner, lifetimes that the platform has shown to have ended. A
+        # late write may bring their entries back.
+        self._departed: dict[str, frozenset[int]] = {}
         # Runners that were logged as waited for.
         self._logged_awaited: set[str] = set()
         # When the registry was first read.
@@ -437,6 +452,7 @@
 
     def _add(self, entry: _ports.RunnerEntry) -> None:
         worker = self._make_worker(entry)
+        worker.gone = entry.lifetime in self._departed.get(entry.id, ())
         self._workers[entry.id] = worker
         awaiting = self._awaiting_runner.get(entry.id, [])
         for job, task in tuple(awaiting):
@@ -519,6 +535,81 @@
         worker.abandoned.clear()
         worker.lost_runs.clear()
 
+    def mark_alive(self, worker: Worker) -> None:
+        """Record that a runner answers that was held to have ended."""
+        worker.gone = False
+        self._departed.pop(worker.entry.id, None)
+
+    def pop_ended(self) -> list[EndedRunner]:
+        """Remove and return tasks on runners that the platform shows ended.
+
+        Only runners that have not answered this scheduler are looked at. Of
+        their runs nothing is left, so that no lease has to be waited for.
+        """
+        runners = {
+            *(name for name, each in self._awaiting_runner.items() if each),
+            *(
+                name
+                for name, each in self._workers.items()
+                if each.placed or each.abandoned
+            ),
+        }
+        evidences = {runner: self._why_ended(runner) for runner in runners}
+        return [
+            EndedRunner(tasks=self._pop_ended(runner, why), evidence=why)
+            for runner, why in sorted(evidences.items())
+            if why
+        ]
+
+    def _why_ended(self, runner: str) -> str:
+        """Return how the platform shows that an unreached runner has ended.
+
+        Empty if the runner has answered, or nothing shows it.
+        """
+        worker = self._workers.get(runner)
+        if worker is not None and worker.link.reached:
+            return ""
+        lifetimes = self._lifetimes_of(runner)
+        if lifetimes and lifetimes <= self._departed.get(runner, frozenset()):
+            return "it had left before"
+        since = self._awaiting_since.get(runner, float("-inf"))
+        if worker is not None:
+            # An earlier lifetime may have been reached just before this one.
+            since = max(since, worker.known_at, worker.took_over_at)
+        return self._departures.why_ended(runner, since=since)
+
+    def _lifetimes_of(self, runner: str) -> frozenset[int]:
+        """Return the lifetimes in which a runner may have tasks."""
+        worker = self._workers.get(runner)
+        awaiting = tuple(self._awaiting_runner.get(runner, ()))
+        lifetimes = {task.lifetime for _, task in awaiting}
+        return frozenset(
+            lifetimes if worker is None else {worker.lifetime, *lifetimes}
+        )
+
+    def _pop_ended(self, runner: str, evidence: str) -> list[JobTask]:
+        self._departed[runner] = self._departed.get(
+            runner, frozenset()
+        ) | self._lifetimes_of(runner)
+        tasks = self._awaiting_runner.pop(runner, [])
+        worker = self._workers.get(runner)
+        run_count = len(tasks) + (len(worker.runs) if worker else 0)
+        _logs.log(
+            "runner:departed",
+            runner=runner,
+            vm=worker.vm if worker else "",
+            evidence=evidence,
+            seconds_since_takeover=round(
+                self._inherited_leases.age_seconds, 3
+            ),
+            run_count=run_count,
+        )
+        if worker is not None:
+            placed = worker.placed.values()
+            tasks += [(each.job, each.task) for each in placed]
+            self.replace_link(worker)
+        return tasks
+
     def pop_expired(self, max_lease_seconds: float) -> list[JobTask]:
         """Remove and return tasks on silent runners whose leases expired.
 
@@ -586,8 +677,9 @@
     def remaining_waits(self, max_lease_seconds: float) -> dict[str, float]:
         """Return the seconds that the next holder of the lease has to wait.
 
-        There is one entry for each runner that may hold tasks and does not
-        answer: how long its leases may last yet if no more are granted.
+        There is one entry for each runner that may hold tasks, does not
+        answer and is not shown to have ended: how long its leases may last
+        yet if no more are granted.
         Without an entry, the next holder waits for as long as a grant lasts.
         """
         unreached = set(self._awaiting_runner)
@@ -609,10 +701,13 @@
             elif worker.link.silent_seconds > _SILENT_SECONDS:
                 wait_seconds[worker.entry.id] = worker.link.seconds_to_expiry
         for runner in unreached:
-            wait_seconds[runner] = self._inherited_leases.seconds_left(
-                runner, max_lease_seconds
-            )
+            if not self._why_ended(runner):
+                wait_seconds[runner] = self._inherited_leases.seconds_left(
+                    runner, max_lease_seconds
+                )
         for worker in tuple(self._workers.values()):
+            if self._why_ended(worker.entry.id):
+                continue
             left = _former_lease_seconds(worker, max_lease_seconds)
             if left > wait_seconds.get(worker.entry.id, default_seconds):
                 wait_seconds[worker.entry.id] = left
--- a/tests/features/steps/controller_steps.py
+++ b/tests/features/steps/controller_steps.py
@@ -104,6 +104,7 @@
     catalog.queue.return_value = _QUEUE
     catalog.config = None
     catalog.waves = ()
+    catalog.standby_pools = frozenset()
     context.store = stubs.MemoryTable()
     ports = unittest.mock.Mock(table=context.store, advisor=None)
     ports.adaptive_timeout_table.return_value = context.store
@@ -132,12 +133,12 @@
     )
 
 
-def _submit_job(context):
+def _submit_job(context, **fields):
     step = scheduler.Step(
         index=0,
         task_count=1,
         demand=scheduler.Resources(cores=8),
-        speculative=True,
+        **{"speculative": True, **fields},
     )
     submission = _records.Submission(
         spec=scheduler.JobSpec(id=_JOB, queue="q", payload="", steps=(step,)),
