Lose the tasks of an unreached runner whose VM is off

A runner that crashed while there was no scheduler stays in the registry until its entry lapses, and its VM stays in the list, as down. The next scheduler waited for its leases for as long as for any runner that does not answer, unless the runner's address refused connections.

A VM that is listed as down, moving or in maintenance has no runner. If it is so in lists over 1 s that were asked for after the runner was known, and no VM names the runner, the tasks of a runner that has not answered this scheduler are requeued. A runner that was reached is waited for by the leases that were granted to it, as before.

VMs lose power several at a time, so a VM that is down is not counted as a crash: as after leases that have run out, its runs are remembered for 60 s and are held against their tasks only if the VM comes back with another runner. A VM that is moving or in maintenance was taken by another scheduler, and nothing is held against them at all.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_departures.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_departures.py
@@ -19,6 +19,8 @@
 _LIST_AGREEMENT_SECONDS = 1.0
 # How far the list of VMs may lag behind a runner's start.
 _LIST_LAG_SECONDS = 0.3
+# Evidence that leaves open whether the runner crashed.
+VM_IS_DOWN = f"its VM is {_ports.VmState.DOWN}"
 _STATES_WITHOUT_RUNNER = (
     _ports.VmState.DOWN,
     _ports.VmState.MOVING,
@@ -36,6 +38,7 @@
 
     requested_at: float
     runners: frozenset[str]
+    states: dict[str, _ports.VmState]
     may_lack_runner: bool
 
 
@@ -45,7 +48,7 @@
     Example: from 5 s on, the registry has been read every 0.4 s and the list
     of VMs every 0.7 s. Neither names runner ``i-1``, and all VMs that are up
     have other runners. From the reads of 7 s on
-    ``why_ended("i-1", since=4.0)`` is "no VM has its runner".
+    ``why_ended("i-1", vm="", since=4.0)`` is "no VM has its runner".
     """
 
     def __init__(self) -> None:
@@ -78,13 +81,14 @@
             lists = lists[1:]
         self._vm_lists = lists
 
-    def why_ended(self, runner: str, *, since: float) -> str:
+    def why_ended(self, runner: str, *, vm: str, since: float) -> str:
         """Return how the platform shows that a runner has ended.
 
         Empty if it shows nothing of the kind, which proves nothing.
 
         Args:
             runner: The runner's id.
+            vm: Its VM; empty if that is not known.
             since: When it was known to have started, in seconds of the
                 monotonic clock. Only later lists count.
         """
@@ -96,6 +100,9 @@
             or any(runner in each.runners for each in lists)
         ):
             return ""
+        states = [each.states.get(vm) for each in lists]
+        if vm and all(state in _STATES_WITHOUT_RUNNER for state in states):
+            return f"its VM is {states[-1]}"
         if self._is_unregistered(runner) and not any(
             each.may_lack_runner for each in lists
         ):
@@ -129,6 +136,7 @@
     return _VmList(
         requested_at=event.requested_at,
         runners=frozenset(vm.runner for vm in event.vms if vm.runner),
+        states={vm.name: vm.state for vm in event.vms},
         may_lack_runner=not event.vms
         or any(_may_have_runner(vm, standby_pools) for vm in event.vms),
     )
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_gone_runners.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_gone_runners.py
@@ -49,7 +49,7 @@
     def handle(self, event: _link_events.RunnerFoundGone) -> None:
         """Record that a runner's process has ended, and requeue its tasks."""
         worker = self._workers.get(event.runner, event.lifetime)
-        if worker is None or worker.gone:
+        if worker is None or worker.is_settled:
             return
         self._requeue_tasks(worker, event.evidence, event.ended_at)
         self._workers.replace_link(worker)
@@ -58,7 +58,7 @@
         """Requeue the tasks of a runner that was removed as it restarted."""
         # A runner that was found gone before has tasks only if their row was
         # read again since.
-        if not worker.gone or worker.placed:
+        if not worker.is_settled or worker.placed:
             self._requeue_tasks(
                 worker, "another lifetime answers", _last_answer_at(worker)
             )
@@ -66,7 +66,7 @@
     def handle_refusal(self, event: _link_events.RunnerRefuses) -> None:
         """Look whether a runner that refuses connections has ended."""
         worker = self._workers.get(event.runner, event.lifetime)
-        if worker is None or worker.gone or not worker.runs:
+        if worker is None or worker.is_settled or not worker.runs:
             return
         self._counters.add("runners_refusing", pool=worker.entry.pool)
         _logs.log(
@@ -81,7 +81,9 @@
     def handle_vm_list(self) -> None:
         """Record unreachable runners as ended that the list shows ended."""
         for worker in self._workers:
-            if worker.gone or not worker.runs or not _is_out_of_reach(worker):
+            if worker.is_settled or not worker.runs:
+                continue
+            if not _is_out_of_reach(worker):
                 continue
             evidence = self._fleet.why_ended(worker)
             if evidence:
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_workers.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_workers.py
@@ -214,6 +214,11 @@
         """Whether the runner has announced that it leaves."""
         return self.entry.state is _ports.RunnerState.DRAINING
 
+    @property
+    def is_settled(self) -> bool:
+        """Whether its end is known and no crash is looked for."""
+        return self.gone and not self.lost_runs
+
     def record_end(self, job_id: str, succeeded: bool) -> None:
         """Record how a task ended.
 
@@ -528,13 +533,16 @@
         No order that was queued reaches a later process at its address.
         Nothing is started on the runner unless it answers again.
         """
-        worker.link.stop()
-        worker.link = self._connect(worker.entry)
-        worker.gone = True
+        self._connect_anew(worker)
         worker.placed.clear()
         worker.abandoned.clear()
         worker.lost_runs.clear()
 
+    def _connect_anew(self, worker: Worker) -> None:
+        worker.link.stop()
+        worker.link = self._connect(worker.entry)
+        worker.gone = True
+
     def mark_alive(self, worker: Worker) -> None:
         """Record that a runner answers that was held to have ended."""
         worker.gone = False
@@ -573,10 +581,12 @@
         if lifetimes and lifetimes <= self._departed.get(runner, frozenset()):
             return "it had left before"
         since = self._awaiting_since.get(runner, float("-inf"))
+        vm = ""
         if worker is not None:
             # An earlier lifetime may have been reached just before this one.
             since = max(since, worker.known_at, worker.took_over_at)
-        return self._departures.why_ended(runner, since=since)
+            vm = worker.vm
+        return self._departures.why_ended(runner, vm=vm, since=since)
 
     def _lifetimes_of(self, runner: str) -> frozenset[int]:
         """Return the lifetimes in which a runner may have tasks."""
@@ -607,7 +617,10 @@
         if worker is not None:
             placed = worker.placed.values()
             tasks += [(each.job, each.task) for each in placed]
-            self.replace_link(worker)
+            worker.lose_runs(_clock.monotonic_seconds())
+            if evidence != _departures.VM_IS_DOWN:
+                worker.lost_runs.clear()
+            self._connect_anew(worker)
         return tasks
 
     def pop_expired(self, max_lease_seconds: float) -> list[JobTask]:
--- a/tests/features/ended_unreached.feature
+++ b/tests/features/ended_unreached.feature
@@ -55,6 +55,47 @@
     When the registry has it until 1.0 s
     Then run 1 is lost for "no VM has its runner" after 3.2 to 3.8 s
 
+  # Guards against LOST, and against giving up tasks whose runners lose power
+  # one after another: a crash is counted only if the VM has another runner.
+  Scenario Outline: The VM of a runner that does not answer is listed as <state>
+    Given a new scheduler with a task on runner "i-1", which does not answer
+    When its VM is listed as <state> without a runner
+    Then run 1 is lost for "its VM is <state>" after 1.3 to 2.3 s
+    And run 2 starts on runner "i-2" in the same round
+    And no crash is held against the task
+    And no order that was queued for runner "i-1" is sent
+    When its VM has another runner
+    Then <crashes> crash is held against the task
+
+    Examples:
+      | state       | crashes |
+      | down        | 1       |
+      | moving      | 0       |
+      | maintenance | 0       |
+
+  # Guards against TWICE: what shows less of a runner whose VM is known.
+  Scenario Outline: A runner that does not answer may live while <fact>
+    Given a new scheduler with a task on runner "i-1", which does not answer
+    When <fact>
+    Then run 1 is not lost within 8.5 s
+
+    Examples:
+      | fact                                            |
+      | a VM that is up has it                          |
+      | its VM is down only in every second list        |
+      | its VM is down, and another has it              |
+      | its VM is down, and has it                      |
+      | a VM that is up has no runner                   |
+      | a VM in a state that is not known has no runner |
+
+  # Guards against TWICE: a runner that was reached may have got leases by this
+  # scheduler, and is waited for by what it has granted.
+  Scenario: A runner that has answered is waited for
+    Given a new scheduler with a task on runner "i-1", which does not answer
+    When runner "i-1" answers once
+    And its VM is listed as down without a runner
+    Then run 1 is not lost within 8.5 s
+
   # Guards against LOST: the next holder waited for a runner that had ended.
   Scenario: The next holder is left no wait for a runner that has ended
     Given a new scheduler with a task on runner "i-1", which has left
--- a/tests/features/steps/ended_unreached_steps.py
+++ b/tests/features/steps/ended_unreached_steps.py
@@ -207,6 +207,14 @@
     _make_scheduler(context, long_lived=True)
 
 
+@given('a new scheduler with a task on runner "i-1", which does not answer')
+def _scheduler_with_silent_runner(context):
+    _make_scheduler(context)
+    context.platform.entries[_RUNNER] = _entry(_RUNNER, vm=_VM)
+    context.platform.vms[_VM] = _vm(_VM, _UP, _RUNNER)
+    _pass_step(context)
+
+
 def _list_vm(name, state, runner="", pool="p"):
     def list_it(platform):
         platform.vms[name] = _vm(name, state, runner, pool)
@@ -250,10 +258,22 @@
     platform.vms[_VM] = _vm(_VM, _UP, _RUNNER if count % 2 else "i-9")
 
 
+def _down_every_second(platform, count):
+    has_runner = count % 2
+    platform.vms[_VM] = (
+        _vm(_VM, _UP, _RUNNER) if has_runner else _vm(_VM, _DOWN)
+    )
+
+
 def _list_twice(platform, count):
     platform.list_fails = count not in (0, 2)
 
 
+def _down_with_another(platform):
+    platform.vms[_VM] = _vm(_VM, _DOWN)
+    platform.vms["m-3"] = _vm("m-3", _UP, _RUNNER)
+
+
 _FACTS = {
     "the registry has it": _register(_entry(_RUNNER)),
     "the registry has it in another lifetime": _register(
@@ -276,9 +296,19 @@
         "list", _list_twice
     ),
     "the VMs can't be listed": _set(list_fails=True),
+    "its VM is down only in every second list": _change(
+        "list", _down_every_second
+    ),
+    "its VM is down, and another has it": _down_with_another,
+    "its VM is down, and has it": _list_vm(_VM, _DOWN, _RUNNER),
     "a VM of a standby pool is listed as up without a runner": _list_vm(
         "m-9", _UP, pool=_STANDBY_POOL
     ),
+    "its VM is listed as down without a runner": _list_vm(_VM, _DOWN),
+    "its VM is listed as moving without a runner": _list_vm(_VM, _MOVING),
+    "its VM is listed as maintenance without a runner": _list_vm(
+        _VM, _ports.VmState.MAINTENANCE
+    ),
 }
 
 
@@ -315,6 +345,17 @@
     _pass_seconds(context, seconds)
 
 
+@when('runner "i-1" answers once')
+def _answers_once(context):
+    context.made_links[_RUNNER][-1].reached = True
+
+
+@when("its VM has another runner")
+def _vm_has_another(context):
+    context.platform.vms[_VM] = _vm(_VM, _UP, "i-9")
+    _pass_seconds(context, 1.0)
+
+
 @when("an entry of it comes back in the registry")
 def _entry_back(context):
     context.platform.entries[_RUNNER] = _entry(_RUNNER, vm=_VM)
@@ -373,6 +414,13 @@
     assert context.task.runner == _OTHER_RUNNER, context.task
 
 
+@then('no order that was queued for runner "i-1" is sent')
+def _no_orders(context):
+    *ended, current = context.made_links[_RUNNER]
+    assert ended and all(link.stopped for link in ended), ended
+    assert not current.stopped and not current.stops, current
+
+
 def _left_waits(context):
     return context.controller._workers.remaining_waits(_MAX_LEASE_SECONDS)
 
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -1013,6 +1013,15 @@
         feature="ended_unreached",
         scenario="A runner may live while a VM that is up has it",
     ),
+    Mutant(
+        promise="unreached: a runner that has answered is waited for",
+        package="peridotsill_jobs",
+        module="_workers.py",
+        old='worker.link.reached:\n            return ""\n        lifetimes',
+        new='False:\n            return ""\n        lifetimes',
+        feature="ended_unreached",
+        scenario="A runner that has answered is waited for",
+    ),
     Mutant(
         promise="unreached: another lifetime of an ended runner may live",
         package="peridotsill_jobs",
@@ -1031,6 +1040,15 @@
         feature="ended_unreached",
         scenario="A runner that was held to have ended is in use again",
     ),
+    Mutant(
+        promise="unreached: no order queued for an ended runner is sent",
+        package="peridotsill_jobs",
+        module="_workers.py",
+        old="lost_runs.clear()\n            self._connect_anew(worker)",
+        new="lost_runs.clear()",
+        feature="ended_unreached",
+        scenario="The VM of a runner that does not answer",
+    ),
     Mutant(
         promise="unreached: the next holder doesn't wait for an ended runner",
         package="peridotsill_jobs",
