Let runners of the stand-in drain and leave for good, and show the late restarts

If a scheduler is killed and a runner leaves before the next one has reached it, callers see the runner's long-lived tasks away for 11.4 to 13.3 s after the last disturbance, though there is room for them. The users' bound is 7 s.

The stand-in could not show it. Its runners drain now for a set time and leave: their runs end, registry and list of VMs have neither any more, and nothing answers at the address. The store can be silent to everyone, so that all entries lapse and are back within 2 s of its return; a VM can lose power for good; a runner may not reach the store, or only answer one epoch; one of a caller's lists of VMs can leave out a VM. None of this is drawn in the sequences of faults, as their draws would be others.

Whether a rule is broken after the late start was not checked, as the scenarios end before.

--- a/tests/emulator/drawn.py
+++ b/tests/emulator/drawn.py
@@ -27,13 +27,17 @@
     {"count": 4, "cpu": 4000, "estimated_ms": 300},
     {"count": 2, "cpu": 8000, "estimated_ms": 300, "after": [0]},
 ]
-# Does nothing, or would leave no node or no VM if drawn three times.
+# Does nothing, or would leave no node or no VM if drawn three times. The last
+# is left out so that seeds stand for the sequences that they stood for.
 _EXCLUDED_FAULTS = frozenset(
     {
         "nothing fails",
         "the scheduler is killed",
         "the scheduler is stopped by SIGTERM",
         "a VM crashes for good",
+        "a VM loses power for good",
+        "a runner drains for 3 s and leaves for good",
+        "the store is silent for 4 s and the registry's entries lapse",
     }
 )
 
--- a/tests/emulator/faults.py
+++ b/tests/emulator/faults.py
@@ -108,6 +108,11 @@
     cluster.world.store.faults.lost_answers = 5
 
 
+@fault("the store is silent for 4 s and the registry's entries lapse")
+def _store_silent_to_all(cluster):
+    cluster.world.silence_store(4)
+
+
 @fault("the store takes 0.2 s for each answer")
 def _store_slow(cluster):
     cluster.world.store.faults.answer_delay_seconds = 0.2
@@ -199,6 +204,16 @@
     cluster.world.vms.pop(runner.vm)
 
 
+@fault("a runner drains for 3 s and leaves for good")
+def _drain_and_leave(cluster):
+    cluster.world.drain(_busiest_runner(cluster), 3)
+
+
+@fault("a VM loses power for good")
+def _lose_power(cluster):
+    cluster.world.crash_for_good(_busiest_runner(cluster))
+
+
 @fault("all nodes are killed and started again")
 def _restart_all(cluster):
     time.sleep(0.3)
--- a/tests/emulator/runners.py
+++ b/tests/emulator/runners.py
@@ -54,7 +54,11 @@
     requests to start or stop a run, and executes them that much later; if
     ``answer_500`` is set too, it answers them with status 500 at once. With
     ``unhealthy_stops`` it answers a stop with status 503 and does nothing.
-    It takes ``hold_seconds`` more to answer a poll.
+    It takes ``hold_seconds`` more to answer a poll. An ``unregistered`` one
+    does not reach the store, so that its entry in the registry lapses.
+    Requests under ``unheard_epoch`` get no answer, nor do those under
+    another epoch than ``only_epoch`` if that is set: a partition between
+    the runner and some schedulers.
     """
 
     silent: bool = False
@@ -63,6 +67,14 @@
     answer_500: bool = False
     unhealthy_stops: bool = False
     hold_seconds: float = 0.0
+    unregistered: bool = False
+    unheard_epoch: int = 0
+    only_epoch: int = 0
+
+    def cuts_off(self, epoch):
+        """Tell whether requests under an epoch don't reach the runner."""
+        is_other = self.only_epoch and epoch != self.only_epoch
+        return bool(is_other) or epoch == self.unheard_epoch
 
 
 class Runner:
@@ -83,6 +95,7 @@
         self.labels = labels
         self.born = int(time.time() * 1000)
         self.state = "ready"
+        self.leaves_at = float("inf")
         self.faults = RunnerFaults()
         self.lock = threading.Condition()
         self.runs = {}
@@ -100,8 +113,10 @@
         """Return the milliseconds since this runner was created."""
         return (time.monotonic() - self._clock_start) * 1000.0
 
-    def _inject_faults(self):
-        if self.faults.silent:
+    def _inject_faults(self, body):
+        epoch = body.get("fencing_token", 0)
+        is_cut_off = bool(epoch) and self.faults.cuts_off(epoch)
+        if self.faults.silent or is_cut_off:
             raise UnansweredError(self.id)
         if not self.up:
             raise CrashedError(self.id)
@@ -138,7 +153,7 @@
 
     def start(self, body, delayed=False):
         """Start a run; ``delayed`` requests are not delayed again."""
-        self._inject_faults()
+        self._inject_faults(body)
         if not delayed:
             self._delay_request(self.start, body)
         with self.lock:
@@ -187,7 +202,7 @@
         A run that is not known here yet is refused if its start arrives
         later.
         """
-        self._inject_faults()
+        self._inject_faults(body)
         if self.faults.unhealthy_stops:
             raise RunnerStatusError(503)
         if not delayed:
@@ -208,7 +223,7 @@
         Drops the ended runs that the request acknowledges. Without an ended
         run to report it waits up to ``wait_ms`` for one.
         """
-        self._inject_faults()
+        self._inject_faults(body)
         time.sleep(self.faults.hold_seconds)
         deadline = time.monotonic() + body.get("wait_ms", 0) / 1000.0
         with self.lock:
@@ -224,7 +239,7 @@
             while not self.ended and time.monotonic() < deadline and self.up:
                 self.lock.wait(0.02)
                 self._end_due_runs()
-            self._inject_faults()
+            self._inject_faults(body)
             return {
                 "clock_ms": self.clock_ms(),
                 "born": self.born,
@@ -237,7 +252,7 @@
 
     def pace(self, body):
         """Set the share of full speed of a run, in percent."""
-        self._inject_faults()
+        self._inject_faults(body)
         with self.lock:
             self._check_fence(body)
             current = self.runs.get(body["task"])
@@ -322,9 +337,16 @@
         ]
         return max([before[-1], *later])
 
+    def _drain_fields(self):
+        if self.leaves_at == float("inf"):
+            return {}
+        left = max(0.0, self.leaves_at - time.monotonic())
+        return {"drain_remaining_ms": int(left * 1000)}
+
     def row(self):
         """Return this runner's row in the registry."""
         return {
+            **self._drain_fields(),
             "service": self.pool,
             "machine": self.vm,
             "address": self.world.address_of(self),
--- a/tests/emulator/wire.py
+++ b/tests/emulator/wire.py
@@ -78,7 +78,7 @@
         if path in _RUNNER_METHODS:
             return self._call_runner(environ, path, json.loads(body))
         if path == "/-/machines":
-            return 200, self._world.list_machines()
+            return 200, self._world.list_machines(caller)
         if path in ("/-/machine-move", "/-/machine-upkeep"):
             return self._disrupt_vm(environ, json.loads(body))
         return 200, self._call_store(path, query, body, caller)
--- a/tests/emulator/world.py
+++ b/tests/emulator/world.py
@@ -7,10 +7,33 @@
 import threading
 import time
 
+import attrs
+
 from emulator import rules
 from emulator import runners
 from emulator import store
 
+# How long after the return of a store that was silent the runners are in the
+# registry again, by turns.
+_RETURN_SECONDS = (0.3, 0.8, 1.2, 1.6)
+
+
+@attrs.define
+class _Omission:
+    """A VM that one of a caller's lists of VMs leaves out.
+
+    ``number`` counts the lists down to the one that does, which is 0.
+    """
+
+    vm: str
+    caller: str
+    number: int
+
+    def counts_to(self, caller):
+        """Count a caller's list; tell whether it leaves out the VM."""
+        self.number -= caller == self.caller
+        return caller == self.caller and self.number == 0
+
 
 class World:
     """A platform with pools of VMs, each of which has one runner.
@@ -67,6 +90,9 @@
         self.crash_count = 0
         self.born_offsets_ms = {}
         self._expires_at = {}
+        self._registered_at = {}
+        self._registers_from = {}
+        self._omissions = []
         self.lock = threading.RLock()
         self.commands = []
         self.highest_fences = collections.Counter()
@@ -124,7 +150,7 @@
             record["id"] = runner.id
             record["state"] = "up"
             self.runners[runner.id] = runner
-            self.write("servers", runner.id, runner.row())
+            self._write_entry(runner)
 
     def runner_of(self, vm):
         """Return the current runner of a VM."""
@@ -134,10 +160,11 @@
         """Return the names of the tasks that run on a VM."""
         return set(self.runner_of(vm).runs)
 
-    def crash(self, runner, restart_after_seconds=None):
+    def crash(self, runner, restart_after_seconds=None, silent=False):
         """Crash a runner and mark its VM as down.
 
-        Without ``restart_after_seconds`` the VM gets no new runner.
+        Without ``restart_after_seconds`` the VM gets no new runner. The
+        address of a ``silent`` one refuses no connection.
         """
         with self.lock:
             if not runner.up:
@@ -146,12 +173,46 @@
             self._expires_at[runner.id] = (
                 time.monotonic() + self.registry_expiry_seconds
             )
-            runner.end_abruptly("crashed", silent=self.crashed_vms_are_silent)
+            runner.end_abruptly(
+                "crashed", silent=silent or self.crashed_vms_are_silent
+            )
         if restart_after_seconds is not None:
             threading.Timer(
                 restart_after_seconds, self._start_runner, (runner.vm,)
             ).start()
 
+    def crash_for_good(self, runner):
+        """Crash a runner as a VM does that loses power and never returns.
+
+        Its address is silent, and its VM is listed as down, without a runner.
+        """
+        with self.lock:
+            self.crash(runner, silent=True)
+            self.vms[runner.vm]["id"] = ""
+
+    def drain(self, runner, seconds):
+        """Let a runner drain, which goes on serving, and leave later."""
+        with self.lock:
+            runner.state = "draining"
+            runner.leaves_at = time.monotonic() + seconds
+            self._write_entry(runner)
+        timer = threading.Timer(seconds, self.leave, (runner,))
+        timer.daemon = True
+        timer.start()
+
+    def leave(self, runner):
+        """Let a runner leave for good, and its VM with it.
+
+        All that runs there ends, the registry and the VM service list
+        neither any more, and nothing ever answers at its address.
+        """
+        with self.lock:
+            if not runner.up or self._stopped.is_set():
+                return
+            runner.end_abruptly("left", silent=True)
+            self.vms.pop(runner.vm, None)
+            self._remove_entry(runner)
+
     def refuse_connections(self, runner, seconds):
         """Let a runner's address refuse connections, while its runs go on."""
         runner.listener.close()
@@ -192,22 +253,86 @@
                 return runner
         return None
 
+    # The registry.
+
     def _refresh_registry(self):
         while not self._stopped.wait(0.5):
             for runner in tuple(self.runners.values()):
-                if runner.up:
-                    self.write("servers", runner.id, runner.row())
-                elif time.monotonic() > self._expires_at.get(runner.id, 0.0):
-                    self.write("servers", runner.id, None)
-                    self.runners.pop(runner.id, None)
+                with self.lock:
+                    self._refresh_entry(runner)
+
+    def _refresh_entry(self, runner):
+        now = time.monotonic()
+        if self.runners.get(runner.id) is not runner:
+            return
+        if not runner.up:
+            if now > self._expires_at.get(runner.id, 0.0):
+                self._remove_entry(runner)
+        elif self._reaches_store(runner, now):
+            self._write_entry(runner)
+        elif self._has_lapsed(runner, now):
+            self.write("servers", runner.id, None)
+
+    def _reaches_store(self, runner, now):
+        return not runner.faults.unregistered and now > (
+            self._registers_from.get(runner.id, 0.0)
+        )
+
+    def _has_lapsed(self, runner, now):
+        """Tell whether a runner's entry is there and has to be removed."""
+        expiry = self._registered_at[runner.id] + self.registry_expiry_seconds
+        return now > expiry and self.read("servers", runner.id) is not None
+
+    def _write_entry(self, runner):
+        self._registered_at[runner.id] = time.monotonic()
+        self.write("servers", runner.id, runner.row())
+
+    def _remove_entry(self, runner):
+        self.write("servers", runner.id, None)
+        self.runners.pop(runner.id, None)
+
+    def silence_store(self, seconds):
+        """Let the store answer nobody for a while, nor take entries.
+
+        Entries of the registry lapse meanwhile. Those of runners that live
+        are back within about 2 s of the store's return.
+        """
+        silent = self.store.faults.silent
+        returns_at = time.monotonic() + seconds
+        with self.lock:
+            for number, runner in enumerate(self.runners.values()):
+                self._registers_from[runner.id] = (
+                    returns_at + _RETURN_SECONDS[number % len(_RETURN_SECONDS)]
+                )
+            silent.add(store.EVERYONE)
+        timer = threading.Timer(seconds, silent.discard, (store.EVERYONE,))
+        timer.daemon = True
+        timer.start()
 
     # The VM service.
 
-    def list_machines(self):
+    def omit_vm(self, vm, caller, number):
+        """Leave a VM out of one list: a caller's next, or a later one.
+
+        ``number`` is 1 for the next list that this caller reads.
+        """
+        with self.lock:
+            self._omissions.append(
+                _Omission(vm=vm, caller=caller, number=number)
+            )
+
+    def list_machines(self, caller=""):
         """Return all VMs as the body of an answer."""
         with self.lock:
+            omitted = {
+                each.vm for each in self._omissions if each.counts_to(caller)
+            }
             return {
-                "machines": [dict(vm) for vm in self.vms.values()],
+                "machines": [
+                    dict(record)
+                    for vm, record in self.vms.items()
+                    if vm not in omitted
+                ],
                 "next_token": None,
             }
 
