Grant no lease of a run after a pause past the last poll

A scheduler whose own lease has expired polls for 6 s more, and the next holder counts on that. It looked at the clock when it decided to poll and granted a moment later; if its process was paused in between, the lease that it granted lasted longer than the next holder waited, and a task could be started elsewhere while it ran.

The grant itself now looks at how long the lease has expired, after it has read the time from which it counts.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_grants.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_grants.py
@@ -1,6 +1,7 @@
 """Leases of runs, granted on an estimate of the runner's clock."""
 
 from peridotsill_jobs import _clock
+from peridotsill_jobs import _earlier_grants
 from peridotsill_jobs import _lease
 from peridotsill_jobs import _ports
 
@@ -84,6 +85,15 @@
         """Whether the runner has answered recently enough for a lease."""
         return self._may_extend_at(_clock.monotonic_seconds())
 
+    @property
+    def _may_grant(self) -> bool:
+        """Whether the next holder expects that leases are granted yet."""
+        since_expiry = self._lease.seconds_since_expiry
+        return (
+            not self._lease.lost
+            and since_expiry <= _earlier_grants.POLL_WITHOUT_LEASE_SECONDS
+        )
+
     def _may_extend_at(self, now: float) -> bool:
         return not self.refused and (
             now - self._last_clock[1] <= _GRANT_WINDOW_SECONDS
@@ -115,12 +125,12 @@
         or has refused a connection since:
         requests to it may still arrive, and leases extended on and on would
         never expire, so that its tasks could not be started elsewhere. None
-        also once the scheduler's own lease is lost or released, as the next
-        holder relies on no more grants.
+        also once the scheduler's own lease is lost, released or expired for
+        long, as the next holder relies on no more grants.
         """
         # One time for all: a pause after it can only shorten the lease.
         now = _clock.monotonic_seconds()
-        if not self._may_extend_at(now) or self._lease.lost:
+        if not self._may_extend_at(now) or not self._may_grant:
             return None
         clock_ms, read_at = self._last_clock
         passed_ms = (now - read_at) * 1000.0
--- a/tests/features/steps/holder_steps.py
+++ b/tests/features/steps/holder_steps.py
@@ -13,6 +13,7 @@
 from emulator import stubs
 import returns.result
 
+from peridotsill_jobs import _earlier_grants
 from peridotsill_jobs import _holder_check
 from peridotsill_jobs import _inherited_leases
 from peridotsill_jobs import _lease
@@ -131,6 +132,21 @@
     context.renewed_at = context.clock.now
 
 
+@given("the holder is paused for {seconds:g} s as it grants its last lease")
+def _paused_as_it_grants(context, seconds):
+    poller = context.runner._poller
+    send_poll = poller._send_poll
+    last_look = _earlier_grants.POLL_WITHOUT_LEASE_SECONDS - 2 * _STEP_SECONDS
+
+    def pause_and_send():
+        if context.holder.seconds_since_expiry > last_look:
+            poller._send_poll = send_poll
+            context.clock.now += seconds
+        send_poll()
+
+    poller._send_poll = pause_and_send
+
+
 def _pass_time(context):
     context.clock.now += _STEP_SECONDS
     context.runner.answer()
@@ -212,6 +228,16 @@
     assert seconds_left > -_lease.LEASE_SECONDS, seconds_left
 
 
+@then("the run is given up after its lease has ended")
+def _given_up_after(context):
+    for _ in range(_MAX_STEPS):
+        _pass_time(context)
+        if context.workers.pop_expired(_MAX_LEASE_SECONDS):
+            break
+    seconds_left = context.runner.lease_seconds_left
+    assert seconds_left < 0, f"its lease lasts {seconds_left:.2f} s more"
+
+
 @then("only the time since the last renewal counts for the hand-over")
 def _handover_counts_from_renewal(context):
     elapsed = context.clock.now - context.renewed_at
