Wait for the last grant in full on a slow clock

Between a runner's answers its clock is estimated at our rate, and may fall behind by 2%. So a lease that is granted up to 1.6 s after the last answer lasts up to 0.03 s longer than the next holder waited for it. The lease's own margin hid that as long as no holder was known to have stopped at a certain time.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_grants.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_grants.py
@@ -22,10 +22,15 @@
 def longest_lease_seconds(max_lease_seconds: float) -> float:
     """Return how long a lease of a run may last that was granted just now.
 
+    The runner's clock may have fallen behind its estimate since its last
+    answer.
+
     Args:
         max_lease_seconds: The platform's longest lease of a run.
     """
-    return _granted_seconds(max_lease_seconds) / _MIN_CLOCK_RATE
+    clock_error_seconds = _GRANT_WINDOW_SECONDS * (1.0 - _MIN_CLOCK_RATE)
+    granted_seconds = _granted_seconds(max_lease_seconds)
+    return (granted_seconds + clock_error_seconds) / _MIN_CLOCK_RATE
 
 
 def _granted_seconds(max_lease_seconds: float) -> float:
--- a/tests/features/steps/waits_steps.py
+++ b/tests/features/steps/waits_steps.py
@@ -9,6 +9,7 @@
 import returns.result
 
 from peridotsill_jobs import _clock
+from peridotsill_jobs import _grants
 from peridotsill_jobs import _holder_check
 from peridotsill_jobs import _inherited_leases
 from peridotsill_jobs import _lease
@@ -300,6 +301,32 @@
     assert lost == [(context.job, context.job.tasks[0])], lost
 
 
+@given("a runner whose clock is 2% slow and was read 1.59 s ago")
+def _slow_runner_clock(context):
+    context.clock = _Clock(context)
+    context.grants = _grants.Grants(
+        lease=unittest.mock.Mock(lost=False, seconds_since_expiry=-1.0),
+        max_lease_seconds=_MAX_LEASE_SECONDS,
+    )
+    context.grants.record_report(
+        unittest.mock.Mock(clock_ms=5000.0, running=())
+    )
+    context.clock.now += 1.59
+    context.runner_clock_ms = 5000.0 + 1590.0 * 0.98
+
+
+@when("it is granted a lease")
+def _grant_lease(context):
+    context.lease_until_ms = context.grants.extend()
+
+
+@then("the lease ends within the time for which the next holder waits")
+def _lease_ends_in_time(context):
+    left_ms = context.lease_until_ms - context.runner_clock_ms
+    waited = _grants.longest_lease_seconds(_MAX_LEASE_SECONDS)
+    assert left_ms / 980.0 <= waited, (left_ms / 980.0, waited)
+
+
 @given("a link to a runner under a lease that is released")
 def _link_under_released_lease(context):
     _holder_killed(context)
--- a/tests/features/waits.feature
+++ b/tests/features/waits.feature
@@ -124,6 +124,13 @@
     When another node takes the lease
     Then the task counts as lost after 11.5 s
 
+  # Guards against TWICE: the estimate of a slow clock runs ahead between its
+  # answers, so that a grant lasted longer than the next holder waited.
+  Scenario: The last grant is waited for in full on a slow clock
+    Given a runner whose clock is 2% slow and was read 1.59 s ago
+    When it is granted a lease
+    Then the lease ends within the time for which the next holder waits
+
   Scenario: A node that gave the lease back grants no leases of runs
     Given a link to a runner under a lease that is released
     When the runner is polled once more
