Count on grants of holders before one that left of its own accord

A holder that released the lease, or gave it up, left its waits, and the next one took it for certain that nobody before it granted leases any more. If that next one was killed, its own next process believed the row and started tasks again that a first holder, cut off but alive, kept running: TWICE. Found by the review.

The end of earlier grants is now taken from the row that is replaced in this case, too. A row without a process or an address is not asked about, and a field that is null names no process.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_lease.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_lease.py
@@ -68,8 +68,10 @@
 
 
 # For each runner that does not answer, the seconds until the last lease that
-# it was granted for a run expires.
+# it was granted for a run expires; under `OTHER_RUNNERS` the same for runners
+# without an entry, if that is longer than a lease that was granted just now.
 LeaseExpiryWaits = collections.abc.Mapping[str, float]
+OTHER_RUNNERS = ""
 # Asks the node at an address whether it holds the lease under an epoch.
 AskHolder = collections.abc.Callable[
     [str, int], _holder_check.HolderState | None
@@ -307,13 +309,14 @@
         Every renewal of theirs was requested before this node first read the
         row that its own takeover replaces.
         """
+        stopped_at = self._when_stopped(row, state)
         if waits is not None:
-            longest_wait = max(waits.values(), default=0.0)
-            return _clock.monotonic_seconds() + longest_wait
+            # It stopped of its own accord, but those before it may live.
+            stopped_at = _clock.monotonic_seconds()
         earlier_seconds = row.earlier_grants_seconds
         return _earlier_grants.grants_end_at(
             lease_ends_at=row.first_read_at + LEASE_SECONDS,
-            stopped_at=self._when_stopped(row, state),
+            stopped_at=stopped_at,
             earlier_grants_end_at=(
                 None
                 if earlier_seconds is None
@@ -328,7 +331,9 @@
         moment later.
         """
         row = self._replaced_row
-        if row is None or not row.holder or self._is_own(row):
+        if row is None or not row.process or not row.address:
+            return
+        if not row.holder or self._is_own(row):
             return
         state = self._ask_holder(row.address, row.epoch)
         if state is None or self._when_stopped(row, state) is None:
@@ -546,7 +551,7 @@
                     max_capability=float(value.get("strongest", 0.0)),
                     waits=_parse_waits(value),
                     address=str(value.get("address", "")),
-                    process=str(value.get("process", "")),
+                    process=str(value.get("process") or ""),
                     earlier_grants_seconds=_parse_seconds(
                         value.get("earlier_grants_seconds")
                     ),
--- a/tests/features/lease.feature
+++ b/tests/features/lease.feature
@@ -64,6 +64,19 @@
       | leaves before it has read the rows  |
       | is started again                    |
 
+  # Guards against TWICE: the next holder had read the rows before the old one
+  # recorded the run, and knew of no runner when it left; and the holder after
+  # that one told its own next process that nobody before it may live.
+  Scenario Outline: A run is waited for though the next <how>
+    Given a lease that a node of 2 cores holds and renews
+    And a run that its holder keeps alive on a runner that only it reaches
+    When the holder is cut off and refuses connections, and the next <how>
+    Then the run is given up after its lease has ended
+
+    Examples:
+      | how                                               |
+      | leaves so, and the one after it is started again  |
+
   # Guards against TWICE: a holder that was paused between its look at the lease
   # and the grant granted a lease after the time that the next one relies on.
   Scenario Outline: A holder that is paused as it grants its last lease, as the next <how>
--- a/tests/features/steps/holder_steps.py
+++ b/tests/features/steps/holder_steps.py
@@ -195,6 +195,28 @@
     return _acquire(context, _make_lease(context, "third"))
 
 
+def _release_without_registry(context):
+    """Have the next holder leave once it has read the rows only."""
+    lease = _take_over(context)
+    workers = _workers.Workers(
+        connect=None,
+        inherited_leases=_inherited_leases.InheritedLeases(
+            get_grants_end=lambda: lease.earlier_grants_end_at
+        ),
+    )
+    _pass_time(context)
+    lease.set_waits_source(lambda: workers.remaining_waits(_MAX_LEASE_SECONDS))
+    lease.release()
+    return _acquire(context, _make_lease(context, "third"))
+
+
+def _release_and_restart(context):
+    """Have a third holder take over, and be killed and started again."""
+    _release_without_registry(context)
+    _pass_time(context)
+    return _acquire(context, _make_lease(context, "third"))
+
+
 def _start_again(context):
     _take_over(context)
     _pass_time(context)
@@ -207,6 +229,8 @@
     "leaves before it has read the rows": _release_to_another,
     "leaves without knowing of the run": _release_unaware,
     "is started again": _start_again,
+    "leaves before it has read the registry": _release_without_registry,
+    "leaves so, and the one after it is started again": _release_and_restart,
 }
 
 
