Hand over a wait for runners that a holder knows nothing of

A holder that left after it had read the rows and before the registry handed over no wait for runners that it had not heard of, so the next one waited for 3.9 s only. A first holder that is cut off but lives may have recorded a start there after the rows were read, and its leases last for longer: TWICE.

The waits now hold one for all runners without an entry, as long as it is longer than a lease that was granted just now; runners that were reached get an entry of their own then. A runner that is shown to have ended gets 0, as no entry means the default: its step checked that there was no entry, and checks for 0 now. What is left of the time in which a runner may answer its first poll is handed over as well, as a holder that leaves at once has reached nobody.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_inherited_leases.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_inherited_leases.py
@@ -43,15 +43,18 @@
         """Seconds since this scheduler took over."""
         return _clock.monotonic_seconds() - self._taken_over_at
 
-    def may_be_answered(self, known_at: float) -> bool:
-        """Tell whether a runner known since a time may answer its first poll.
+    def answer_seconds_left(self, known_at: float) -> float:
+        """Return for how long a runner may yet answer its first poll.
 
-        A holder that left waits had tried to reach its runners.
+        A holder that left waits has left that time, too, with them.
+
+        Args:
+            known_at: Since when its address is known; infinite before that.
         """
-        return (
-            self._waits is None
-            and _clock.monotonic_seconds() < known_at + _FIRST_ANSWER_SECONDS
-        )
+        if self._waits is not None:
+            return 0.0
+        now = _clock.monotonic_seconds()
+        return max(0.0, min(known_at, now) + _FIRST_ANSWER_SECONDS - now)
 
     def seconds_left(self, runner: str, max_lease_seconds: float) -> float:
         """Return how long leases of earlier holders may still last there.
@@ -84,4 +87,5 @@
         longest_seconds = _grants.longest_lease_seconds(max_lease_seconds)
         if self._waits is None:
             return longest_seconds
-        return self._waits.get(runner, longest_seconds)
+        other_seconds = self._waits.get(_lease.OTHER_RUNNERS, longest_seconds)
+        return self._waits.get(runner, other_seconds)
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_workers.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_workers.py
@@ -9,6 +9,7 @@
 from peridotsill_jobs import _departures
 from peridotsill_jobs import _grants
 from peridotsill_jobs import _inherited_leases
+from peridotsill_jobs import _lease
 from peridotsill_jobs import _links
 from peridotsill_jobs import _logs
 from peridotsill_jobs import _ports
@@ -577,8 +578,8 @@
         worker = self._workers.get(runner)
         if worker is not None and worker.link.reached:
             return ""
-        lifetimes = self._lifetimes_of(runner)
-        if lifetimes and lifetimes <= self._departed.get(runner, frozenset()):
+        departed = self._departed.get(runner)
+        if departed is not None and self._lifetimes_of(runner) <= departed:
             return "it had left before"
         since = self._awaiting_since.get(runner, float("-inf"))
         vm = ""
@@ -639,7 +640,7 @@
             if worker.link.reached:
                 expired = worker.link.leases_expired
             else:
-                expired = not self._inherited_leases.may_be_answered(
+                expired = not self._inherited_leases.answer_seconds_left(
                     worker.known_at
                 ) and self._has_inherited_expired(
                     worker.entry.id, len(worker.runs), max_lease_seconds
@@ -653,7 +654,7 @@
                     for placed in worker.placed.values()
                 ]
                 worker.lose_runs(now)
-        if self._inherited_leases.may_be_answered(self._registry_read_at):
+        if self._inherited_leases.answer_seconds_left(self._registry_read_at):
             return lost_tasks
         for runner, tasks in tuple(self._awaiting_runner.items()):
             if self._has_inherited_expired(
@@ -690,44 +691,64 @@
     def remaining_waits(self, max_lease_seconds: float) -> dict[str, float]:
         """Return the seconds that the next holder of the lease has to wait.
 
-        There is one entry for each runner that may hold tasks, does not
-        answer and is not shown to have ended: how long its leases may last
-        yet if no more are granted.
-        Without an entry, the next holder waits for as long as a grant lasts.
+        There is one entry for each runner that may hold tasks and does not
+        answer: how long its leases may last yet if no more are granted, 0 if
+        it is shown to have ended. Without an entry, the next holder waits for
+        as long as a grant lasts, or for longer under `_lease.OTHER_RUNNERS`.
         """
-        unreached = set(self._awaiting_runner)
-        wait_seconds: dict[str, float] = {}
-        default_seconds = _grants.longest_lease_seconds(max_lease_seconds)
-        for worker in tuple(self._workers.values()):
-            if not worker.placed and not worker.abandoned:
-                # An earlier holder that lives may have recorded a start
-                # there after this one had read the rows.
-                runner = worker.entry.id
-                left = self._inherited_leases.seconds_left(
-                    runner, max_lease_seconds
-                )
-                if not worker.link.reached and left > default_seconds:
-                    unreached.add(runner)
-                continue
-            if not worker.link.reached:
-                unreached.add(worker.entry.id)
-            elif worker.link.silent_seconds > _SILENT_SECONDS:
-                wait_seconds[worker.entry.id] = worker.link.seconds_to_expiry
-        for runner in unreached:
-            if not self._why_ended(runner):
-                wait_seconds[runner] = self._inherited_leases.seconds_left(
-                    runner, max_lease_seconds
-                )
+        wait_seconds = {
+            runner: self._unreached_wait_seconds(runner, max_lease_seconds)
+            for runner in self._unreached_runners()
+        }
+        longest_seconds = _grants.longest_lease_seconds(max_lease_seconds)
         for worker in tuple(self._workers.values()):
-            if self._why_ended(worker.entry.id):
+            runner = worker.entry.id
+            if self._why_ended(runner):
                 continue
+            has_tasks = worker.placed or worker.abandoned
+            if has_tasks and worker.link.reached:
+                if worker.link.silent_seconds > _SILENT_SECONDS:
+                    wait_seconds[runner] = worker.link.seconds_to_expiry
             left = _former_lease_seconds(worker, max_lease_seconds)
-            if left > wait_seconds.get(worker.entry.id, default_seconds):
-                wait_seconds[worker.entry.id] = left
+            if left > wait_seconds.get(runner, longest_seconds):
+                wait_seconds[runner] = left
+        # An earlier holder that lives may record a start on any runner after
+        # this one has read the rows.
+        other_seconds = self._inherited_leases.seconds_left(
+            _lease.OTHER_RUNNERS, max_lease_seconds
+        )
+        if other_seconds > longest_seconds:
+            for worker in tuple(self._workers.values()):
+                if worker.link.reached:
+                    wait_seconds.setdefault(worker.entry.id, longest_seconds)
+            wait_seconds[_lease.OTHER_RUNNERS] = other_seconds
         return {
             runner: max(0.0, left) for runner, left in wait_seconds.items()
         }
 
+    def _unreached_runners(self) -> set[str]:
+        """Return the runners that have not answered and may have tasks."""
+        unreached = {*self._awaiting_runner, *self._departed}
+        for runner, worker in tuple(self._workers.items()):
+            if worker.link.reached:
+                unreached.discard(runner)
+            elif worker.placed or worker.abandoned:
+                unreached.add(runner)
+        return unreached
+
+    def _unreached_wait_seconds(
+        self, runner: str, max_lease_seconds: float
+    ) -> float:
+        """Return how long to wait for a runner; 0 if it has ended."""
+        if self._why_ended(runner):
+            return 0.0
+        worker = self._workers.get(runner)
+        known_at = worker.known_at if worker else self._registry_read_at
+        return max(
+            self._inherited_leases.seconds_left(runner, max_lease_seconds),
+            self._inherited_leases.answer_seconds_left(known_at),
+        )
+
     def pop_speculative(self) -> list[JobTask]:
         """Abandon and return the speculative tasks on silent runners.
 
--- a/tests/features/lease.feature
+++ b/tests/features/lease.feature
@@ -75,6 +75,7 @@
 
     Examples:
       | how                                               |
+      | leaves before it has read the registry            |
       | leaves so, and the one after it is started again  |
 
   # Guards against TWICE: a holder that was paused between its look at the lease
--- a/tests/features/steps/ended_unreached_steps.py
+++ b/tests/features/steps/ended_unreached_steps.py
@@ -434,7 +434,7 @@
 @then('the next holder is left no wait for runner "i-1"')
 def _no_wait_left(context):
     waits = _left_waits(context)
-    assert _RUNNER not in waits, waits
+    assert waits[_RUNNER] == 0.0, waits
 
 
 @then('it is logged that runner "i-1" answers again')
