--- a/tests/features/steps/waits_steps.py
+++ b/tests/features/steps/waits_steps.py
@@ -301,6 +301,12 @@
     assert lost == [(context.job, context.job.tasks[0])], lost
 
 
+@then("the task has counted as lost within {seconds:g} s")
+def _lost_within(context, seconds):
+    context.clock.now += seconds
+    assert context.workers.pop_expired(_MAX_LEASE_SECONDS)
+
+
 @given("a runner whose clock is 2% slow and was read 1.59 s ago")
 def _slow_runner_clock(context):
     context.clock = _Clock(context)
--- a/tests/features/waits.feature
+++ b/tests/features/waits.feature
@@ -89,6 +89,27 @@
     And another node takes the lease
     Then the task counts as lost after 3.9 s
 
+  # Guards against repeated work: a holder that left at once had not reached any
+  # runner, and left waits that were over.
+  Scenario: A runner has time to answer the next holder, too
+    Given a holder of the lease that was killed
+    And a task on a runner that does not answer
+    When another node has read the lease's row before the table is away for 12 s
+    And that node takes the lease
+    And it releases the lease after 0.3 s
+    And another node takes the lease
+    Then the task counts as lost after 2.2 s
+
+  # Guards against LOST: runs that began on a next lifetime are waited for as
+  # starts are that may have reached it from the former one.
+  Scenario: A runner has restarted, answers and goes silent
+    Given a holder of the lease that reached all runners and released it
+    And a task on a runner that does not answer
+    When another node takes the lease
+    And the runner is found to have restarted just now
+    And the runner answers once and goes silent
+    Then the task has counted as lost within 6 s
+
   Scenario: A wait begins anew after a holder that had not read the rows
     Given a holder of the lease that was killed
     And a task on a runner that does not answer
