Leave the lease to more capable nodes after an outage

After an outage of the table a node with a slow link took the lease, as reads of the more capable nodes had begun in the outage and hung until they timed out.

A less capable node gives way for two poll intervals. After an outage it now gives way for as long as such a read and the next poll interval take, besides.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_lease.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_lease.py
@@ -54,6 +54,10 @@
 # After an outage the holder has this long to renew before others take over:
 # the longest renewal that may be in progress, and the pause before the next.
 _OUTAGE_GRACE_SECONDS = RENEWAL_TIMEOUT_SECONDS + _RETRY_DELAY_SECONDS
+# After an outage a less capable node leaves the lease to the others for this
+# long besides: a read of theirs that began in the outage times out, and the
+# next one follows after a poll interval.
+_LESS_CAPABLE_OUTAGE_SECONDS = RENEWAL_TIMEOUT_SECONDS + _POLL_SECONDS
 # The holder is asked whether it still holds the lease once the row has not
 # changed for this long: a renewal was due, and its commit takes some time.
 _ASK_HOLDER_SECONDS = 0.6
@@ -500,9 +504,10 @@
             self._last_row = row
             return 0.0
         if outage:
-            earliest_unchanged_since = (
-                now - LEASE_SECONDS + _OUTAGE_GRACE_SECONDS
-            )
+            grace_seconds = _OUTAGE_GRACE_SECONDS
+            if self._less_capable_delay_seconds(row):
+                grace_seconds += _LESS_CAPABLE_OUTAGE_SECONDS
+            earliest_unchanged_since = now - LEASE_SECONDS + grace_seconds
             self._last_row = last_row = attrs.evolve(
                 last_row,
                 unchanged_since=max(
--- a/tests/features/lease.feature
+++ b/tests/features/lease.feature
@@ -35,6 +35,13 @@
     When the table is unavailable for 4 s, and a node of 2 cores polls it
     Then that node takes the lease 1.3 s after the table is available again
 
+  # Guards against LOST: reads of the more capable nodes hung when the table came
+  # back, so a node with a slow link took the lease, and took 6 s to begin.
+  Scenario: After an outage of the table a less capable node leaves the lease to others
+    Given a lease that a node of 2 cores held and stopped renewing
+    When the table is unavailable for 4 s, and a node of 0.2 cores polls it
+    Then that node takes the lease 4.1 s after the table is available again
+
   Scenario Outline: A holder that is asked <how> is replaced after <seconds> s
     Given a lease that a node of 2 cores held and stopped renewing
     When a node of 2 cores polls it and the holder <how>
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -499,6 +499,15 @@
         feature="lease",
         scenario="After an outage of the table its holder goes on",
     ),
+    Mutant(
+        promise="lease: less capable nodes leave it to others after an outage",
+        package="peridotsill_jobs",
+        module="_lease.py",
+        old="                grace_seconds += _LESS_CAPABLE_OUTAGE_SECONDS",
+        new="                pass",
+        feature="lease",
+        scenario="After an outage of the table a less capable node",
+    ),
     Mutant(
         promise="lease: released even if a renewal's outcome is unknown",
         package="peridotsill_jobs",
