--- a/tests/features/ended_unreached.feature
+++ b/tests/features/ended_unreached.feature
@@ -99,9 +99,9 @@
   # Guards against LOST: the next holder waited for a runner that had ended.
   Scenario: The next holder is left no wait for a runner that has ended
     Given a new scheduler with a task on runner "i-1", which has left
-    When 1 s pass
+    When the new scheduler goes on for 1 s
     Then the next holder is left a wait for runner "i-1"
-    When 2 s pass
+    When the new scheduler goes on for 2 s
     Then the next holder is left no wait for runner "i-1"
     When an entry of it comes back in the registry
     Then the next holder is left no wait for runner "i-1"
@@ -112,14 +112,14 @@
   # Guards against TWICE: what ended was an earlier lifetime of the runner.
   Scenario: The runner comes back in another lifetime
     Given a new scheduler with a task on runner "i-1", which has left
-    When 3 s pass
+    When the new scheduler goes on for 3 s
     And the registry has it in another lifetime
     And a row names run 1 on runner "i-1" of that lifetime
     Then run 1 is not lost within 5 s
 
   Scenario: A runner that was held to have ended answers
     Given a new scheduler with a task on runner "i-1", which has left
-    When 3 s pass
+    When the new scheduler goes on for 3 s
     And an entry of it comes back in the registry
     And runner "i-1" answers
     Then it is logged that runner "i-1" answers again
@@ -128,7 +128,7 @@
   # ended, as soon as the registry had lost it for a moment.
   Scenario: A runner that was held to have ended is in use again
     Given a new scheduler with a task on runner "i-1", which has left
-    When 3 s pass
+    When the new scheduler goes on for 3 s
     And an entry of it comes back in the registry
     And runner "i-1" answers
     And the registry loses it for a moment
--- a/tests/features/steps/ended_unreached_steps.py
+++ b/tests/features/steps/ended_unreached_steps.py
@@ -340,8 +340,8 @@
     _change("registry", lose)(context.platform)
 
 
-@when("{seconds:g} s pass")
-def _seconds_pass(context, seconds):
+@when("the new scheduler goes on for {seconds:g} s")
+def _go_on(context, seconds):
     _pass_seconds(context, seconds)
 
 
