Take the registry's refresh of the stand-in out of its lock

The stand-in's entries were written under the world's lock for a while, which held up requests at a high load. Entries of runners that left are removed as those of crashed ones are.

--- a/tests/emulator/world.py
+++ b/tests/emulator/world.py
@@ -211,7 +211,7 @@
                 return
             runner.end_abruptly("left", silent=True)
             self.vms.pop(runner.vm, None)
-            self._remove_entry(runner)
+            self.write("servers", runner.id, None)
 
     def refuse_connections(self, runner, seconds):
         """Let a runner's address refuse connections, while its runs go on."""
@@ -258,8 +258,7 @@
     def _refresh_registry(self):
         while not self._stopped.wait(0.5):
             for runner in tuple(self.runners.values()):
-                with self.lock:
-                    self._refresh_entry(runner)
+                self._refresh_entry(runner)
 
     def _refresh_entry(self, runner):
         now = time.monotonic()
@@ -267,7 +266,8 @@
             return
         if not runner.up:
             if now > self._expires_at.get(runner.id, 0.0):
-                self._remove_entry(runner)
+                self.write("servers", runner.id, None)
+                self.runners.pop(runner.id, None)
         elif self._reaches_store(runner, now):
             self._write_entry(runner)
         elif self._has_lapsed(runner, now):
@@ -287,10 +287,6 @@
         self._registered_at[runner.id] = time.monotonic()
         self.write("servers", runner.id, runner.row())
 
-    def _remove_entry(self, runner):
-        self.write("servers", runner.id, None)
-        self.runners.pop(runner.id, None)
-
     def silence_store(self, seconds):
         """Let the store answer nobody for a while, nor take entries.
 
