Move what is known of the last holder out of the lease

_lease.py decided when earlier holders stop granting leases beside the election, the row's format and the threads. That is now a class of _earlier_grants.py; nothing else changes.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_lease.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_lease.py
@@ -155,8 +155,8 @@
         self._failed_renewals = 0
         self._unchanged_seconds_at_takeover = 0.0
         self._earlier_grants_end_at = 0.0
-        # The row that the last takeover replaced.
-        self._replaced_row: _ObservedRow | None = None
+        # The holder that the last takeover replaced.
+        self._last_holder: _earlier_grants.LastHolder | None = None
         # Names this process for others: its node's name may have had another.
         self._process = uuid.uuid4().hex
         # When this process listened at its address for the first time.
@@ -280,11 +280,11 @@
                 unchanged_seconds=round(unchanged_seconds, 2),
             )
         self._max_capability = max(row.max_capability, self._capability)
+        last_holder = self._make_last_holder(row)
+        stopped_at = self._when_stopped(last_holder, state, waits)
         with self._lock:
-            self._replaced_row = row
-            self._earlier_grants_end_at = self._grants_end_at(
-                row, state, waits
-            )
+            self._last_holder = last_holder
+            self._earlier_grants_end_at = last_holder.grants_end_at(stopped_at)
         self._inherited_waits = waits
         self._compute_waits = None
         if not self._commit_as_holder(row.version, row.epoch + 1):
@@ -293,7 +293,7 @@
             "lease:acquired",
             epoch=self._epoch,
             previous_holder=row.holder,
-            was_own=self._is_own(row),
+            was_own=self._is_own(row.holder, row.address),
             unchanged_seconds=round(unchanged_seconds, 3),
             waits_handed_over=waits is not None,
             earlier_grants_seconds=round(
@@ -302,25 +302,21 @@
         )
         return True
 
-    def _grants_end_at(
-        self,
-        row: _ObservedRow,
-        state: _holder_check.HolderState | None,
-        waits: LeaseExpiryWaits | None = None,
-    ) -> float:
-        """Return when no earlier holder grants leases of runs any more.
+    def _make_last_holder(
+        self, row: _ObservedRow
+    ) -> _earlier_grants.LastHolder:
+        """Return what a row tells of its holder and those before.
 
         Every renewal of theirs was requested before this node first read the
         row that its own takeover replaces.
         """
-        stopped_at = self._when_stopped(row, state)
-        if waits is not None:
-            # It stopped of its own accord, but those before it may live.
-            stopped_at = _clock.monotonic_seconds()
         earlier_seconds = row.earlier_grants_seconds
-        return _earlier_grants.grants_end_at(
+        return _earlier_grants.LastHolder(
+            node=row.holder,
+            address=row.address,
+            process=row.process,
+            epoch=row.epoch,
             lease_ends_at=row.first_read_at + LEASE_SECONDS,
-            stopped_at=stopped_at,
             earlier_grants_end_at=(
                 None
                 if earlier_seconds is None
@@ -328,54 +324,56 @@
             ),
         )
 
+    def _when_stopped(
+        self,
+        last_holder: _earlier_grants.LastHolder,
+        answer: _holder_check.HolderState | None,
+        waits: LeaseExpiryWaits | None,
+    ) -> float | None:
+        """Return when the last holder had stopped; None if it may live."""
+        now = _clock.monotonic_seconds()
+        if waits is not None:
+            # It stopped of its own accord, but those before it may live.
+            return now
+        if last_holder.is_named and self._is_own(
+            last_holder.node, last_holder.address
+        ):
+            is_former = last_holder.process != self._process
+            return self._listening_since if is_former else now
+        return last_holder.replaced_at(answer, now)
+
     def ask_predecessor(self) -> None:
         """Ask at the last holder's address whether it has been replaced.
 
         A process that ended just before the takeover is started again a
         moment later.
         """
-        row = self._replaced_row
-        if row is None or not row.process or not row.address:
+        last_holder = self._last_holder
+        if last_holder is None or not last_holder.is_named:
             return
-        if not row.holder or self._is_own(row):
+        if self._is_own(last_holder.node, last_holder.address):
             return
-        state = self._ask_holder(row.address, row.epoch)
-        if state is None or self._when_stopped(row, state) is None:
+        answer = self._ask_holder(last_holder.address, last_holder.epoch)
+        replaced_at = last_holder.replaced_at(
+            answer, _clock.monotonic_seconds()
+        )
+        if answer is None or replaced_at is None:
             return
-        grants_end_at = self._grants_end_at(row, state)
+        grants_end_at = last_holder.grants_end_at(replaced_at)
         with self._lock:
             # Meanwhile this node may have taken the lease over once more.
-            if row is not self._replaced_row:
+            if last_holder is not self._last_holder:
                 return
             if grants_end_at >= self._earlier_grants_end_at:
                 return
             self._earlier_grants_end_at = grants_end_at
         _logs.log(
             "lease:predecessor_replaced",
-            holder=row.holder,
-            epoch=row.epoch,
-            up_seconds=round(state.up_seconds, 3),
+            holder=last_holder.node,
+            epoch=last_holder.epoch,
+            up_seconds=round(answer.up_seconds, 3),
         )
 
-    def _when_stopped(
-        self, row: _ObservedRow, state: _holder_check.HolderState | None
-    ) -> float | None:
-        """Return when a row's holder had stopped; None if it may live.
-
-        An address has one process at a time, so another process of the
-        holder's name that listens there has replaced it.
-        """
-        now = _clock.monotonic_seconds()
-        if not row.process or not row.holder or not row.address:
-            return None
-        if self._is_own(row):
-            is_former = row.process != self._process
-            return self._listening_since if is_former else now
-        if state is None or not state.process or state.node != row.holder:
-            return None
-        is_other = state.process != row.process
-        return now - state.up_seconds if is_other else None
-
     def _holder_state(
         self, row: _ObservedRow, unchanged_seconds: float
     ) -> _holder_check.HolderState | None:
@@ -471,7 +469,7 @@
         row = self._read_row()
         if row is None:
             return version
-        if self._is_own(row) and row.epoch == self._epoch:
+        if self._is_own(row.holder, row.address) and row.epoch == self._epoch:
             return row.version
         # An earlier attempt succeeded, or another node has taken the lease.
         _logs.log("lease:released", epoch=self._epoch, holder=row.holder)
@@ -518,16 +516,16 @@
 
     def _takeover_delay_seconds(self, row: _ObservedRow) -> float:
         """Return how long the row must be unchanged before a takeover."""
-        may_be_held = row.holder and not self._is_own(row)
+        may_be_held = row.holder and not self._is_own(row.holder, row.address)
         expiry_delay = LEASE_SECONDS if may_be_held else 0.0
         return expiry_delay + self._less_capable_delay_seconds(row)
 
-    def _is_own(self, row: _ObservedRow) -> bool:
-        """Whether this process or an earlier one at its address wrote a row.
+    def _is_own(self, holder: str, address: str) -> bool:
+        """Whether a holder is this process or an earlier one at its address.
 
         A process of the same name at another address may live.
         """
-        return (row.holder, row.address) == (self._node, self._address)
+        return (holder, address) == (self._node, self._address)
 
     def _less_capable_delay_seconds(self, row: _ObservedRow) -> float:
         max_capability = row.max_capability or _DEFAULT_CAPABILITY_CORES
@@ -584,7 +582,7 @@
         row = self._read_row()
         if row is None:
             return False
-        if self._is_own(row) and row.epoch == epoch:
+        if self._is_own(row.holder, row.address) and row.epoch == epoch:
             # The one that succeeded may be the first unanswered renewal, so
             # the lease is counted from its request.
             first_requested_at = self._first_unanswered_at
