Keep one copy of what a list of VMs can tell

How far the list may lag, and in which states a VM has no runner, stood in _fleet.py and again in _departures.py. They stand with the list and with the states now. No behaviour changes.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_departures.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_departures.py
@@ -17,15 +17,8 @@
 _MAX_REGISTRY_PAUSE_SECONDS = 1.5
 # Lists over at least this time have to agree, as one may miss a VM.
 _LIST_AGREEMENT_SECONDS = 1.0
-# How far the list of VMs may lag behind a runner's start.
-_LIST_LAG_SECONDS = 0.3
 # Evidence that leaves open whether the runner crashed.
 VM_IS_DOWN = f"its VM is {_ports.VmState.DOWN}"
-_STATES_WITHOUT_RUNNER = (
-    _ports.VmState.DOWN,
-    _ports.VmState.MOVING,
-    _ports.VmState.MAINTENANCE,
-)
 
 
 @attrs.frozen(kw_only=True)
@@ -96,12 +89,14 @@
         if (
             not lists
             or not _are_apart(lists[0], lists[-1])
-            or lists[0].requested_at < since + _LIST_LAG_SECONDS
+            or lists[0].requested_at < since + _feeds.VM_LIST_LAG_SECONDS
             or any(runner in each.runners for each in lists)
         ):
             return ""
         states = [each.states.get(vm) for each in lists]
-        if vm and all(state in _STATES_WITHOUT_RUNNER for state in states):
+        if vm and all(
+            state in _ports.STATES_WITHOUT_RUNNER for state in states
+        ):
             return f"its VM is {states[-1]}"
         if self._is_unregistered(runner) and not any(
             each.may_lack_runner for each in lists
@@ -146,7 +141,7 @@
     vm: _ports.VmRecord, standby_pools: frozenset[str]
 ) -> bool:
     """Tell whether a VM that is listed without a runner may have one."""
-    if vm.runner or vm.state in _STATES_WITHOUT_RUNNER:
+    if vm.runner or vm.state in _ports.STATES_WITHOUT_RUNNER:
         return False
     is_off = vm.state is _ports.VmState.UP and vm.pool in standby_pools
     return not is_off
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_feeds.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_feeds.py
@@ -28,6 +28,10 @@
 _VM_POLL_SECONDS = 0.7
 # Shortest time between two reads of it.
 _MIN_VM_POLL_SECONDS = 0.1
+# How far the list of VMs may lag behind the answer to a move, or behind the
+# registry. The duration of a move is not waited for, because a repeated
+# command for a move that is already done is answered at once.
+VM_LIST_LAG_SECONDS = 0.3
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_fleet.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_fleet.py
@@ -39,18 +39,12 @@
 _SHORTAGE_LOG_PERIOD_SECONDS = 1.0
 # Arrivals of jobs count towards a pool's demand for this long.
 _ARRIVAL_RETENTION_SECONDS = 60.0
-# How far the list of VMs may lag behind the answer to a move, or behind the
-# registry. The duration of a move is not waited for, because a repeated
-# command for a move that is already done is answered at once.
-_LIST_LAG_SECONDS = 0.3
 # A command may be carried out this long after its operation has ended.
 _LATE_COMMAND_SECONDS = 15.0
 _MAY_BE_CARRIED_OUT = (
     _commands.CommandResult.DONE,
     _commands.CommandResult.UNSURE,
 )
-_STATES_OF_TAKEN_VMS = (_ports.VmState.MOVING, _ports.VmState.MAINTENANCE)
-_STATES_WITHOUT_RUNNER = (*_STATES_OF_TAKEN_VMS, _ports.VmState.DOWN)
 
 
 class _OperationPhase(peridotsill.TextEnum):
@@ -184,7 +178,7 @@
         """Return how long the list is not trusted after a command's answer."""
         if operation.command.kind is _CommandKind.MAINTAIN:
             return self._maintenance_seconds
-        return _LIST_LAG_SECONDS
+        return _feeds.VM_LIST_LAG_SECONDS
 
     def handle_outcome(self, outcome: _commands.CommandOutcome) -> None:
         """Update the operation and its wave with a command's outcome."""
@@ -258,7 +252,10 @@
         record = self._vms.get(worker.vm)
         if record is None or not self.has_listed_since(worker):
             return ""
-        if worker.link.refused and record.state in _STATES_WITHOUT_RUNNER:
+        if (
+            worker.link.refused
+            and record.state in _ports.STATES_WITHOUT_RUNNER
+        ):
             return f"its VM is {record.state}"
         is_up = record.state is _ports.VmState.UP
         if is_up and record.runner not in ("", worker.entry.id):
@@ -270,7 +267,10 @@
 
         An earlier one may show its VM without it.
         """
-        return self._list_requested_at >= worker.known_at + _LIST_LAG_SECONDS
+        return (
+            self._list_requested_at
+            >= worker.known_at + _feeds.VM_LIST_LAG_SECONDS
+        )
 
     def may_have_ended(self, worker: _workers.Worker) -> bool:
         """Tell whether a command on its VM may have ended a runner.
@@ -282,7 +282,7 @@
         record = self._vms.get(worker.vm)
         if (
             record is not None
-            and record.state in _STATES_OF_TAKEN_VMS
+            and record.state in _ports.STATES_OF_TAKEN_VMS
             and self.has_listed_since(worker)
         ):
             return True
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_ports.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_ports.py
@@ -53,6 +53,10 @@
     OTHER = "other"
 
 
+STATES_OF_TAKEN_VMS = (VmState.MOVING, VmState.MAINTENANCE)
+STATES_WITHOUT_RUNNER = (*STATES_OF_TAKEN_VMS, VmState.DOWN)
+
+
 @attrs.frozen(kw_only=True)
 class VmRecord:
     """A VM as listed by the VM service; ``runner`` may be empty."""
