--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_feeds.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_feeds.py
@@ -45,21 +45,22 @@
 class RegistrySnapshot:
     """All runners in the registry, read at ``requested_at``.
 
-    ``unreadable_ids`` are those of entries that name no runner to use.
+    ``unreadable_ids`` are those of entries that name no runner to use;
+    ``runner_ids`` are those of all entries.
     """
 
     entries: tuple[_ports.RunnerEntry, ...]
     requested_at: float
     received_at: float = attrs.field()
     unreadable_ids: frozenset[str] = frozenset()
+    runner_ids: frozenset[str] = attrs.field(init=False)
 
     @received_at.default
     def _not_later(self) -> float:
         return self.requested_at
 
-    @property
-    def runner_ids(self) -> frozenset[str]:
-        """The ids of all entries, whether they can be read or not."""
+    @runner_ids.default
+    def _all_ids(self) -> frozenset[str]:
         return self.unreadable_ids | {entry.id for entry in self.entries}
 
     @property
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_workers.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_workers.py
@@ -671,6 +671,7 @@
         A wait that has lasted for some time is logged once.
         """
         leases = self._inherited_leases
+        seconds_left = leases.seconds_left(runner, max_lease_seconds)
         is_logged = runner in self._logged_awaited
         if not is_logged and leases.age_seconds > _AWAITED_LOG_SECONDS:
             self._logged_awaited.add(runner)
@@ -681,12 +682,10 @@
                 vm=worker.vm if worker else "",
                 listed=worker is not None and worker.listed,
                 run_count=run_count,
-                seconds_left=round(
-                    leases.seconds_left(runner, max_lease_seconds), 3
-                ),
+                seconds_left=round(seconds_left, 3),
                 **leases.describe(runner, max_lease_seconds),
             )
-        return leases.seconds_left(runner, max_lease_seconds) < 0
+        return seconds_left < 0
 
     def remaining_waits(self, max_lease_seconds: float) -> dict[str, float]:
         """Return the seconds that the next holder of the lease has to wait.
