Carry the times of the lease's row over in one place

A row that was read got one of its two times from a method that also computed its age, and the other from a second one, with a branch that was never taken. Both are now carried over where the row is remembered.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_lease.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_lease.py
@@ -257,8 +257,8 @@
         if row is None:
             self._failed_reads += 1
             return False
-        unchanged_seconds = self._unchanged_seconds(row)
-        row = attrs.evolve(row, first_read_at=self._first_read_at(row))
+        row = self._observe(row)
+        unchanged_seconds = _clock.monotonic_seconds() - row.unchanged_since
         state = None
         waits = row.waits
         # A holder that has released the lease sends no more commands.
@@ -482,37 +482,36 @@
             and row.version == self._last_row.version
         )
 
-    def _first_read_at(self, row: _ObservedRow) -> float:
-        """Return when a row's version was first read."""
-        if self._last_row is None or not self._is_unchanged(row):
-            return row.first_read_at
-        return self._last_row.first_read_at
+    def _observe(self, row: _ObservedRow) -> _ObservedRow:
+        """Remember a row; return it with the times of its version.
 
-    def _unchanged_seconds(self, row: _ObservedRow) -> float:
-        """Return for how long the row has been unchanged, in seconds.
-
-        An outage of the table counts only in part: the holder could not
-        renew either, and keeping the holder costs less than a takeover.
+        An outage of the table counts only in part towards the time for which
+        it has been unchanged: the holder could not renew either, and keeping
+        the holder costs less than a takeover.
         """
-        now = _clock.monotonic_seconds()
         outage = self._failed_reads >= _OUTAGE_FAILED_READS
         self._failed_reads = 0
         last_row = self._last_row
-        if last_row is None or last_row.version != row.version:
-            self._last_row = row
-            return 0.0
-        if outage:
-            grace_seconds = _OUTAGE_GRACE_SECONDS
-            if self._less_capable_delay_seconds(row):
-                grace_seconds += _LESS_CAPABLE_OUTAGE_SECONDS
-            earliest_unchanged_since = now - LEASE_SECONDS + grace_seconds
-            self._last_row = last_row = attrs.evolve(
-                last_row,
-                unchanged_since=max(
-                    last_row.unchanged_since, earliest_unchanged_since
-                ),
+        if last_row is not None and self._is_unchanged(row):
+            unchanged_since = last_row.unchanged_since
+            if outage:
+                unchanged_since = max(
+                    unchanged_since, self._unchanged_since_after_outage(row)
+                )
+            row = attrs.evolve(
+                row,
+                first_read_at=last_row.first_read_at,
+                unchanged_since=unchanged_since,
             )
-        return now - last_row.unchanged_since
+        self._last_row = row
+        return row
+
+    def _unchanged_since_after_outage(self, row: _ObservedRow) -> float:
+        """Return the earliest time from which a row's age may count."""
+        grace_seconds = _OUTAGE_GRACE_SECONDS
+        if self._less_capable_delay_seconds(row):
+            grace_seconds += _LESS_CAPABLE_OUTAGE_SECONDS
+        return _clock.monotonic_seconds() - LEASE_SECONDS + grace_seconds
 
     def _takeover_delay_seconds(self, row: _ObservedRow) -> float:
         """Return how long the row must be unchanged before a takeover."""
