Measure the parts of the scheduler's rounds

Nothing told how long a round took, or what took it: round_seconds by part and round:slow do; vm:commands_wait tells for how long a new holder commands no VM. No logic is changed.

--- a/packages/peridotsill/src/peridotsill/_counters.py
+++ b/packages/peridotsill/src/peridotsill/_counters.py
@@ -22,6 +22,7 @@
     "tasks_given_up": "Tasks given up as their runners crashed.",
     "runners_gone": "Runners whose process has ended, by pool and reason.",
     "commit_seconds": "Time that a commit to the table took.",
+    "round_seconds": "Time that a round of the scheduler took, by part.",
     "start_delay_seconds": "Time from a job's arrival to its first start.",
 }
 
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_controller.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_controller.py
@@ -31,6 +31,7 @@
 from peridotsill_jobs import _live_settings
 from peridotsill_jobs import _logs
 from peridotsill_jobs import _ports
+from peridotsill_jobs import _round_timing
 from peridotsill_jobs import _runner_client
 from peridotsill_jobs import _runs
 from peridotsill_jobs import _start_checks
@@ -110,6 +111,7 @@
         )
         self._registry: _feeds.RegistrySnapshot | None = None
         self._starts_paused = False
+        self._round_timer = _round_timing.RoundTimer(counters=parts.counters)
         self._command_sender = _commands.CommandSender(
             node=parts.settings.current.node,
             vms=parts.ports.vms,
@@ -172,6 +174,12 @@
             0.0, handover_seconds - parts.lease.seconds_since_last_holder
         )
         command_delay = remaining_seconds if parts.lease.epoch > 1 else 0.0
+        _logs.log(
+            "vm:commands_wait",
+            epoch=parts.lease.epoch,
+            seconds=round(command_delay, 3),
+            silent_seconds=round(parts.lease.seconds_since_last_holder, 3),
+        )
         return _fleet.Fleet(
             parts=_fleet.FleetParts(
                 settings=parts.settings,
@@ -204,7 +212,11 @@
             self._feeds.start_following_jobs(revision)
             while not self._should_stop:
                 self._handle_events()
-                self._run_round()
+                with self._round_timer.round(
+                    open_jobs=lambda: len(self._job_store.open_jobs),
+                    runners=lambda: sum(1 for _ in self._workers),
+                ):
+                    self._run_round()
         finally:
             self._close()
 
@@ -321,11 +333,14 @@
         jobs = self._jobs_by_pool()
         starts: list[peridotsill_scheduler.Start] = []
         if self._parts.lease.held and self._registry is not None:
-            self._fleet.decide(jobs, self._estimator)
+            with self._round_timer.part("fleet"):
+                self._fleet.decide(jobs, self._estimator)
             if self._is_registry_valid(self._registry, now):
-                starts = self._plan_starts(jobs, now)
+                with self._round_timer.part("plan"):
+                    starts = self._plan_starts(jobs, now)
         orders = [self._record_start(start, now) for start in starts]
-        reread_keys = self._job_store.commit()
+        with self._round_timer.part("commit"):
+            reread_keys = self._job_store.commit()
         if reread_keys is None:
             return
         self._acknowledge_ends(reread_keys)
