--- a/tests/features/maintenance.feature
+++ b/tests/features/maintenance.feature
@@ -230,3 +230,24 @@
     And the command is answered as done
     Then the task on "a3" is lost for the reason "VM taken away"
     And the runner of "a3" is not polled
+
+  # Guards against a peak that gets no VMs: a wave took the standby VMs that the
+  # peak needed at once, though its deadline was 20 s away.
+  Scenario: A wave that has time leaves the VMs that a peak wants to it
+    Given pool "a" is a standby pool
+    And a wave over "a1" to "a4" with at most 4 out at once
+    And pool "b" needs 4 VMs
+    When the fleet decides
+    Then 4 VMs were commanded to be moved to pool "b"
+    And no VM was commanded to be maintained
+
+  # Guards against late waves: the tasks that may leave only one after another
+  # began to leave when their VMs' turn came, and not all had left in time.
+  Scenario: Long-lived tasks leave the VMs of a wave before these are taken
+    Given a wave over "a1" to "a2" with at most 1 out at once
+    And the wave is due in 60 s
+    And pool "a" needs 4 VMs
+    And job "x" of long-lived tasks, 1 of which may be missing, on "a1", "a2"
+    When the fleet decides
+    Then no VM was commanded to be maintained
+    And a task of job "x" was ended, and no other
--- a/tests/features/scheduler.feature
+++ b/tests/features/scheduler.feature
@@ -86,6 +86,13 @@
     When the wave is urgent and 6 VMs may be out at once
     Then all 6 VMs are taken
 
+  # Guards against a peak that gets no VMs: a wave of many VMs counted as urgent
+  # from its first second on, 28 s before its deadline.
+  Scenario: A wave over many VMs spares busy pools while it has time
+    Given a wave over 144 VMs of a busy pool
+    When the wave is due in 27 s and 56 VMs may be out at once
+    Then no VM is taken
+
   Scenario: Any backlog is placed within capacity
     Then random jobs on random VMs never exceed a VM's capacity
 
--- a/tests/features/steps/maintenance_steps.py
+++ b/tests/features/steps/maintenance_steps.py
@@ -93,6 +93,13 @@
     _list_vms(context, _clock.monotonic_seconds())
 
 
+@given('pool "{standby}" is a standby pool')
+def _make_standby(context, standby):
+    context.catalog.pool.side_effect = lambda name: scheduler.PoolSettings(
+        name=name, standby=name == standby
+    )
+
+
 def _list_vms(context, requested_at):
     context.planner.apply_vm_list(
         _feeds.VmListSnapshot(vms=context.records, requested_at=requested_at)
@@ -400,6 +407,13 @@
     assert found == {(first_job, vm), (second_job, second)}, found
 
 
+@then('a task of job "{name}" was ended, and no other')
+def _check_one_evicted(context, name):
+    calls = context.planner._parts.evict.call_args_list
+    found = [each.args[1].job.spec.id for each in calls]
+    assert found == [name], found
+
+
 def _advance_clock(context, seconds):
     now = _clock.monotonic_seconds() + seconds
     patch = unittest.mock.patch.object(
@@ -585,6 +599,14 @@
     ]
 
 
+@then('{count:d} VMs were commanded to be moved to pool "{pool}"')
+def _check_moved_to_pool(context, count, pool):
+    kind = _commands.CommandKind.MOVE
+    moved = {each.vm for each in context.sent if each.kind is kind}
+    pools = {each.pool for each in context.sent if each.kind is kind}
+    assert (len(moved), pools) == (count, {pool}), context.sent
+
+
 @then('"{vm}" was commanded to be moved')
 def _check_moved(context, vm):
     assert len(_moves(context, vm)) == 1, context.sent
--- a/tests/features/steps/scheduler_steps.py
+++ b/tests/features/steps/scheduler_steps.py
@@ -236,24 +236,35 @@
     assert _evictable_keys(context) == context.keys[:1]
 
 
+def _wave_vm(pool, number, **fields):
+    return scheduler.WaveVm(
+        name=f"{pool}-{number}",
+        pool=pool,
+        phase=scheduler.MaintenancePhase.DUE,
+        standby=pool == "standby",
+        task_count=0,
+        long_lived_count=0,
+        pool_busy=pool == "busy",
+        **{"pool_size": 4, **fields},
+    )
+
+
 @given("a wave over 2 VMs each of a busy, an idle and a standby pool")
 def _wave(context):
     context.due = [
-        scheduler.WaveVm(
-            name=f"{pool}-{number}",
-            pool=pool,
-            phase=scheduler.MaintenancePhase.DUE,
-            standby=pool == "standby",
-            task_count=0,
-            long_lived_count=0,
-            pool_busy=pool == "busy",
-            pool_size=4,
-        )
+        _wave_vm(pool, number)
         for pool in ("busy", "idle", "standby")
         for number in range(2)
     ]
 
 
+@given("a wave over {count:d} VMs of a busy pool")
+def _wave_of_busy_pool(context, count):
+    context.due = [
+        _wave_vm("busy", number, pool_size=count) for number in range(count)
+    ]
+
+
 @when("the wave is not urgent and {count:d} VMs may be out at once")
 def _wave_not_urgent(context, count):
     _plan_wave(context, count, 60.0)
@@ -280,6 +291,16 @@
     assert context.selected == wanted, context.selected
 
 
+@when("the wave is due in {seconds:d} s and {count:d} VMs may be out at once")
+def _wave_due(context, seconds, count):
+    _plan_wave(context, count, float(seconds))
+
+
+@then("no VM is taken")
+def _none_taken(context):
+    assert not context.selected, context.selected
+
+
 @then("all 6 VMs are taken")
 def _all_taken(context):
     assert len(set(context.selected)) == 6, context.selected
