--- /dev/null
+++ b/tests/features/plumbing.feature
@@ -0,0 +1,34 @@
+Feature: What the scheduler's process spends outside of its decisions
+
+  # Guards against SHORT: each row that is parsed costs what only a class needs.
+  Scenario: The type hints of a class are looked up once
+    Given a submission that was parsed before
+    When 20 more are parsed, and the calls are counted
+    Then no type hints were looked up
+
+  # Guards against SHORT: 276 entries are decoded anew each 0.4 s, though
+  # nothing but their heartbeats has changed.
+  Scenario: An unchanged registry costs no decoding
+    Given a registry of 20 runners that was read before
+    When it is read again after a heartbeat of each, and the calls are counted
+    Then no field was decoded, and the entries are the same objects
+
+  # Guards against SHORT: the list of VMs is decoded anew, too.
+  Scenario: An unchanged list of VMs costs no decoding
+    Given a list of 20 VMs that was read before
+    When it is read again, and the calls are counted
+    Then no field was decoded, and the entries are the same objects
+
+  # Guards against SHORT: starts wait for the commits of other jobs.
+  Scenario: A start is ordered as soon as its own commit is done
+    Given a scheduler with a job that was just submitted
+    And room for 99 more jobs that are submitted with it
+    When a scheduling round orders starts in commits of 45, 45 and 10
+    Then each start was ordered after its record was written
+    And the starts of a commit were ordered before the next commit began
+
+  # Guards against SHORT: three lines a start, each of which creates a task.
+  Scenario: A log line costs few calls
+    When 20 lines are logged, and the calls are counted
+    Then each line took at most 6 calls
+    And each line has its type, its time, a task of its own and its level
--- /dev/null
+++ b/tests/features/steps/plumbing_steps.py
@@ -0,0 +1,310 @@
+"""Steps that count what the scheduler's process spends on a piece of work.
+
+Calls are counted instead of seconds, as the count doesn't depend on the
+machine or on what else runs there.
+"""
+
+import base64
+import collections
+import contextlib
+import json
+import sys
+import time
+import typing
+
+from behave import given
+from behave import then
+from behave import when
+import eliot
+from emulator import stubs
+import peridotsill
+
+from peridotsill_adapter import _documents
+from peridotsill_adapter import _machines
+from peridotsill_adapter import _table
+from peridotsill_adapter import _unreadable
+from peridotsill_adapter import _wire
+from peridotsill_jobs import _feeds
+from peridotsill_jobs import _logs
+from peridotsill_jobs import _records
+import peridotsill_scheduler as scheduler
+
+_QUEUE = scheduler.Queue(name="q", host="h", prefix="/q/", pool="p")
+
+
+@contextlib.contextmanager
+def _counted_calls():
+    """Count the calls of Python functions by their code objects."""
+    calls = collections.Counter()
+
+    def count(frame, event, _):
+        if event == "call":
+            calls[frame.f_code] += 1
+
+    sys.setprofile(count)
+    try:
+        yield calls
+    finally:
+        sys.setprofile(None)
+
+
+def _calls_within(calls, module):
+    return {
+        code.co_name: count
+        for code, count in calls.items()
+        if code.co_filename == module.__file__
+    }
+
+
+def _submission_row(number, steps=1):
+    submission = _records.Submission(
+        spec=scheduler.JobSpec(
+            id=f"{number:016x}",
+            queue="q",
+            payload="",
+            steps=tuple(
+                scheduler.Step(
+                    index=index,
+                    task_count=1,
+                    demand=scheduler.Resources(cores=1),
+                )
+                for index in range(steps)
+            ),
+        ),
+        queue=_QUEUE,
+        arrived_ms=time.time() * 1000,
+    )
+    return peridotsill.Row(
+        key=_records.row_key(_records.JOBS, "q", submission.spec.id),
+        value=_records.submission_value(submission),
+        version=1,
+    )
+
+
+@given("a submission that was parsed before")
+def _parsed_before(context):
+    _records.parse_submission(_submission_row(1, steps=3))
+
+
+@when("{count:d} more are parsed, and the calls are counted")
+def _parse_more(context, count):
+    rows = [_submission_row(number, steps=3) for number in range(count)]
+    with _counted_calls() as context.calls:
+        for row in rows:
+            _records.parse_submission(row)
+
+
+@then("no type hints were looked up")
+def _no_hints(context):
+    count = context.calls[typing.get_type_hints.__code__]
+    assert not count, f"{count} look-ups"
+
+
+class _Answers:
+    """A client that answers each call with its ``answer``."""
+
+    answer = None
+
+    def call(self, *_, **__):
+        return self.answer
+
+
+def _registry_row(number, heartbeats):
+    entry = {
+        "service": "trails",
+        "address": f"127.0.0.1:{8000 + number}",
+        "zone": "z1",
+        "version": "v1",
+        "slots": 8,
+        "state": "ready",
+        "cold_left_ms": 900 - heartbeats,
+        "capacity": {"cpu": 8000, "mem_mb": 1024, "gpu": 0},
+        "labels": ["general", "r-0"],
+        "seq": heartbeats,
+        "born": 1700000000000,
+        "machine": f"m-{number}",
+    }
+    return {
+        "table": "servers",
+        "part": "",
+        "key": f"i-{number}",
+        "value": base64.b64encode(json.dumps(entry).encode()).decode(),
+        "ver": heartbeats,
+    }
+
+
+def _registry_reader(client):
+    unreadable_rows = _unreadable.UnreadableRows()
+    table = _table.RowTable(
+        client=client, timeout_seconds=1.0, unreadable_rows=unreadable_rows
+    )
+    documents = _documents.PlatformDocuments(unreadable_rows=unreadable_rows)
+
+    def read():
+        rows = table.scan(("servers//",)).unwrap().rows
+        return [documents.runner(row) for row in rows]
+
+    return read
+
+
+@given("a registry of {count:d} runners that was read before")
+def _registry_read_before(context, count):
+    context.client = _Answers()
+    context.read = _registry_reader(context.client)
+    context.answers = [
+        {
+            "rows": [_registry_row(number, beats) for number in range(count)],
+            "ver": beats,
+        }
+        for beats in (1, 2)
+    ]
+    context.client.answer = context.answers[0]
+    context.before = context.read()
+    assert len(context.before) == count and all(context.before)
+
+
+@given("a list of {count:d} VMs that was read before")
+def _vms_read_before(context, count):
+    answer = {
+        "machines": [
+            {
+                "machine": f"m-{number}",
+                "pool": "trails",
+                "state": "up",
+                "zone": "z1",
+                "labels": ["general", "r-0"],
+                "capacity": {"cpu": 8000, "mem_mb": 1024, "gpu": 0},
+                "id": f"i-{number}",
+            }
+            for number in range(count)
+        ]
+    }
+    context.answers = [json.loads(json.dumps(answer)) for _ in range(2)]
+    context.client = _Answers()
+    context.read = _machines.MachineClient(client=context.client).list_vms
+    context.client.answer = context.answers[0]
+    context.before = context.read()
+    assert len(context.before) == count
+
+
+@when("it is read again after a heartbeat of each, and the calls are counted")
+@when("it is read again, and the calls are counted")
+def _read_again(context):
+    context.client.answer = context.answers[1]
+    with _counted_calls() as context.calls:
+        context.after = context.read()
+
+
+@then("no field was decoded, and the entries are the same objects")
+def _nothing_decoded(context):
+    decoded = _calls_within(context.calls, _wire)
+    # What holds the entries has to be taken apart in any case.
+    for name in ("as_object", "get_list"):
+        if decoded.get(name, 0) <= len(context.before) + 1:
+            decoded.pop(name, None)
+    assert not decoded, decoded
+    assert len(context.after) == len(context.before)
+    for before, after in zip(context.before, context.after):
+        assert before is after, (before, after)
+
+
+@given("room for {count:d} more jobs that are submitted with it")
+def _submit_more(context, count):
+    controller = context.controller
+    controller._workers.update(
+        tuple(stubs.runner_entry(f"i-{each}") for each in range(count))
+    )
+    for number in range(count):
+        row = _submission_row(number)
+        context.store.rows[row.key] = (row.value, row.version)
+        controller._job_store.apply_row(row)
+    controller._registry = _feeds.RegistrySnapshot(
+        entries=(), requested_at=time.monotonic()
+    )
+
+
+@when("a scheduling round orders starts in commits of {sizes}")
+def _run_round(context, sizes):
+    context.sizes = [
+        int(each) for each in sizes.replace(" and ", ", ").split(", ")
+    ]
+    # What was written and ordered, by job, in the order of time.
+    context.steps = []
+    commit = context.store.commit
+
+    def record_commit(transaction):
+        keys = [write.key for write in transaction.writes]
+        context.steps.append(
+            ("commit", [_records.parse_progress_key(key)[1] for key in keys])
+        )
+        return commit(transaction)
+
+    context.store.commit = record_commit
+    for link in context.links.values():
+        link.order_start = lambda order: context.steps.append(
+            ("start", [order.name.job])
+        )
+    context.controller._run_round()
+
+
+@then("each start was ordered after its record was written")
+def _recorded_before(context):
+    recorded = set()
+    ordered = []
+    for kind, jobs in context.steps:
+        if kind == "commit":
+            recorded.update(jobs)
+        else:
+            assert recorded.issuperset(jobs), (jobs, context.steps)
+            ordered += jobs
+    assert len(ordered) == len(set(ordered)) == sum(context.sizes), ordered
+
+
+@then("the starts of a commit were ordered before the next commit began")
+def _ordered_at_once(context):
+    kinds = [kind for kind, _ in context.steps]
+    expected = []
+    for size in context.sizes:
+        expected += ["commit", *["start"] * size]
+    assert kinds == expected, kinds
+
+
+@when("{count:d} lines are logged, and the calls are counted")
+def _log_lines(context, count):
+    context.lines = []
+    eliot.add_destinations(context.lines.append)
+    context.stack.callback(eliot.remove_destination, context.lines.append)
+    _logs.log("first")
+    with _counted_calls() as context.calls:
+        for number in range(count):
+            _logs.log("task:start", job="aa", run=number, reason="")
+    context.line_count = count
+
+
+@then("each line took at most {count:d} calls")
+def _few_calls(context, count):
+    # The end of the counting is a call, too.
+    taken = (sum(context.calls.values()) - 2) / context.line_count
+    assert taken <= count, f"{taken} calls: {context.calls}"
+
+
+@then("each line has its type, its time, a task of its own and its level")
+def _line_fields(context):
+    lines = context.lines[1:]
+    assert len(lines) == context.line_count, lines
+    for number, line in enumerate(lines):
+        own = {"job": "aa", "run": number, "reason": ""}
+        assert line.items() >= own.items(), line
+        assert line["message_type"] == "task:start", line
+        assert abs(line["timestamp"] - time.time()) < 60, line
+        assert line["task_level"] == [1], line
+        assert set(line) == {
+            *own,
+            "message_type",
+            "timestamp",
+            "task_uuid",
+            "task_level",
+        }, line
+    tasks = {line["task_uuid"] for line in lines}
+    assert len(tasks) == len(lines), tasks
+    assert all(len(task) == 36 for task in tasks), tasks
