Look the type hints of a class up once

What the scheduler's process saw: each row of a job that was parsed looked up the type hints of eight or nine classes and walked over their fields, 0.4 ms a row and 4% of a core at 100 jobs a second. _range_problems now keeps for each class which fields it checks and how; the classes are few and fixed, so the cache is as large as they are.

--- a/packages/peridotsill/src/peridotsill/_codec.py
+++ b/packages/peridotsill/src/peridotsill/_codec.py
@@ -1,6 +1,7 @@
 """Conversion between JSON and attrs classes; errors name every bad field."""
 
 import enum
+import functools
 import typing
 
 import attrs
@@ -133,48 +134,82 @@
     return f"{path}: {reason}"
 
 
+@attrs.frozen(kw_only=True)
+class _FieldCheck:
+    """How a field's value is checked, as its class declares it.
+
+    ``inner`` is the class of the objects that the value holds, and
+    ``may_be_list`` whether it may hold several of them.
+    """
+
+    name: str
+    minimum: float | None
+    maximum: float | None
+    inner: typing.Any
+    may_be_list: bool
+
+
+@functools.cache
+def _field_checks(kind: typing.Any) -> tuple[_FieldCheck, ...]:
+    """Return the checks of an attrs class's fields."""
+    hints = typing.get_type_hints(kind)
+    return tuple(
+        _make_field_check(field, hints[field.name])
+        for field in attrs.fields(kind)
+    )
+
+
+def _make_field_check(field: typing.Any, hint: typing.Any) -> _FieldCheck:
+    is_object = attrs.has(hint)
+    inner_classes = [arg for arg in typing.get_args(hint) if attrs.has(arg)]
+    first_inner = inner_classes[0] if inner_classes else None
+    return _FieldCheck(
+        name=field.name,
+        minimum=field.metadata.get("minimum"),
+        maximum=field.metadata.get("maximum"),
+        inner=hint if is_object else first_inner,
+        may_be_list=not is_object,
+    )
+
+
 def _range_problems(data: object, kind: typing.Any, path: str) -> list[str]:
-    if not attrs.has(kind) or not isinstance(data, dict):
+    if not isinstance(data, dict) or not attrs.has(kind):
         return []
-    hints = typing.get_type_hints(kind)
     problems: list[str] = []
-    for field in attrs.fields(kind):
-        if field.name not in data:
+    for check in _field_checks(kind):
+        if check.name not in data:
             continue
-        field_path = f"{path}{field.name}"
-        value = data[field.name]
-        problems += _field_problems(value, field, field_path)
-        problems += _nested_problems(value, hints[field.name], field_path)
+        value = data[check.name]
+        if isinstance(value, (int, float)):
+            problems += _number_problems(value, check, path)
+        elif check.inner is not None:
+            problems += _nested_problems(value, check, path)
     return problems
 
 
-def _nested_problems(value: object, hint: typing.Any, path: str) -> list[str]:
-    inner_classes = [arg for arg in typing.get_args(hint) if attrs.has(arg)]
-    if attrs.has(hint):
-        return _range_problems(value, hint, f"{path}.")
-    if not inner_classes:
-        return []
-    if not isinstance(value, list):
-        return _range_problems(value, inner_classes[0], f"{path}.")
+def _nested_problems(
+    value: object, check: _FieldCheck, path: str
+) -> list[str]:
+    field_path = f"{path}{check.name}"
+    if not isinstance(value, list) or not check.may_be_list:
+        return _range_problems(value, check.inner, f"{field_path}.")
     problems: list[str] = []
     for index, item in enumerate(value):
         problems += _range_problems(
-            item, inner_classes[0], f"{path}[{index}]."
+            item, check.inner, f"{field_path}[{index}]."
         )
     return problems
 
 
-def _field_problems(value: object, field: typing.Any, path: str) -> list[str]:
-    if isinstance(value, bool) or not isinstance(value, (int, float)):
+def _number_problems(value: float, check: _FieldCheck, path: str) -> list[str]:
+    if isinstance(value, bool):
         return []
-    minimum = field.metadata.get("minimum")
-    maximum = field.metadata.get("maximum")
     if value != value:
-        return [f"{path}: not a number"]
-    if minimum is not None and value < minimum:
-        return [f"{path}: {value} is below {minimum}"]
-    if maximum is not None and value > maximum:
-        return [f"{path}: {value} is above {maximum}"]
+        return [f"{path}{check.name}: not a number"]
+    if check.minimum is not None and value < check.minimum:
+        return [f"{path}{check.name}: {value} is below {check.minimum}"]
+    if check.maximum is not None and value > check.maximum:
+        return [f"{path}{check.name}: {value} is above {check.maximum}"]
     return []
 
 
--- a/tests/features/plumbing.feature
+++ b/tests/features/plumbing.feature
@@ -32,3 +32,8 @@
     When 20 lines are logged, and the calls are counted
     Then each line took at most 6 calls
     And each line has its type, its time, a task of its own and its level
+
+  # Guards against LOST: a row with a bad field is taken for one in order.
+  Scenario: Fields of drawn documents are checked as their classes declare
+    When 400 documents of each kind are drawn, with fields of any value
+    Then the problems are those found with each class looked at anew
--- a/tests/features/steps/plumbing_steps.py
+++ b/tests/features/steps/plumbing_steps.py
@@ -8,16 +8,20 @@
 import collections
 import contextlib
 import json
+import random
 import sys
 import time
 import typing
 
+import attrs
 from behave import given
 from behave import then
 from behave import when
 import eliot
 from emulator import stubs
 import peridotsill
+from peridotsill import _codec
+import peridotsill.exceptions
 
 from peridotsill_adapter import _documents
 from peridotsill_adapter import _machines
@@ -100,6 +104,97 @@
     assert not count, f"{count} look-ups"
 
 
+_NUMBERS = (-1, 0, 1, 0.5, 1e300, float("nan"), float("inf"), True)
+_ODD_VALUES = (None, "x", [], {}, [None], [[]], {"x": 1}, *_NUMBERS)
+
+
+def _draw_document(draw, kind, depth=0):
+    """Return data of about the shape of a class, with odd values in it."""
+    hints = typing.get_type_hints(kind)
+    data = {}
+    for field in attrs.fields(kind):
+        if draw.random() < 0.2:
+            continue
+        hint = hints[field.name]
+        classes = [each for each in typing.get_args(hint) if attrs.has(each)]
+        if depth > 3 or draw.random() < 0.1:
+            data[field.name] = draw.choice(_ODD_VALUES)
+        elif attrs.has(hint):
+            data[field.name] = _draw_document(draw, hint, depth + 1)
+        elif classes and draw.random() < 0.8:
+            data[field.name] = [
+                _draw_document(draw, classes[0], depth + 1)
+                for _ in range(draw.randrange(3))
+            ]
+        elif classes:
+            data[field.name] = _draw_document(draw, classes[0], depth + 1)
+        else:
+            data[field.name] = draw.choice(_NUMBERS)
+    return data
+
+
+def _find_problems(data, kind, path=""):
+    """Return the problems of a document, with nothing kept of its class."""
+    if not isinstance(data, dict):
+        return []
+    hints = typing.get_type_hints(kind)
+    problems = []
+    for field in attrs.fields(kind):
+        value = data.get(field.name)
+        here = f"{path}{field.name}"
+        if isinstance(value, (int, float)) and not isinstance(value, bool):
+            minimum = field.metadata.get("minimum")
+            maximum = field.metadata.get("maximum")
+            if value != value:
+                problems.append(f"{here}: not a number")
+            elif minimum is not None and value < minimum:
+                problems.append(f"{here}: {value} is below {minimum}")
+            elif maximum is not None and value > maximum:
+                problems.append(f"{here}: {value} is above {maximum}")
+        hint = hints[field.name]
+        inner = [each for each in typing.get_args(hint) if attrs.has(each)]
+        if attrs.has(hint):
+            problems += _find_problems(value, hint, f"{here}.")
+        elif inner and isinstance(value, list):
+            for index, item in enumerate(value):
+                item_path = f"{here}[{index}]."
+                problems += _find_problems(item, inner[0], item_path)
+        elif inner:
+            problems += _find_problems(value, inner[0], f"{here}.")
+    return problems
+
+
+@when("{count:d} documents of each kind are drawn, with fields of any value")
+def _draw_documents(context, count):
+    draw = random.Random(39)
+    kinds = (_records.Submission, *peridotsill.RESOURCE_KINDS.values())
+    context.documents = [
+        (kind, _draw_document(draw, kind))
+        for kind in kinds
+        for _ in range(count)
+    ]
+
+
+@then("the problems are those found with each class looked at anew")
+def _same_problems(context):
+    found = 0
+    for kind, data in context.documents:
+        expected = _find_problems(data, kind)
+        found += len(expected)
+        assert _codec._range_problems(data, kind, "") == expected, data
+        if expected:
+            try:
+                peridotsill.from_plain(data, kind, strict=False)
+            except peridotsill.exceptions.InvalidResource as error:
+                problems = error.problems[
+                    len(error.problems) - len(expected) :
+                ]
+                assert list(problems) == expected, error.problems
+            else:
+                raise AssertionError(f"accepted: {data}")
+    assert found > len(context.documents) / 4, found
+
+
 class _Answers:
     """A client that answers each call with its ``answer``."""
 
