Decode entries and VMs anew only when they have changed

What the scheduler's process saw: each reading of the registry decoded all entries into new objects, 276 of them each 0.4 s, though most of the time nothing but their heartbeats has changed; and so with the list of VMs. DecodeCache keeps the object of each name with the JSON text of the fields that the decoder gets; it gets no others, so that no field can be forgotten in the key. 1, 1.0 and true have different texts, and so do null and a missing field. What can't be decoded is decoded and reported each time, as before. Names are bounded: at 4,000 the cache is emptied.

--- a/tests/features/plumbing.feature
+++ b/tests/features/plumbing.feature
@@ -37,3 +37,19 @@
   Scenario: Fields of drawn documents are checked as their classes declare
     When 400 documents of each kind are drawn, with fields of any value
     Then the problems are those found with each class looked at anew
+
+  # Guards against TWICE: an entry that turns odd, or another runner's, is
+  # taken for what it was.
+  Scenario Outline: What is kept of <rows> is what a first reading finds
+    When <rows> are read 300 times, with drawn fields changed, gone or odd
+    Then each reading names what a reader that has kept nothing names
+    And an entry whose decoded fields are as before is the same object
+
+    Examples:
+      | rows    |
+      | runners |
+      | VMs     |
+
+  Scenario: Decoded documents are kept for a bounded number of names
+    When 10000 documents of different names are decoded
+    Then at most 4000 are kept
--- a/tests/features/steps/plumbing_steps.py
+++ b/tests/features/steps/plumbing_steps.py
@@ -12,6 +12,7 @@
 import sys
 import time
 import typing
+import uuid
 
 import attrs
 from behave import given
@@ -22,15 +23,20 @@
 import peridotsill
 from peridotsill import _codec
 import peridotsill.exceptions
+from returns import result
 
+from peridotsill_adapter import _decode_cache
 from peridotsill_adapter import _documents
 from peridotsill_adapter import _machines
 from peridotsill_adapter import _table
 from peridotsill_adapter import _unreadable
 from peridotsill_adapter import _wire
+import peridotsill_jobs
 from peridotsill_jobs import _feeds
 from peridotsill_jobs import _logs
 from peridotsill_jobs import _records
+import peridotsill_jobs.exceptions
+import peridotsill_platform.exceptions
 import peridotsill_scheduler as scheduler
 
 _QUEUE = scheduler.Queue(name="q", host="h", prefix="/q/", pool="p")
@@ -219,12 +225,16 @@
         "born": 1700000000000,
         "machine": f"m-{number}",
     }
+    return _store_row(f"i-{number}", entry, heartbeats)
+
+
+def _store_row(key, value, version):
     return {
         "table": "servers",
         "part": "",
-        "key": f"i-{number}",
-        "value": base64.b64encode(json.dumps(entry).encode()).decode(),
-        "ver": heartbeats,
+        "key": key,
+        "value": base64.b64encode(json.dumps(value).encode()).decode(),
+        "ver": version,
     }
 
 
@@ -303,6 +313,140 @@
         assert before is after, (before, after)
 
 
+# Values of which some equal others for Python, but not as JSON.
+_FIELD_VALUES = {
+    "born": (1700000000000, 1700000000000.0, 1, True, None, "1", -1, 1e300),
+    "state": ("ready", "draining", "up", "moving", "odd", None, 1),
+    "address": ("127.0.0.1:8000", "127.0.0.1:8001", "x", None),
+    "service": ("trails", "other", None, 3),
+    "pool": ("trails", "other", None, 3),
+    "machine": ("m-1", "m-2", "", None, 1),
+    "zone": ("z1", "z2", None, 0),
+    "id": ("i-1", "", None, 1, True),
+    "labels": (
+        ["a", "r-0"],
+        ["r-0", "a"],
+        ["a"],
+        ["a", 1],
+        ["a", True],
+        None,
+        "a",
+    ),
+    "capacity": (
+        {"cpu": 1000, "mem_mb": 1, "gpu": 0},
+        {"cpu": 1000.0, "mem_mb": 1, "gpu": 0},
+        {"cpu": 1000, "mem_mb": True, "gpu": 0},
+        {"mem_mb": 1, "cpu": 1000},
+        {"cpu": None},
+        {"cpu": -1},
+        {},
+        None,
+        [],
+    ),
+    "seq": (1, 2, None, "x"),
+    "cold_left_ms": (0, 1),
+}
+
+
+def _draw_change(draw, document, original):
+    """Change, remove or restore one field of a document."""
+    name = draw.choice(tuple(_FIELD_VALUES))
+    if draw.random() < 0.1:
+        document.pop(name, None)
+    elif draw.random() < 0.7:
+        document[name] = original[name]
+    else:
+        document[name] = draw.choice(_FIELD_VALUES[name])
+
+
+def _outcome_of(read):
+    """Return what is read, or the text of the error."""
+    try:
+        return read()
+    except peridotsill_jobs.exceptions.JobsError as error:
+        return str(error)
+
+
+@when("{rows} are read 300 times, with drawn fields changed, gone or odd")
+def _read_changing(context, rows):
+    draw = random.Random(3900)
+    client = _Answers()
+    originals = [
+        {name: values[0] for name, values in _FIELD_VALUES.items()}
+        | {"machine": f"m-{number}"}
+        for number in range(2)
+    ]
+    documents = [dict(original) for original in originals]
+
+    def make_reader():
+        if rows == "runners":
+            return _registry_reader(client)
+        return _machines.MachineClient(client=client).list_vms
+
+    reader = make_reader()
+    context.readings = []
+    for version in range(300):
+        for document, original in zip(documents, originals):
+            if draw.random() < 0.5:
+                _draw_change(draw, document, original)
+        client.answer = {
+            "rows": [
+                _store_row(f"i-{number}", document, version)
+                for number, document in enumerate(documents)
+            ],
+            "machines": json.loads(json.dumps(documents)),
+            "ver": version,
+        }
+        kept, first = _outcome_of(reader), _outcome_of(make_reader())
+        context.readings.append((json.dumps(documents), kept, first))
+
+
+@then("each reading names what a reader that has kept nothing names")
+def _same_as_first(context):
+    named = 0
+    for documents, kept, first in context.readings:
+        assert kept == first, (documents, kept, first)
+        assert repr(kept) == repr(first), (documents, kept, first)
+        named += not isinstance(kept, str) and any(kept)
+    assert named >= 30, f"{named} readings name anything"
+
+
+@then("an entry whose decoded fields are as before is the same object")
+def _same_objects(context):
+    same = 0
+    for (before, kept, _), (after, kept_after, _) in zip(
+        context.readings, context.readings[1:]
+    ):
+        if isinstance(kept, str) or isinstance(kept_after, str):
+            continue
+        names = {each.get("machine") for each in json.loads(before)}
+        if len(names) < 2:
+            # Of VMs of the same name only one is kept.
+            continue
+        for old, new, entry, entry_after in zip(
+            json.loads(before), json.loads(after), kept, kept_after
+        ):
+            if entry is not None and json.dumps(old) == json.dumps(new):
+                assert entry is entry_after, (old, new)
+                same += 1
+    assert same >= 10, same
+
+
+@when("{count:d} documents of different names are decoded")
+def _decode_many(context, count):
+    context.cache = _decode_cache.DecodeCache(
+        fields=("x",), decode=lambda name, fields: (name, fields["x"])
+    )
+    for number in range(count):
+        decoded = context.cache.decode(f"d-{number}", {"x": number})
+        assert decoded == (f"d-{number}", number), decoded
+
+
+@then("at most {count:d} are kept")
+def _bounded(context, count):
+    assert 0 < len(context.cache._decoded) <= count
+
+
 @given("room for {count:d} more jobs that are submitted with it")
 def _submit_more(context, count):
     controller = context.controller
@@ -318,21 +462,69 @@
     )
 
 
+def _drain_runners(context, keys):
+    entries = tuple(
+        stubs.runner_entry(each, state=peridotsill_jobs.RunnerState.DRAINING)
+        for each in context.links
+    )
+    context.controller._feeds._latest_registry = _feeds.RegistrySnapshot(
+        entries=entries, requested_at=time.monotonic()
+    )
+
+
+def _lose_lease(context, keys):
+    context.controller._parts.lease.mark_lost("on purpose")
+    raise _CommitFailed
+
+
+def _write_job(context, keys):
+    """Write a job as the holder of an earlier epoch, late, would."""
+    value = {"state": "queued", "epoch": 0, "opened": 1, "tasks": {}}
+    context.store.rows[keys[0]] = (value, 7)
+
+
+class _CommitFailed(Exception):
+    """Raised by an event during a commit that fails."""
+
+
+_EVENTS = {
+    "nothing": lambda context, keys: None,
+    "all runners begin to drain": _drain_runners,
+    "the lease is lost": _lose_lease,
+    "another scheduler writes one job": _write_job,
+}
+
+
 @when("a scheduling round orders starts in commits of {sizes}")
 def _run_round(context, sizes):
+    _run_round_with(context, "nothing", sizes)
+
+
+@when("{event} during the second of a round's commits of {sizes}")
+def _run_round_with(context, event, sizes):
     context.sizes = [
         int(each) for each in sizes.replace(" and ", ", ").split(", ")
     ]
     # What was written and ordered, by job, in the order of time.
     context.steps = []
     commit = context.store.commit
+    events = [event]
 
     def record_commit(transaction):
         keys = [write.key for write in transaction.writes]
-        context.steps.append(
-            ("commit", [_records.parse_progress_key(key)[1] for key in keys])
-        )
-        return commit(transaction)
+        if events and len(context.steps) == context.sizes[0] + 1:
+            events.clear()
+            try:
+                _EVENTS[event](context, keys)
+            except _CommitFailed:
+                return result.Failure(
+                    peridotsill_platform.exceptions.TableUnavailable("away")
+                )
+        outcome = commit(transaction)
+        if isinstance(outcome, result.Success):
+            jobs = [_records.parse_progress_key(key)[1] for key in keys]
+            context.steps.append(("commit", jobs))
+        return outcome
 
     context.store.commit = record_commit
     for link in context.links.values():
@@ -342,21 +534,46 @@
     context.controller._run_round()
 
 
+def _ordered_jobs(context):
+    return [
+        job for kind, jobs in context.steps if kind == "start" for job in jobs
+    ]
+
+
 @then("each start was ordered after its record was written")
 def _recorded_before(context):
     recorded = set()
-    ordered = []
     for kind, jobs in context.steps:
         if kind == "commit":
             recorded.update(jobs)
         else:
             assert recorded.issuperset(jobs), (jobs, context.steps)
-            ordered += jobs
-    assert len(ordered) == len(set(ordered)) == sum(context.sizes), ordered
+
+
+@then("{count:d} starts were ordered, each once")
+def _ordered_once(context, count):
+    ordered = _ordered_jobs(context)
+    assert len(ordered) == len(set(ordered)) == count, sorted(ordered)
+
+
+@then("{count:d} tasks wait, as their rows say")
+def _tasks_wait(context, count):
+    ordered = set(_ordered_jobs(context))
+    waiting = 0
+    for job in context.controller._job_store.open_jobs:
+        key = _records.row_key(_records.PROGRESS, *job.key)
+        value, _ = context.store.rows.get(key, ({"tasks": {}}, 0))
+        for task in _records.parse_tasks(value).values():
+            waits = task.phase is scheduler.TaskPhase.WAITING
+            assert waits == (job.spec.id not in ordered), (job.key, task)
+            waiting += waits
+    assert waiting == count, waiting
 
 
 @then("the starts of a commit were ordered before the next commit began")
 def _ordered_at_once(context):
+    ordered = _ordered_jobs(context)
+    assert len(ordered) == len(set(ordered)) == sum(context.sizes), ordered
     kinds = [kind for kind, _ in context.steps]
     expected = []
     for size in context.sizes:
@@ -385,7 +602,9 @@
 
 @then("each line has its type, its time, a task of its own and its level")
 def _line_fields(context):
-    lines = context.lines[1:]
+    # Eliot also hands over what was logged before it had a destination.
+    types = [line.get("message_type") for line in context.lines]
+    lines = context.lines[types.index("first") + 1 :]
     assert len(lines) == context.line_count, lines
     for number, line in enumerate(lines):
         own = {"job": "aa", "run": number, "reason": ""}
@@ -403,3 +622,40 @@
     tasks = {line["task_uuid"] for line in lines}
     assert len(tasks) == len(lines), tasks
     assert all(len(task) == 36 for task in tasks), tasks
+
+
+@when("the same is logged by eliot and by the project {where}")
+def _log_both(context, where):
+    context.lines = []
+    eliot.add_destinations(context.lines.append)
+    context.stack.callback(eliot.remove_destination, context.lines.append)
+    action = contextlib.nullcontext()
+    if where == "within an action":
+        action = eliot.start_action(action_type="x")
+    with action:
+        eliot.log_message(message_type="odd", job="aa", run=1)
+        _logs.log("odd", job="aa", run=1)
+    context.lines = [
+        line for line in context.lines if line.get("message_type") == "odd"
+    ]
+
+
+@then("both lines have the same fields in the same order")
+def _same_form(context):
+    by_eliot, own = context.lines
+    assert list(by_eliot) == list(own), (by_eliot, own)
+    for name in by_eliot:
+        assert type(by_eliot[name]) is type(own[name]), name
+    assert uuid.UUID(own["task_uuid"]).version == 4, own
+    assert own["timestamp"] >= by_eliot["timestamp"], (by_eliot, own)
+
+
+@then("both are {relation}")
+def _related(context, relation):
+    by_eliot, own = context.lines
+    same_task = by_eliot["task_uuid"] == own["task_uuid"]
+    levels = [by_eliot["task_level"], own["task_level"]]
+    if relation == "tasks of their own":
+        assert not same_task and levels == [[1], [1]], context.lines
+    else:
+        assert same_task and levels == [[2], [3]], context.lines
