Write log lines without an action for each

What the scheduler's process saw: eliot.log_message creates an action, two task levels and a random UUID for each message outside of an action, 16 calls; there are three lines for each start. log() now writes the same message to eliot's logger itself: the same fields in the same order. Its task ids are UUIDs of one random prefix for the process, and count up. Within an action it calls eliot as before.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_logs.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_logs.py
@@ -3,10 +3,13 @@
 import collections
 import collections.abc
 import contextlib
+import itertools
 import sys
 import threading
+import time
 import traceback
 import typing
+import uuid
 
 import eliot
 import orjson
@@ -118,9 +121,27 @@
         writer.stop()
 
 
+_logger = eliot.Logger()
+# The ids of eliot's tasks: each message outside of an action is a task of its
+# own. They have the form of a random UUID, whose last group counts up.
+_task_id_prefix = str(uuid.uuid4())[:24]
+_task_numbers = itertools.count()
+
+
 def log(event: str, **fields: object) -> None:
-    """Log a message; ``event`` is its type, such as ``job:accepted``."""
-    eliot.log_message(message_type=event, **fields)
+    """Log a message; ``event`` is its type, such as ``job:accepted``.
+
+    The message is the one that `eliot.log_message` writes, which creates an
+    action for each message outside of one.
+    """
+    if eliot.current_action() is not None:
+        eliot.log_message(message_type=event, **fields)
+        return
+    fields["timestamp"] = time.time()
+    fields["task_uuid"] = f"{_task_id_prefix}{next(_task_numbers):012x}"
+    fields["task_level"] = [1]
+    fields["message_type"] = event
+    _logger.write(fields)
 
 
 def log_traceback(event: str, **fields: object) -> None:
--- a/tests/features/plumbing.feature
+++ b/tests/features/plumbing.feature
@@ -33,6 +33,17 @@
     Then each line took at most 6 calls
     And each line has its type, its time, a task of its own and its level
 
+  # Guards against LOST: a line in a form that its readers don't expect.
+  Scenario Outline: A log line is the message that eliot writes (<where>)
+    When the same is logged by eliot and by the project <where>
+    Then both lines have the same fields in the same order
+    And both are <relation>
+
+    Examples:
+      | where             | relation                  |
+      | outside an action | tasks of their own        |
+      | within an action  | messages of that action   |
+
   # Guards against LOST: a row with a bad field is taken for one in order.
   Scenario: Fields of drawn documents are checked as their classes declare
     When 400 documents of each kind are drawn, with fields of any value
