Order starts once their own commit is done

What jobs saw: a round commits its jobs 45 at a time, one commit after another, and ordered no start until the last was done, so that the starts of the first 45 jobs waited for the rows of all the others. A start depends on its own job's row alone. JobStore.commit now tells after each transaction which jobs it has written, and the controller orders their starts before the next one begins. Ends are acknowledged after the last one, as before, and a job that was re-read still gets no start.

Why no proof changes: each start is recorded before it is ordered, by the same conditional write; the sender checks the lease as it sends. If the lease is lost during a later commit, the starts of the earlier ones have gone out under it, like those of an earlier round. A start that the newest registry forbids is taken back at once, and the same round's last commit writes it.

What happens during the second commit (runners drain, the lease is lost, another scheduler writes one job) is a scenario each. The step 'the commit of its first start takes so long' held up JobStore.commit, after which all starts were sent; it now holds up the table's commit, which is what takes long: the registry still changes while the start's record is on its way. round_seconds has a part "send", within "commit".

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_controller.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_controller.py
@@ -1,7 +1,7 @@
 """The scheduler's loop.
 
-Events are handled first; then each round makes decisions, commits the changed
-jobs and only then sends the start orders.
+Events are handled first; then each round makes decisions and commits the
+changed jobs. Start orders are sent once the commit of their job is done.
 """
 
 import contextlib
@@ -65,6 +65,7 @@
     | _commands.CommandOutcome
     | _advice.AdviceResult
 )
+_RecordedStart = tuple[peridotsill_scheduler.Start, _ports.StartOrder]
 
 
 @attrs.frozen(kw_only=True)
@@ -338,21 +339,16 @@
             if self._is_registry_valid(self._registry, now):
                 with self._round_timer.part("plan"):
                     starts = self._plan_starts(jobs, now)
-        orders = [self._record_start(start, now) for start in starts]
+        unsent: dict[tuple[str, str], list[_RecordedStart]] = {}
+        for start in starts:
+            order = self._record_start(start, now)
+            unsent.setdefault(start.job.key, []).append((start, order))
         with self._round_timer.part("commit"):
-            reread_keys = self._job_store.commit()
-        if reread_keys is None:
-            return
-        self._acknowledge_ends(reread_keys)
-        if self._registry is not None:
-            self._send_starts(
-                [
-                    (start, order)
-                    for start, order in zip(starts, orders)
-                    if start.job.key not in reread_keys
-                ],
-                self._registry,
+            reread_keys = self._job_store.commit(
+                lambda keys: self._send_starts_of(keys, unsent)
             )
+        if reread_keys is not None:
+            self._acknowledge_ends(reread_keys)
 
     def _is_registry_valid(
         self, registry: _feeds.RegistrySnapshot, now: float
@@ -368,9 +364,30 @@
             )
         return valid
 
+    def _send_starts_of(
+        self,
+        keys: list[tuple[str, str]],
+        unsent: dict[tuple[str, str], list[_RecordedStart]],
+    ) -> None:
+        """Send the starts of jobs that were just written.
+
+        The jobs of the round's other transactions needn't be waited for: a
+        start depends on its own job's row alone.
+
+        Args:
+            keys: The jobs' keys.
+            unsent: The round's starts by job; those of ``keys`` are removed,
+                as a job may be written once more.
+        """
+        starts = [each for key in keys for each in unsent.pop(key, ())]
+        if starts and self._registry is not None:
+            # Also a part of "commit", within which it is done.
+            with self._round_timer.part("send"):
+                self._send_starts(starts, self._registry)
+
     def _send_starts(
         self,
-        starts: list[tuple[peridotsill_scheduler.Start, _ports.StartOrder]],
+        starts: list[_RecordedStart],
         registry: _feeds.RegistrySnapshot,
     ) -> None:
         """Send recorded starts that the newest registry still allows.
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_job_store.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_job_store.py
@@ -199,12 +199,22 @@
         else:
             self._open_jobs[job.key] = job
 
-    def commit(self) -> frozenset[_JobKey] | None:
+    def commit(
+        self,
+        on_written: collections.abc.Callable[[list[_JobKey]], None] = (
+            lambda keys: None
+        ),
+    ) -> frozenset[_JobKey] | None:
         """Write the marked jobs; return the keys of those re-read.
 
         Another scheduler wrote those; its row stands, and the changes made
         here are dropped. None means that the lease was lost or
         released before the outcome was known.
+
+        Args:
+            on_written: Called after each transaction, before the next one
+                begins, with the keys of the jobs that are now written. Jobs
+                that it marks are written as well.
         """
         reread_keys: set[_JobKey] = set()
         while self._dirty:
@@ -215,6 +225,7 @@
             reread_keys |= conflicts
             for job in batch:
                 self._dirty.pop(job.key, None)
+            on_written([job.key for job in batch if job.key not in conflicts])
         return frozenset(reread_keys)
 
     def _write(
--- a/tests/features/plumbing.feature
+++ b/tests/features/plumbing.feature
@@ -27,6 +27,24 @@
     Then each start was ordered after its record was written
     And the starts of a commit were ordered before the next commit began
 
+  # Guards against TWICE, LOST and starts on a runner that drains: what happens
+  # during one commit of a round is not heeded by the starts of this commit, or
+  # is by those of another.
+  Scenario Outline: What happens during the second commit of a round (<event>)
+    Given a scheduler with a job that was just submitted
+    And room for 99 more jobs that are submitted with it
+    When <event> during the second of a round's commits of 45, 45 and 10
+    Then each start was ordered after its record was written
+    And <sent> starts were ordered, each once
+    And <waiting> tasks wait, as their rows say
+
+    Examples:
+      | event                             | sent | waiting |
+      | nothing                           | 100  | 0       |
+      | all runners begin to drain        | 45   | 55      |
+      | the lease is lost                 | 45   | 0       |
+      | another scheduler writes one job  | 99   | 0       |
+
   # Guards against SHORT: three lines a start, each of which creates a task.
   Scenario: A log line costs few calls
     When 20 lines are logged, and the calls are counted
--- a/tests/features/steps/controller_steps.py
+++ b/tests/features/steps/controller_steps.py
@@ -913,16 +913,16 @@
 )
 def _change_during_commit(context, change):
     controller = context.controller
-    commit = controller._job_store.commit
+    commit = context.store.commit
 
-    def slow_commit():
-        outcome = commit()
+    def slow_commit(transaction):
+        outcome = commit(transaction)
         controller._feeds._latest_registry = _registry_of(_CHANGES[change])
         return outcome
 
-    controller._job_store.commit = slow_commit
+    context.store.commit = slow_commit
     controller._run_round()
-    controller._job_store.commit = commit
+    context.store.commit = commit
 
 
 def _sent_runs(context):
