--- a/tests/features/plumbing.feature
+++ b/tests/features/plumbing.feature
@@ -27,8 +27,63 @@
     Then each start was ordered after its record was written
     And the starts of a commit were ordered before the next commit began
 
+  # Guards against TWICE, LOST and starts on a runner that drains: what happens
+  # during one commit of a round is not heeded by the starts of this commit, or
+  # is by those of another.
+  Scenario Outline: What happens during the second commit of a round (<event>)
+    Given a scheduler with a job that was just submitted
+    And room for 99 more jobs that are submitted with it
+    When <event> during the second of a round's commits of 45, 45 and 10
+    Then each start was ordered after its record was written
+    And <sent> starts were ordered, each once
+    And <waiting> tasks wait, as their rows say
+
+    Examples:
+      | event                             | sent | waiting |
+      | nothing                           | 100  | 0       |
+      | all runners begin to drain        | 45   | 55      |
+      | the lease is lost                 | 45   | 0       |
+      | another scheduler writes one job  | 99   | 0       |
+
   # Guards against SHORT: three lines a start, each of which creates a task.
   Scenario: A log line costs few calls
     When 20 lines are logged, and the calls are counted
     Then each line took at most 6 calls
     And each line has its type, its time, a task of its own and its level
+
+  # Guards against LOST: a line in a form that its readers don't expect.
+  Scenario Outline: A log line is the message that eliot writes (<where>)
+    When the same is logged by eliot and by the project <where>
+    Then both lines have the same fields in the same order
+    And both are <relation>
+
+    Examples:
+      | where             | relation                  |
+      | outside an action | tasks of their own        |
+      | within an action  | messages of that action   |
+
+  # Guards against LOST: a row with a bad field is taken for one in order.
+  Scenario: Fields of drawn documents are checked as their classes declare
+    When 400 documents of each kind are drawn, with fields of any value
+    Then the problems are those found with each class looked at anew
+
+  # Guards against TWICE: an entry that turns odd, or another runner's, is
+  # taken for what it was.
+  Scenario Outline: What is kept of <rows> is what a first reading finds
+    When <rows> are read 300 times, with drawn fields changed, gone or odd
+    Then each reading names what a reader that has kept nothing names
+    And an entry whose decoded fields are as before is the same object
+
+    Examples:
+      | rows    |
+      | runners |
+      | VMs     |
+
+  Scenario: Decoded documents are kept for a bounded number of names
+    When 10000 documents of different names are decoded
+    Then at most 4000 are kept
+
+  # Guards against LOST: a request or a row in another encoding than before.
+  Scenario: Plain data is encoded as the converter of objects encodes it
+    When 2000 values are drawn, with objects, keys and numbers of any kind
+    Then each has the same JSON text as by the converter, or the same error
