Let a node decline a takeover that it never learned of

Cause: the holder left the lease with waits for its runners while the store was slow. A sibling's commit took the lease, its answer was lost, and the row then named a node that knew nothing of it; the waits were gone. The node that took over next asked it, and was told that it holds no lease. That proved nothing, so it waited as if that node granted leases of runs: 1.6 s + 6 s + 3.9 s from its first read of the row.

Change: asked for an epoch that it tried to take and does not hold, a node declines it, and does not become the holder if the table's answer arrives after that. So it has stopped by its answer, and the next holder waits for the last grants of those before it, 3.9 s. The promise and the record of a takeover are under one lock. An epoch that a node has not tried can't be declined, so a question from anybody else binds it to nothing. An answer that the lease was held and lost is no proof, as before.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_earlier_grants.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_earlier_grants.py
@@ -43,16 +43,20 @@
         """Whether it is known which process it was, and where."""
         return bool(self.node and self.address and self.process)
 
-    def replaced_at(
+    def stopped_at(
         self, answer: _holder_check.HolderState | None, now: float
     ) -> float | None:
-        """Return by when another process had replaced it at its address.
+        """Return by when it had stopped, by an answer from its address.
 
         An address has one process at a time, so another process of its name
-        that answers there shows that it has ended. None if nothing does.
+        that answers there shows that it has ended. A process that declines
+        the epoch has granted nothing under it and won't. None if the answer
+        shows neither.
         """
         if answer is None or not self.is_named or not answer.process:
             return None
+        if answer.declined and answer.process == self.process:
+            return now
         if answer.node != self.node or answer.process == self.process:
             return None
         return now - answer.up_seconds
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_holder_check.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_holder_check.py
@@ -32,7 +32,9 @@
     for which the next holder has to wait for each runner that does not
     answer, None if they are not known. ``node`` and ``process`` name the
     process that answers, and ``up_seconds`` says for how long it has been
-    listening; empty and 0 if no process answers.
+    listening; empty and 0 if no process answers. ``declined`` says that this
+    process tried to take the lease under the epoch, never learned that it
+    had, and won't act as its holder under that epoch.
     """
 
     holds: bool
@@ -40,6 +42,7 @@
     node: str = ""
     process: str = ""
     up_seconds: float = 0.0
+    declined: bool = False
 
 
 class HolderApp:
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_lease.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_lease.py
@@ -166,6 +166,10 @@
         self._failed_reads = 0
         self._row_unchanged = False
         self._epoch = 0
+        # The epoch of the last attempt to take the lease, and the highest
+        # under which this process has told others that it won't hold it.
+        self._attempted_epoch = 0
+        self._declined_epoch = 0
         self._valid_until = float("-inf")
         self._first_unanswered_at: float | None = None
         self._lock = threading.Lock()
@@ -285,6 +289,7 @@
         with self._lock:
             self._last_holder = last_holder
             self._earlier_grants_end_at = last_holder.grants_end_at(stopped_at)
+            self._attempted_epoch = row.epoch + 1
         self._inherited_waits = waits
         self._compute_waits = None
         if not self._commit_as_holder(row.version, row.epoch + 1):
@@ -340,10 +345,10 @@
         ):
             is_former = last_holder.process != self._process
             return self._listening_since if is_former else now
-        return last_holder.replaced_at(answer, now)
+        return last_holder.stopped_at(answer, now)
 
     def ask_predecessor(self) -> None:
-        """Ask at the last holder's address whether it has been replaced.
+        """Ask at the last holder's address whether it has stopped.
 
         A process that ended just before the takeover is started again a
         moment later.
@@ -354,12 +359,10 @@
         if self._is_own(last_holder.node, last_holder.address):
             return
         answer = self._ask_holder(last_holder.address, last_holder.epoch)
-        replaced_at = last_holder.replaced_at(
-            answer, _clock.monotonic_seconds()
-        )
-        if answer is None or replaced_at is None:
+        stopped_at = last_holder.stopped_at(answer, _clock.monotonic_seconds())
+        if answer is None or stopped_at is None:
             return
-        grants_end_at = last_holder.grants_end_at(replaced_at)
+        grants_end_at = last_holder.grants_end_at(stopped_at)
         with self._lock:
             # Meanwhile this node may have taken the lease over once more.
             if last_holder is not self._last_holder:
@@ -371,6 +374,7 @@
             "lease:predecessor_replaced",
             holder=last_holder.node,
             epoch=last_holder.epoch,
+            declined=answer.declined,
             up_seconds=round(answer.up_seconds, 3),
         )
 
@@ -398,6 +402,10 @@
         this one can't renew the lease, it gives it up.
         """
         with self._lock:
+            if self.lost and self._epoch < epoch <= self._attempted_epoch:
+                # The answer to the commit that took it may still arrive.
+                self._declined_epoch = max(self._declined_epoch, epoch)
+                return self._make_state(holds=False, declined=True)
             if self.lost or epoch != self._epoch:
                 return self._make_state(holds=False)
             failed = self._failed_renewals
@@ -411,7 +419,11 @@
         )
 
     def _make_state(
-        self, *, holds: bool, waits: dict[str, float] | None = None
+        self,
+        *,
+        holds: bool,
+        waits: dict[str, float] | None = None,
+        declined: bool = False,
     ) -> _holder_check.HolderState:
         now = _clock.monotonic_seconds()
         since = self._listening_since
@@ -421,6 +433,7 @@
             node=self._node,
             process=self._process,
             up_seconds=0.0 if since is None else now - since,
+            declined=declined,
         )
 
     def renew(self) -> bool:
@@ -602,10 +615,13 @@
 
         A renewal that was in progress when the lease was lost does not bring
         it back: the scheduler ends, and waits may have been told to a peer.
+        Nor does a takeover that was declined while it was in progress.
         """
         with self._lock:
             if self._lost and epoch == self._epoch:
                 return False
+            if epoch <= self._declined_epoch:
+                return False
             recorded_at = _clock.monotonic_seconds()
             self._last_row = _ObservedRow(
                 version=version,
--- a/tests/features/steps/waits_steps.py
+++ b/tests/features/steps/waits_steps.py
@@ -147,6 +147,83 @@
         assert context.lease.renew()
 
 
+@given("a holder that renewed the lease for 12 s and released it")
+def _renewing_holder_released(context):
+    _renewing_holder_killed(context)
+    context.lease.set_waits_source(dict)
+    context.lease.release()
+
+
+@when("another node takes the lease and never learns of it")
+def _take_lease_unknowingly(context):
+    context.unaware = _make_lease(context, "unaware")
+    commit = context.store.commit
+
+    def lose_answer(transaction):
+        commit(transaction)
+        return _TABLE_UNAVAILABLE
+
+    with unittest.mock.patch.object(context.store, "commit", lose_answer):
+        while not _is_row_of(context, "unaware"):
+            assert not context.unaware.try_acquire()
+            context.clock.now += _POLL_SECONDS
+    context.unaware._released = True
+
+
+def _is_row_of(context, node):
+    value, _ = context.store.rows[_records.LEASE_KEY]
+    return value["holder"] == node
+
+
+@when("a third node takes the lease once that node has answered it")
+def _take_lease_after_answer(context):
+    _ask_and_take_lease(context, context.unaware.answer_peer)
+
+
+@when("a third node takes the lease before that node has answered it")
+def _take_lease_before_answer(context):
+    _ask_and_take_lease(context, lambda epoch: None)
+    context.lease._ask_holder = lambda address, epoch: (
+        context.unaware.answer_peer(epoch)
+    )
+    context.lease.ask_predecessor()
+
+
+@when("another node takes the lease, and is asked for it before it learns so")
+def _asked_before_answer(context):
+    context.lease = _make_lease(context, "asked")
+    commit = context.store.commit
+
+    def commit_and_ask(transaction):
+        answer = commit(transaction)
+        value, _ = context.store.rows[_records.LEASE_KEY]
+        state = context.lease.answer_peer(value["epoch"])
+        assert state.declined and not state.holds, state
+        return answer
+
+    with unittest.mock.patch.object(context.store, "commit", commit_and_ask):
+        assert not context.lease.try_acquire()
+
+
+@then("that node does not hold the lease")
+def _not_held(context):
+    assert not context.lease.held
+    assert _is_row_of(context, "asked")
+
+
+@when("another node is asked whether it holds epoch {epoch:d}")
+def _asked_for_epoch(context, epoch):
+    context.lease = _make_lease(context, "asked")
+    state = context.lease.answer_peer(epoch)
+    assert not state.holds and not state.declined, state
+
+
+@then("it can take the lease over again")
+def _can_take_lease(context):
+    assert context.lease.try_acquire()
+    assert context.lease.held
+
+
 @when("its node starts again and takes the lease")
 def _restarted_takes_lease(context):
     context.lease = _make_lease(context, context.lease._node)
--- a/tests/features/waits.feature
+++ b/tests/features/waits.feature
@@ -71,6 +71,44 @@
       | a node of another name answers              |
       | the holder itself answers that it lost it   |
 
+  # Guards against LOST: a node takes the lease over, but the table's answer is
+  # lost, and so are the waits that the holder before it left. The next one
+  # waited as if that node had granted leases, and might yet.
+  Scenario Outline: After a node that never learned that it had the lease
+    Given a holder that renewed the lease for 12 s and released it
+    And a task on a runner that does not answer
+    When another node takes the lease and never learns of it
+    And a third node takes the lease <when> that node has answered it
+    Then the task counts as lost after 3.9 s
+
+    Examples:
+      | when   |
+      | once   |
+      | before |
+
+  # Guards against TWICE: the holder before such a node may live and grant.
+  Scenario: Before a node that never learned that it had the lease, one may live
+    Given a holder that renewed the lease for 12 s and was killed
+    And a task on a runner that does not answer
+    When another node takes the lease and never learns of it
+    And a third node takes the lease once that node has answered it
+    Then the task counts as lost after 9.3 s
+
+  # Guards against TWICE: the table's answer arrives after the node has told
+  # another that it does not hold the lease.
+  Scenario: A node that has told another that it has no lease does not hold it
+    Given a holder that renewed the lease for 12 s and released it
+    When another node takes the lease, and is asked for it before it learns so
+    Then that node does not hold the lease
+    And it can take the lease over again
+
+  # Guards against a scheduler that is never replaced: a question with an epoch
+  # of no lease kept the node that was asked from taking it.
+  Scenario: A question for an epoch that no node has tried binds nobody
+    Given a holder that renewed the lease for 12 s and released it
+    When another node is asked whether it holds epoch 1000000
+    Then it can take the lease over again
+
   # Guards against TWICE: the holder before a killed one may live and grant.
   Scenario: After a killed holder that had just taken over, for both
     Given a holder of the lease that was killed
