Record all VMs that begin in a wave in one write

Cause: Fleet._record_begun wrote the wave's row once for each VM, one conditional write after another, within the round.

Change: the VMs that are ready for their commands in one decision are recorded in one transaction, and then commanded. A VM is counted as begun only once that is written; before, one that a re-read row named as begun by another scheduler was forgotten again after the conflict.

Evidence: "A wave that begins with several VMs costs one write" failed with four writes for four VMs and passes; the other scenarios of maintenance pass, among them those that hold back a VM beyond max_parallel after a re-read.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_fleet.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_fleet.py
@@ -343,9 +343,10 @@
                 clearing.append((count, name, operation, worker))
         clearing.sort(key=lambda each: each[:2])
         full_speed_tasks: dict[tuple[str, str], frozenset[str]] = {}
+        emptied = []
         for count, name, operation, worker in clearing:
             if worker is None or not count:
-                self._send_command(operation, now)
+                emptied.append(operation)
                 continue
             if count < operation.lowest_task_count:
                 operation.lowest_task_count = count
@@ -356,6 +357,7 @@
                 self._end_operation(name)
             else:
                 self._evict_long_lived(worker, full_speed_tasks)
+        self._send_commands(emptied, now)
 
     def _evict_long_lived(
         self,
@@ -379,9 +381,20 @@
                 self._parts.evict(worker, placed)
                 full_speed_tasks[key] -= {task.key}
 
-    def _send_command(self, operation: _Operation, now: float) -> None:
-        if not self._record_begun(operation, now):
+    def _send_commands(self, operations: list[_Operation], now: float) -> None:
+        """Record the commands of operations in one write, then send them."""
+        begun: dict[_waves.Wave, set[str]] = {}
+        ready = [
+            each
+            for each in operations
+            if self._begin_in_wave(each, begun, now)
+        ]
+        if begun and not self._wave_rows.save(begun):
             return
+        for operation in ready:
+            self._send_command(operation, now)
+
+    def _send_command(self, operation: _Operation, now: float) -> None:
         operation.phase = _OperationPhase.CALLING
         operation.progressed_at = now
         record = self._vms.get(operation.command.vm)
@@ -394,10 +407,15 @@
         operation.may_be_repeat |= is_in_pool
         self._parts.command_sender.send(operation.command)
 
-    def _record_begun(self, operation: _Operation, now: float) -> bool:
-        """Record a VM as begun in its wave, if it has one.
+    def _begin_in_wave(
+        self,
+        operation: _Operation,
+        begun: dict[_waves.Wave, set[str]],
+        now: float,
+    ) -> bool:
+        """Add a VM to those that begin in its wave, if it has one.
 
-        Return whether its command may be sent.
+        Return whether its command may be sent once that is recorded.
         """
         wave = self._waves.get(operation.wave)
         if wave is None:
@@ -408,7 +426,7 @@
             return True
         # The row may have been read again since the VM was chosen, and may
         # name VMs that another scheduler has begun. So count again.
-        out = self._out_vms(wave, now)
+        out = self._out_vms(wave, now) | begun.get(wave, set())
         if len(out) >= wave.order.max_parallel:
             _logs.log(
                 "wave:no_place",
@@ -420,11 +438,8 @@
             self._backoff_until[vm] = now + _BACKOFF_SECONDS
             self._end_operation(vm)
             return False
-        wave.begun.add(vm)
-        if self._wave_rows.save(wave):
-            return True
-        wave.begun.discard(vm)
-        return False
+        begun.setdefault(wave, set()).add(vm)
+        return True
 
     def _out_vms(self, wave: _waves.Wave, now: float) -> set[str]:
         """Return the VMs that count towards a wave's ``max_parallel``.
@@ -639,7 +654,7 @@
                 )
             wave.order = order
             if wave.has_unrecorded_changes:
-                self._wave_rows.save(wave)
+                self._wave_rows.save({wave: frozenset()})
             self._publish_wave_state(wave)
 
     def _publish_wave_state(self, wave: _waves.Wave) -> None:
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_waves.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_waves.py
@@ -1,5 +1,6 @@
 """The progress of maintenance waves, stored in table rows."""
 
+import collections.abc
 import typing
 
 import attrs
@@ -102,6 +103,18 @@
                 self.back.add(vm)
 
 
+@attrs.frozen(kw_only=True)
+class RowChange:
+    """A write of a row if its version is unchanged."""
+
+    check: peridotsill_platform.Check
+    write: peridotsill_platform.Write
+
+
+# Waves, each with VMs that begin their maintenance.
+BegunVms = collections.abc.Mapping[Wave, collections.abc.Set[str]]
+
+
 class WaveRows:
     """Reads and writes the progress of waves.
 
@@ -128,42 +141,67 @@
                 )
         return False
 
-    def save(self, wave: Wave) -> bool:
-        """Write a wave's row; false if it may not have been written.
+    def save(self, begun: BegunVms) -> bool:
+        """Write the rows of waves at once; false if that may not be done.
 
-        After a conflict the row is read again.
+        Args:
+            begun: The waves, each with the VMs that begin now.
         """
-        key = KEY_PREFIX + wave.order.name
-        value = {
-            "begun": sorted(wave.begun),
-            "done": sorted(wave.done),
-            "back": sorted(wave.back),
-            "age_seconds": _clock.monotonic_seconds() - wave.seen_at,
-        }
+        changes = self.changes(begun)
         outcome = self._table.commit(
             peridotsill_platform.Transaction(
-                checks=(
-                    peridotsill_platform.Check(
-                        key=key, version=wave.row_version
-                    ),
-                ),
-                writes=(peridotsill_platform.Write(key=key, value=value),),
+                checks=tuple(each.check for each in changes),
+                writes=tuple(each.write for each in changes),
             )
         )
+        return self.apply_outcome(begun, outcome)
+
+    def changes(self, begun: BegunVms) -> tuple[RowChange, ...]:
+        """Return the writes of waves' rows, if they are as they were read."""
+        return tuple(_change(wave, vms) for wave, vms in begun.items())
+
+    def apply_outcome(
+        self, begun: BegunVms, outcome: peridotsill_platform.CommitResult
+    ) -> bool:
+        """Apply the outcome of a transaction with the writes of `changes`.
+
+        Returns false if they may not have been written. After a conflict
+        the rows are read again.
+        """
         match outcome:
             case result.Success(revision):
-                wave.row_version = int(revision)
-                wave.recorded = (frozenset(wave.done), frozenset(wave.back))
+                for wave, vms in begun.items():
+                    wave.begun |= vms
+                    wave.row_version = int(revision)
+                    wave.recorded = frozenset(wave.done), frozenset(wave.back)
                 return True
             case result.Failure(error):
-                _logs.log(
-                    "wave:unwritten", wave=wave.order.name, reason=str(error)
-                )
+                for wave in begun:
+                    _logs.log(
+                        "wave:unwritten",
+                        wave=wave.order.name,
+                        reason=str(error),
+                    )
                 if isinstance(error, peridotsill_platform.exceptions.Conflict):
-                    self.load(wave)
+                    for wave in begun:
+                        self.load(wave)
         return False
 
 
+def _change(wave: Wave, vms: collections.abc.Set[str]) -> RowChange:
+    key = KEY_PREFIX + wave.order.name
+    value = {
+        "begun": sorted(wave.begun | vms),
+        "done": sorted(wave.done),
+        "back": sorted(wave.back),
+        "age_seconds": _clock.monotonic_seconds() - wave.seen_at,
+    }
+    return RowChange(
+        check=peridotsill_platform.Check(key=key, version=wave.row_version),
+        write=peridotsill_platform.Write(key=key, value=value),
+    )
+
+
 def _apply_row(wave: Wave, row: peridotsill.Row) -> None:
     known_done = frozenset(wave.done)
     done, back = _vm_names(row.value, "done"), _vm_names(row.value, "back")
