Move long-lived tasks off the VMs of a wave before these are taken

Callers saw waves that ended late for a few VMs, and `vm:not_cleared` up to three times for one VM, with one task left.

Such a task may leave only if its step misses no more than its budget, so the tasks of a step leave one or two at a time. They began to when their VMs were cleared.

Now they leave from the wave's beginning on, within the same budget, for VMs that have room and are not due. `vm:not_cleared` says what keeps each of the tasks that are left.

What is left: without a free VM that is not due, no task leaves ahead.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_fleet.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_fleet.py
@@ -10,6 +10,7 @@
 from peridotsill_jobs import _catalog
 from peridotsill_jobs import _clock
 from peridotsill_jobs import _commands
+from peridotsill_jobs import _evictions
 from peridotsill_jobs import _feeds
 from peridotsill_jobs import _live_settings
 from peridotsill_jobs import _logs
@@ -327,6 +328,7 @@
         for wave in self._waves.values():
             self._plan_wave(wave, supplies, now)
         self._plan_lending(supplies, now)
+        self._clear_ahead(now)
 
     def _advance_clearing(self, now: float) -> None:
         """Continue to clear VMs, and send the commands for empty ones.
@@ -342,7 +344,7 @@
                 count = len(worker.placed) if worker else 0
                 clearing.append((count, name, operation, worker))
         clearing.sort(key=lambda each: each[:2])
-        full_speed_tasks: dict[tuple[str, str], frozenset[str]] = {}
+        evictions = self._new_evictions()
         for count, name, operation, worker in clearing:
             if worker is None or not count:
                 self._send_command(operation, now)
@@ -351,33 +353,34 @@
                 operation.lowest_task_count = count
                 operation.progressed_at = now
             if now - operation.progressed_at > _CLEARING_TIMEOUT_SECONDS:
-                _logs.log("vm:not_cleared", vm=name, tasks=count)
+                _logs.log(
+                    "vm:not_cleared",
+                    vm=name,
+                    tasks=count,
+                    rest=evictions.describe_rest(worker),
+                )
                 self._backoff_until[name] = now + _BACKOFF_SECONDS
                 self._end_operation(name)
             else:
-                self._evict_long_lived(worker, full_speed_tasks)
+                evictions.clear(worker)
 
-    def _evict_long_lived(
-        self,
-        worker: _workers.Worker,
-        full_speed_tasks: dict[tuple[str, str], frozenset[str]],
-    ) -> None:
-        for placed in tuple(worker.placed.values()):
-            task = placed.task
-            if not task.step.long_lived:
-                continue
-            if task.phase is not peridotsill_scheduler.TaskPhase.RUNNING:
-                continue
-            key = placed.job.key
-            if key not in full_speed_tasks:
-                full_speed_tasks[key] = self._parts.workers.full_speed_tasks(
-                    placed.job
-                )
-            if peridotsill_scheduler.may_evict(
-                placed.job, task, full_speed_tasks[key]
-            ):
-                self._parts.evict(worker, placed)
-                full_speed_tasks[key] -= {task.key}
+    def _new_evictions(self) -> _evictions.Evictions:
+        return _evictions.Evictions(
+            workers=self._parts.workers, evict=self._parts.evict
+        )
+
+    def _clear_ahead(self, now: float) -> None:
+        """Move long-lived tasks off the VMs that are yet to be maintained.
+
+        They leave one after another, as their budgets allow; if they began
+        to when the VMs are cleared, the last VMs would be late.
+        """
+        due = [
+            worker
+            for worker in self._parts.workers
+            if worker.avoided and worker.vm not in self._operations
+        ]
+        self._new_evictions().clear_ahead(due, now)
 
     def _send_command(self, operation: _Operation, now: float) -> None:
         if not self._record_begun(operation, now):
--- a/tests/features/maintenance.feature
+++ b/tests/features/maintenance.feature
@@ -251,3 +251,22 @@
     When the fleet decides
     Then no VM was commanded to be maintained
     And a task of job "x" was ended, and no other
+
+  # Guards against tasks that are ended for nothing: the next VM would have to
+  # be cleared of them as well.
+  Scenario: A long-lived task does not leave for a VM that is due as well
+    Given a wave over "a1" to "a4" with at most 1 out at once
+    And the wave is due in 60 s
+    And pool "a" needs 4 VMs
+    And job "x" of long-lived tasks, 1 of which may be missing, on "a1", "a2"
+    When the fleet decides
+    Then no task was ended
+
+  # Guards against late waves whose logs don't tell what keeps a VM.
+  Scenario: What keeps a VM that can't be cleared is logged
+    Given a wave over "a1" to "a1" with at most 1 out at once
+    And job "x" of long-lived tasks, 1 of which may be missing, on "a1", "a3"
+    And the task of job "x" on "a3" does not run at full speed
+    When the fleet decides
+    And 7 s pass
+    Then the log says that the task of job "x" on "a1" waits for the one on "a3"
--- a/tests/features/steps/maintenance_steps.py
+++ b/tests/features/steps/maintenance_steps.py
@@ -13,6 +13,7 @@
 from peridotsill_jobs import _feeds
 from peridotsill_jobs import _fleet
 from peridotsill_jobs import _live_settings
+from peridotsill_jobs import _logs
 from peridotsill_jobs import _ports
 from peridotsill_jobs import _workers
 from peridotsill_jobs import exceptions
@@ -37,9 +38,35 @@
 
 
 def _mock_worker(name):
-    return unittest.mock.Mock(
-        entry=unittest.mock.Mock(id=f"r-{name}"), vm=name, placed={}
+    worker = unittest.mock.Mock(
+        entry=unittest.mock.Mock(id=f"r-{name}", pool="a"),
+        vm=name,
+        placed={},
+        avoided=False,
+        fleet_closed_reason="",
     )
+    worker.view.side_effect = lambda now: _view_of(worker)
+    return worker
+
+
+def _view_of(worker):
+    capacity = scheduler.Resources(cores=32, memory_mib=65536)
+    view = scheduler.VmView(
+        runner=worker.entry.id,
+        lifetime=1,
+        vm=worker.vm,
+        pool="a",
+        domain="z",
+        rack="r",
+        labels=frozenset(),
+        capacity=capacity,
+        free=capacity,
+        closed_reason=worker.fleet_closed_reason,
+        avoided=worker.avoided,
+    )
+    for placed in worker.placed.values():
+        view.reserve(placed.job.spec.id, placed.task)
+    return view
 
 
 class _StubWorkers(list):
@@ -55,7 +82,7 @@
             placed.task.key
             for worker in self
             for placed in worker.placed.values()
-            if placed.job is job
+            if placed.job is job and placed.speed_percent == 100
         )
 
 
@@ -64,6 +91,9 @@
     names = [f"a{number}" for number in range(1, 5)]
     context.records = tuple(map(_make_vm, names))
     context.sent = []
+    patch = unittest.mock.patch.object(_logs, "log")
+    context.log = patch.start()
+    context.add_cleanup(patch.stop)
     context.catalog = unittest.mock.Mock(waves=())
     context.catalog.config.pools = [
         scheduler.PoolSettings(name=name) for name in _POOLS
@@ -393,7 +423,7 @@
         task.phase = scheduler.TaskPhase.RUNNING
         worker = context.planner._parts.workers.find(f"r-{vm}")
         worker.placed[(name, task.key)] = unittest.mock.Mock(
-            job=job, task=task, vm=vm
+            job=job, task=task, vm=vm, speed_percent=100
         )
 
 
@@ -414,6 +444,37 @@
     assert found == [name], found
 
 
+@then("no task was ended")
+def _check_none_evicted(context):
+    context.planner._parts.evict.assert_not_called()
+
+
+@given('the task of job "{name}" on "{vm}" does not run at full speed')
+def _slow_down(context, name, vm):
+    _find_placed(context, name, vm).speed_percent = 50
+
+
+def _find_placed(context, name, vm):
+    placed = context.planner._parts.workers.find(f"r-{vm}").placed
+    return next(placed[key] for key in placed if key[0] == name)
+
+
+@then(
+    'the log says that the task of job "{name}" on "{vm}" waits for the one '
+    'on "{other}"'
+)
+def _check_rest_logged(context, name, vm, other):
+    calls = context.log.call_args_list
+    (rest,) = [
+        call.kwargs["rest"]
+        for call in calls
+        if call.args == ("vm:not_cleared",)
+    ]
+    held, away = [_find_placed(context, name, each) for each in (vm, other)]
+    assert [each["task"] for each in rest] == [held.task.key], rest
+    assert rest[0]["away"] == [f"{away.task.key} running"], rest
+
+
 def _advance_clock(context, seconds):
     now = _clock.monotonic_seconds() + seconds
     patch = unittest.mock.patch.object(
