Keep and fetch room for the tasks that leave the VMs of a wave

The cause behind the slow pairs: the tasks of such a step may not share a VM, and lending leaves their pool with as many VMs as hold one of them.

Now a task that may leave by its budget, and finds no room, has an empty VM fetched for it, and as many VMs as may be missing of a step are kept from lending while tasks of it have yet to leave. A pool whose demand exceeds its VMs gets none so: waiting tasks would fill them, and more would be fetched.

The scenarios printed, without the change: no move to pool "a"; a move of "a4" to pool "b".

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_evictions.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_evictions.py
@@ -1,5 +1,6 @@
 """Ends long-lived tasks on VMs that are to be empty, within their budgets."""
 
+import collections
 import collections.abc
 import typing
 
@@ -41,20 +42,29 @@
         self,
         due: collections.abc.Iterable[_workers.Worker],
         now: float,
-    ) -> None:
+    ) -> collections.Counter[str]:
         """Evict what may be evicted from VMs that are yet to be cleared.
 
         A task is evicted only if it has room on a VM that is not due itself.
-        The VM with the fewest long-lived tasks goes first.
+        The VM with the fewest long-lived tasks goes first. Return how many
+        empty VMs each pool lacks for tasks that find no room.
         """
         views: list[peridotsill_scheduler.VmView] = []
+        lacking: list[peridotsill_scheduler.VmView] = []
         for worker in sorted(due, key=_count_long_lived):
             for placed in self._evictable(worker):
                 views = views or [each.view(now) for each in self._workers]
                 room = _find_room(views, worker, placed)
-                if room is not None:
-                    room.reserve(placed.job.spec.id, placed.task)
+                if room is None:
+                    room = _find_room(lacking, worker, placed)
+                    if room is None:
+                        room = _empty_view(worker, now)
+                        lacking.append(room)
+                    self._count_as_away(placed)
+                else:
                     self._end(worker, placed)
+                room.reserve(placed.job.spec.id, placed.task)
+        return collections.Counter(view.pool for view in lacking)
 
     def describe_rest(
         self, worker: _workers.Worker
@@ -96,11 +106,14 @@
     def _end(
         self, worker: _workers.Worker, placed: _workers.PlacedTask
     ) -> None:
+        self._count_as_away(placed)
+        self._evict(worker, placed)
+
+    def _count_as_away(self, placed: _workers.PlacedTask) -> None:
         running_keys = self._running_keys(placed.job)
         self._full_speed_tasks[placed.job.key] = running_keys - {
             placed.task.key
         }
-        self._evict(worker, placed)
 
     def _running_keys(self, job: peridotsill_scheduler.Job) -> frozenset[str]:
         if job.key not in self._full_speed_tasks:
@@ -142,3 +155,21 @@
         ),
         None,
     )
+
+
+def _empty_view(
+    worker: _workers.Worker, now: float
+) -> peridotsill_scheduler.VmView:
+    """Return the view of an empty VM like the one of a runner."""
+    view = worker.view(now)
+    return peridotsill_scheduler.VmView(
+        runner="",
+        lifetime=0,
+        vm="",
+        pool=view.pool,
+        domain=view.domain,
+        rack=view.rack,
+        labels=view.labels,
+        capacity=view.capacity,
+        free=view.capacity,
+    )
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_fleet.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_fleet.py
@@ -327,8 +327,8 @@
             return
         for wave in self._waves.values():
             self._plan_wave(wave, supplies, now)
-        self._plan_lending(supplies, now)
-        self._clear_ahead(now)
+        supplies = self._without_operations(supplies)
+        self._plan_lending(self._make_room(jobs, supplies, now), now)
 
     def _advance_clearing(self, now: float) -> None:
         """Continue to clear VMs, and send the commands for empty ones.
@@ -369,18 +369,75 @@
             workers=self._parts.workers, evict=self._parts.evict
         )
 
-    def _clear_ahead(self, now: float) -> None:
+    def _make_room(
+        self,
+        jobs: dict[str, list[peridotsill_scheduler.Job]],
+        supplies: list[peridotsill_scheduler.PoolSupply],
+        now: float,
+    ) -> list[peridotsill_scheduler.PoolSupply]:
         """Move long-lived tasks off the VMs that are yet to be maintained.
 
         They leave one after another, as their budgets allow; if they began
-        to when the VMs are cleared, the last VMs would be late.
+        to when the VMs are cleared, the last VMs would be late. VMs are
+        fetched if they find no room. Return the pools without these VMs, and
+        without those that are kept free as such room.
         """
-        due = [
-            worker
-            for worker in self._parts.workers
-            if worker.avoided and worker.vm not in self._operations
+        due = [each for each in self._parts.workers if each.avoided]
+        if not due:
+            return supplies
+        lacking = self._new_evictions().clear_ahead(
+            [each for each in due if each.vm not in self._operations], now
+        )
+        due_vms = {worker.vm for worker in due}
+        lacking -= self._vms_on_their_way(due_vms, now)
+        moves = peridotsill_scheduler.plan_fetches(supplies, lacking, due_vms)
+        for move in moves:
+            _logs.log(
+                "vm:fetch", vm=move.vm, source=move.source, target=move.target
+            )
+            self._begin_move(move, now)
+        due_runners = {worker.entry.id for worker in due}
+        return [
+            self._without_room(
+                pool,
+                peridotsill_scheduler.plan_evacuation(
+                    jobs.get(pool.name, ()), due_runners
+                ),
+                due_vms,
+            )
+            for pool in peridotsill_scheduler.after_moves(supplies, moves)
         ]
-        self._new_evictions().clear_ahead(due, now)
+
+    def _vms_on_their_way(
+        self, due_vms: set[str], now: float
+    ) -> collections.Counter[str]:
+        """Count, by pool, the VMs that will be free but can't be used yet."""
+        count: collections.Counter[str] = collections.Counter()
+        for record in self._vms.values():
+            worker = self._worker_of(record.name)
+            if (
+                record.state is not _ports.VmState.DOWN
+                and record.name not in due_vms
+                and (
+                    worker is None
+                    or (not worker.placed and worker.closed_reason(now))
+                    or record.name in self._operations
+                )
+            ):
+                count[self._effective_pool(record)] += 1
+        return count
+
+    def _without_room(
+        self,
+        pool: peridotsill_scheduler.PoolSupply,
+        evacuation: peridotsill_scheduler.Evacuation,
+        due_vms: set[str],
+    ) -> peridotsill_scheduler.PoolSupply:
+        free = [vm for vm in pool.idle if vm not in due_vms]
+        kept = set(free[: evacuation.room_vms])
+        return attrs.evolve(
+            pool, idle=tuple(vm for vm in pool.idle if vm not in kept)
+        )
 
     def _send_command(self, operation: _Operation, now: float) -> None:
         if not self._record_begun(operation, now):
@@ -558,16 +615,6 @@
         supplies: list[peridotsill_scheduler.PoolSupply],
         now: float,
     ) -> None:
-        # Waves may have begun operations on some of these VMs since the
-        # supplies were computed.
-        supplies = [
-            attrs.evolve(
-                each,
-                idle=self._without_operations(each.idle),
-                busy=self._without_operations(each.busy),
-            )
-            for each in supplies
-        ]
         supply_by_pool = {each.name: each for each in supplies}
         self._log_shortage(supplies, now)
         policy = self._parts.settings.current.lending_policy
@@ -583,14 +630,30 @@
                 rate_cores=round(demand.rate, 1),
                 waiting_work=round(demand.waiting, 1),
             )
-            command = _commands.Command(
-                kind=_CommandKind.MOVE, vm=move.vm, pool=move.target
-            )
-            self._begin_operation(command, now)
+            self._begin_move(move, now)
         self._advance_clearing(now)
 
-    def _without_operations(self, vms: tuple[str, ...]) -> tuple[str, ...]:
-        return tuple(vm for vm in vms if vm not in self._operations)
+    def _begin_move(
+        self, move: peridotsill_scheduler.Move, now: float
+    ) -> None:
+        command = _commands.Command(
+            kind=_CommandKind.MOVE, vm=move.vm, pool=move.target
+        )
+        self._begin_operation(command, now)
+
+    def _without_operations(
+        self, supplies: list[peridotsill_scheduler.PoolSupply]
+    ) -> list[peridotsill_scheduler.PoolSupply]:
+        """Leave out the VMs that waves have just begun operations on."""
+        operations = self._operations
+        return [
+            attrs.evolve(
+                pool,
+                idle=tuple(vm for vm in pool.idle if vm not in operations),
+                busy=tuple(vm for vm in pool.busy if vm not in operations),
+            )
+            for pool in supplies
+        ]
 
     def _log_shortage(
         self,
--- a/packages/peridotsill_scheduler/src/peridotsill_scheduler/__init__.py
+++ b/packages/peridotsill_scheduler/src/peridotsill_scheduler/__init__.py
@@ -17,9 +17,13 @@
 from peridotsill_scheduler._estimates import objective_seconds
 from peridotsill_scheduler._estimates import remaining_run_seconds
 from peridotsill_scheduler._estimates import remaining_work
+from peridotsill_scheduler._evacuation import Evacuation
+from peridotsill_scheduler._evacuation import plan_evacuation
+from peridotsill_scheduler._lending import after_moves
 from peridotsill_scheduler._lending import lending_policies
 from peridotsill_scheduler._lending import lending_policy
 from peridotsill_scheduler._lending import Move
+from peridotsill_scheduler._lending import plan_fetches
 from peridotsill_scheduler._lending import plan_moves
 from peridotsill_scheduler._maintenance import MaintenancePhase
 from peridotsill_scheduler._maintenance import plan_maintenance
@@ -64,6 +68,7 @@
     "Arrival",
     "Crash",
     "Estimator",
+    "Evacuation",
     "Job",
     "JobSpec",
     "JobState",
@@ -84,6 +89,7 @@
     "VmView",
     "WaveVm",
     "advisor_answer_for",
+    "after_moves",
     "counts_as_suspect",
     "critical_path_seconds",
     "find_culprits",
@@ -99,6 +105,8 @@
     "order_jobs",
     "order_policies",
     "order_policy",
+    "plan_evacuation",
+    "plan_fetches",
     "plan_filler_speed",
     "plan_maintenance",
     "plan_moves",
--- a/packages/peridotsill_scheduler/src/peridotsill_scheduler/_lending.py
+++ b/packages/peridotsill_scheduler/src/peridotsill_scheduler/_lending.py
@@ -1,5 +1,6 @@
 """Registry of lending policies, which choose the VMs that change pools."""
 
+import collections
 import collections.abc
 
 import attrs
@@ -53,6 +54,82 @@
     return _policies[policy](pools)
 
 
+def plan_fetches(
+    pools: collections.abc.Sequence[_demand.PoolSupply],
+    lacking: collections.abc.Mapping[str, int],
+    due: collections.abc.Set[str],
+) -> list[Move]:
+    """Choose VMs for pools that lack room for what leaves their due VMs.
+
+    They go before all demand, as they are few and needed for seconds, and a
+    task that finds no room keeps its VM from being maintained. They come from
+    standby pools first, then from the pool with the most idle VMs, then from
+    the one with the most that are soon idle. A pool whose demand exceeds its
+    VMs gets none, as its waiting tasks would fill them; it is lent VMs.
+
+    Args:
+        pools: All pools.
+        lacking: How many VMs each pool lacks.
+        due: Names of the VMs that are due themselves.
+    """
+    lacking = {
+        pool.name: lacking.get(pool.name, 0)
+        for pool in pools
+        if _demand.wanted_vms(pool) <= max(pool.size, _demand.MIN_POOL_VMS)
+    }
+    movable = {
+        pool.name: [vm for vm in pool.idle + pool.busy if vm not in due]
+        for pool in pools
+        if not lacking.get(pool.name)
+    }
+    taken: collections.Counter[str] = collections.Counter()
+    moves: list[Move] = []
+    for target, count in sorted(lacking.items()):
+        for _ in range(count):
+            source = max(
+                (
+                    pool
+                    for pool in pools
+                    if movable.get(pool.name)
+                    and (
+                        pool.standby
+                        or pool.size - taken[pool.name] > _demand.MIN_POOL_VMS
+                    )
+                ),
+                key=lambda pool: (
+                    pool.standby,
+                    len(pool.idle) - taken[pool.name],
+                    len(movable[pool.name]),
+                ),
+                default=None,
+            )
+            if source is None:
+                return moves
+            vm = movable[source.name].pop(0)
+            taken[source.name] += 1
+            moves.append(Move(vm=vm, source=source.name, target=target))
+    return moves
+
+
+def after_moves(
+    pools: collections.abc.Iterable[_demand.PoolSupply],
+    moves: collections.abc.Sequence[Move],
+) -> list[_demand.PoolSupply]:
+    """Return the pools as they are once VMs have moved."""
+    moved = {move.vm for move in moves}
+    gained = collections.Counter(move.target for move in moves)
+    gained.subtract(move.source for move in moves)
+    return [
+        attrs.evolve(
+            pool,
+            size=pool.size + gained[pool.name],
+            idle=tuple(vm for vm in pool.idle if vm not in moved),
+            busy=tuple(vm for vm in pool.busy if vm not in moved),
+        )
+        for pool in pools
+    ]
+
+
 @lending_policy("none")
 def _no_moves(
     pools: collections.abc.Sequence[_demand.PoolSupply],
--- a/tests/features/maintenance.feature
+++ b/tests/features/maintenance.feature
@@ -270,3 +270,28 @@
     When the fleet decides
     And 7 s pass
     Then the log says that the task of job "x" on "a1" waits for the one on "a3"
+
+  # Guards against late waves: the pool of long-lived tasks that may not share
+  # a VM was left with no VM but theirs, as a peak had borrowed all others, so
+  # that each pair of them waited for the maintenance of the last pair's VMs.
+  Scenario: A VM is fetched for a task that has no room to leave a due VM to
+    Given a wave over "a1" to "a1" with at most 1 out at once
+    And the wave is due in 60 s
+    And "a2", "a3" and "a4" are in pool "b"
+    And pool "b" needs 4 VMs
+    And job "x" of long-lived tasks, 1 of which may be missing, on "a1"
+    When the fleet decides 3 more times
+    Then no task was ended
+    And 1 VMs were commanded to be moved to pool "a"
+
+  # Guards against the same: the VM that was fetched was lent again before the
+  # task had left.
+  Scenario: A VM that a task is to leave a due VM to is not lent
+    Given a wave over "a1" to "a3" with at most 1 out at once
+    And an earlier scheduler recorded "a1" as begun and done
+    And the list of VMs shows "a1" in maintenance
+    And job "x" of long-lived tasks, 1 of which may be missing, on "a2", "a3"
+    And pool "b" needs 4 VMs
+    When the fleet decides
+    Then a task of job "x" was ended, and no other
+    And "a4" was not commanded to be moved
--- a/tests/features/scheduler.feature
+++ b/tests/features/scheduler.feature
@@ -93,6 +93,14 @@
     When the wave is due in 27 s and 56 VMs may be out at once
     Then no VM is taken
 
+  # Guards against late waves: tasks that may not share a VM left their VMs only
+  # as fast as these came back from their maintenance.
+  Scenario: Long-lived tasks that leave due VMs need as much room as may miss
+    Given a long-lived step of 20 tasks, 2 of which may be missing, 12 on due VMs
+    Then it needs 2 free VMs, and twice as long as with 4 that may be missing
+    When its job has ended
+    Then it needs no free VM
+
   Scenario: Any backlog is placed within capacity
     Then random jobs on random VMs never exceed a VM's capacity
 
--- a/tests/features/steps/maintenance_steps.py
+++ b/tests/features/steps/maintenance_steps.py
@@ -45,6 +45,7 @@
         avoided=False,
         fleet_closed_reason="",
     )
+    worker.closed_reason.side_effect = lambda now: worker.fleet_closed_reason
     worker.view.side_effect = lambda now: _view_of(worker)
     return worker
 
@@ -55,13 +56,13 @@
         runner=worker.entry.id,
         lifetime=1,
         vm=worker.vm,
-        pool="a",
+        pool=worker.entry.pool,
         domain="z",
         rack="r",
         labels=frozenset(),
         capacity=capacity,
         free=capacity,
-        closed_reason=worker.fleet_closed_reason,
+        closed_reason=worker.closed_reason(0.0),
         avoided=worker.avoided,
     )
     for placed in worker.placed.values():
@@ -91,6 +92,7 @@
     names = [f"a{number}" for number in range(1, 5)]
     context.records = tuple(map(_make_vm, names))
     context.sent = []
+    context.open_jobs = {"a": []}
     patch = unittest.mock.patch.object(_logs, "log")
     context.log = patch.start()
     context.add_cleanup(patch.stop)
@@ -130,6 +132,19 @@
     )
 
 
+@given('"a2", "a3" and "a4" are in pool "{pool}"')
+def _put_into_pool(context, pool):
+    names = ("a2", "a3", "a4")
+    context.records = tuple(
+        attrs.evolve(each, pool=pool) if each.name in names else each
+        for each in context.records
+    )
+    for name in names:
+        worker = context.planner._parts.workers.find(f"r-{name}")
+        worker.entry.pool = pool
+    _list_vms(context, _clock.monotonic_seconds())
+
+
 def _list_vms(context, requested_at):
     context.planner.apply_vm_list(
         _feeds.VmListSnapshot(vms=context.records, requested_at=requested_at)
@@ -242,12 +257,12 @@
 @when("the fleet decides")
 def _decide(context):
     context.planner._next_decision_at = 0.0
-    context.planner.decide({}, scheduler.Estimator())
+    context.planner.decide(context.open_jobs, scheduler.Estimator())
 
 
-@when("the fleet decides 10 more times")
-def _decide_10_times(context):
-    for _ in range(10):
+@when("the fleet decides {count:d} more times")
+def _decide_times(context, count):
+    for _ in range(count):
         # Clears the backoff of VMs whose last command has failed.
         context.planner._backoff_until.clear()
         _decide(context)
@@ -413,14 +428,20 @@
 def _place_long_lived_job(context, name, vms):
     names = [each.strip().strip('"') for each in vms.split(",")]
     step = scheduler.Step(
-        index=0, task_count=len(names), long_lived=True, may_miss=1
+        index=0,
+        task_count=len(names),
+        long_lived=True,
+        max_per_vm=1,
+        may_miss=1,
     )
     queue = scheduler.Queue(name="q", host="h", prefix="/", pool="a")
     spec = scheduler.JobSpec(id=name, queue="q", payload="", steps=(step,))
     job = scheduler.Job(spec=spec, queue=queue, arrived_at=0.0)
     scheduler.open_occurrences(job, 0.0)
+    context.open_jobs["a"].append(job)
     for vm, task in zip(names, job.tasks):
         task.phase = scheduler.TaskPhase.RUNNING
+        task.runner = f"r-{vm}"
         worker = context.planner._parts.workers.find(f"r-{vm}")
         worker.placed[(name, task.key)] = unittest.mock.Mock(
             job=job, task=task, vm=vm, speed_percent=100
@@ -668,6 +689,11 @@
     assert (len(moved), pools) == (count, {pool}), context.sent
 
 
+@then('"{vm}" was not commanded to be moved')
+def _check_not_moved(context, vm):
+    assert not _moves(context, vm), context.sent
+
+
 @then('"{vm}" was commanded to be moved')
 def _check_moved(context, vm):
     assert len(_moves(context, vm)) == 1, context.sent
--- a/tests/features/steps/scheduler_steps.py
+++ b/tests/features/steps/scheduler_steps.py
@@ -249,6 +249,48 @@
     )
 
 
+def _long_lived_job(may_miss, due_count):
+    job = _job("j", 20, 2, 0.0, long_lived=True, may_miss=may_miss)
+    for number, task in enumerate(job.tasks):
+        task.phase = scheduler.TaskPhase.RUNNING
+        task.runner = "due" if number < due_count else "other"
+    return job
+
+
+@given(
+    "a long-lived step of 20 tasks, {may_miss:d} of which may be missing, "
+    "{due:d} on due VMs"
+)
+def _leaving_step(context, may_miss, due):
+    context.job = _long_lived_job(may_miss, due)
+    context.due_count = due
+
+
+@then(
+    "it needs {count:d} free VMs, and twice as long as with {other:d} that "
+    "may be missing"
+)
+def _check_evacuation(context, count, other):
+    faster = _long_lived_job(other, context.due_count)
+    found, expected = [
+        scheduler.plan_evacuation([job], {"due"})
+        for job in (context.job, faster)
+    ]
+    assert found.room_vms == count, found
+    assert found.seconds == 2 * expected.seconds > 0, (found, expected)
+
+
+@when("its job has ended")
+def _end_job(context):
+    context.job.state = scheduler.JobState.CANCELLED
+
+
+@then("it needs no free VM")
+def _check_no_evacuation(context):
+    found = scheduler.plan_evacuation([context.job], {"due"})
+    assert found == scheduler.Evacuation(), found
+
+
 @given("a wave over 2 VMs each of a busy, an idle and a standby pool")
 def _wave(context):
     context.due = [
