Fetch room for long-lived tasks that have left a VM of a wave and wait

A task that had left a VM while this was cleared, and found no room, waited until a VM of its pool was back from maintenance, and kept the next task of its step from leaving. A VM is fetched for it as well, as that takes less time, and room is kept for it. VMs that are being cleared for their maintenance, or away for it, no longer count as VMs that are about to be free.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_fleet.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_fleet.py
@@ -382,13 +382,33 @@
         fetched if they find no room. Return the pools without these VMs, and
         without those that are kept free as such room.
         """
-        due = [each for each in self._parts.workers if each.avoided]
-        if not due:
+        if all(each.is_completed for each in self._waves.values()):
             return supplies
+        workers = self._parts.workers
+        due = [worker for worker in workers if worker.avoided]
+        leaving = {
+            worker.entry.id
+            for worker in workers
+            if worker.avoided or self._is_cleared_for_maintenance(worker.vm)
+        }
         lacking = self._new_evictions().clear_ahead(
             [each for each in due if each.vm not in self._operations], now
         )
         due_vms = {worker.vm for worker in due}
+        free_vms = {
+            pool.name: [vm for vm in pool.idle if vm not in due_vms]
+            for pool in supplies
+        }
+        evacuations = {
+            pool.name: peridotsill_scheduler.plan_evacuation(
+                jobs.get(pool.name, ()), leaving
+            )
+            for pool in supplies
+        }
+        for pool, evacuation in evacuations.items():
+            lacking[pool] = max(
+                lacking[pool], evacuation.waiting_vms - len(free_vms[pool])
+            )
         lacking -= self._vms_on_their_way(due_vms, now)
         moves = peridotsill_scheduler.plan_fetches(supplies, lacking, due_vms)
         for move in moves:
@@ -396,49 +416,50 @@
                 "vm:fetch", vm=move.vm, source=move.source, target=move.target
             )
             self._begin_move(move, now)
-        due_runners = {worker.entry.id for worker in due}
+        kept = {
+            vm
+            for pool, evacuation in evacuations.items()
+            for vm in free_vms[pool][: evacuation.room_vms]
+        }
         return [
-            self._without_room(
-                pool,
-                peridotsill_scheduler.plan_evacuation(
-                    jobs.get(pool.name, ()), due_runners
-                ),
-                due_vms,
+            attrs.evolve(
+                pool, idle=tuple(vm for vm in pool.idle if vm not in kept)
             )
             for pool in peridotsill_scheduler.after_moves(supplies, moves)
         ]
 
+    def _is_cleared_for_maintenance(self, vm: str) -> bool:
+        operation = self._operations.get(vm)
+        return (
+            operation is not None
+            and operation.command.kind is _CommandKind.MAINTAIN
+            and operation.phase is _OperationPhase.CLEARING
+        )
+
     def _vms_on_their_way(
         self, due_vms: set[str], now: float
     ) -> collections.Counter[str]:
-        """Count, by pool, the VMs that will be free but can't be used yet."""
-        count: collections.Counter[str] = collections.Counter()
-        for record in self._vms.values():
-            worker = self._worker_of(record.name)
-            if (
-                record.state is not _ports.VmState.DOWN
-                and record.name not in due_vms
-                and (
-                    worker is None
-                    or (not worker.placed and worker.closed_reason(now))
-                    or record.name in self._operations
-                )
-            ):
-                count[self._effective_pool(record)] += 1
-        return count
+        """Count, by pool, the VMs that will be free but can't be used yet.
 
-    def _without_room(
-        self,
-        pool: peridotsill_scheduler.PoolSupply,
-        evacuation: peridotsill_scheduler.Evacuation,
-        due_vms: set[str],
-    ) -> peridotsill_scheduler.PoolSupply:
-        free = [vm for vm in pool.idle if vm not in due_vms]
-        kept = set(free[: evacuation.room_vms])
-        return attrs.evolve(
-            pool, idle=tuple(vm for vm in pool.idle if vm not in kept)
+        A VM is back from a move before one that is just maintained.
+        """
+        return collections.Counter(
+            self._effective_pool(record)
+            for record in self._vms.values()
+            if record.state is not _ports.VmState.DOWN
+            and record.name not in due_vms
+            and self._is_on_its_way(record, now)
         )
 
+    def _is_on_its_way(self, record: _ports.VmRecord, now: float) -> bool:
+        operation = self._operations.get(record.name)
+        if operation is None:
+            worker = self._worker_of(record.name)
+            return worker is None or (
+                not worker.placed and bool(worker.closed_reason(now))
+            )
+        return operation.command.kind is _CommandKind.MOVE
+
     def _send_command(self, operation: _Operation, now: float) -> None:
         if not self._record_begun(operation, now):
             return
@@ -742,7 +763,7 @@
         supplies: list[peridotsill_scheduler.PoolSupply],
         now: float,
     ) -> None:
-        if wave.published_state == "completed":
+        if wave.is_completed:
             return
         by_pool = {each.name: each for each in supplies}
         views = []
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_waves.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_waves.py
@@ -42,6 +42,11 @@
     published_state: str = ""
     row_version: int = 0
 
+    @property
+    def is_completed(self) -> bool:
+        """Whether operators have been told that all VMs are maintained."""
+        return self.published_state == "completed"
+
     @property
     def unfinished(self) -> set[str]:
         """The VMs whose command may still be carried out."""
--- a/packages/peridotsill_scheduler/src/peridotsill_scheduler/_evacuation.py
+++ b/packages/peridotsill_scheduler/src/peridotsill_scheduler/_evacuation.py
@@ -27,10 +27,12 @@
     """What the tasks of a pool that have yet to leave due VMs need.
 
     ``room_vms`` is how many free VMs that are not due they need at once, and
-    ``seconds`` how long they take if they find them.
+    ``seconds`` how long they take if they find them. ``waiting_vms`` is how
+    many are needed for those that have left already.
     """
 
     room_vms: int = 0
+    waiting_vms: int = 0
     seconds: float = 0.0
 
 
@@ -47,12 +49,13 @@
         jobs: The open jobs of the pool.
         due_runners: The runners of the VMs that are due for maintenance.
     """
-    room_vms = 0
+    room_vms = waiting_vms = 0
     seconds = 0.0
     for job in jobs:
         if job.final or not job.long_lived:
             continue
         leaving: collections.Counter[tuple[int, int]] = collections.Counter()
+        waiting: collections.Counter[tuple[int, int]] = collections.Counter()
         budgets: dict[tuple[int, int], int] = {}
         for task in job.tasks:
             budget = _availability.max_unavailable(task.step)
@@ -61,9 +64,13 @@
             if task.step.long_lived and budget and (waits or is_due):
                 step = (task.occurrence, task.step.index)
                 leaving[step] += 1
+                waiting[step] += waits
                 budgets[step] = budget
         for step, count in leaving.items():
             turns = math.ceil(count / budgets[step])
             room_vms = max(room_vms, min(count, budgets[step]))
+            waiting_vms = max(waiting_vms, min(waiting[step], budgets[step]))
             seconds = max(seconds, turns * _EVICTION_SECONDS)
-    return Evacuation(room_vms=room_vms, seconds=seconds)
+    return Evacuation(
+        room_vms=room_vms, waiting_vms=waiting_vms, seconds=seconds
+    )
--- a/tests/features/maintenance.feature
+++ b/tests/features/maintenance.feature
@@ -295,3 +295,16 @@
     When the fleet decides
     Then a task of job "x" was ended, and no other
     And "a4" was not commanded to be moved
+
+  # Guards against a task that waits for the maintenance of its former VM.
+  Scenario: A VM is fetched for a task that has left a VM and finds no room
+    Given a wave over "a1" to "a1" with at most 1 out at once
+    And the wave is due in 2 s
+    And "a2", "a3" and "a4" are in pool "b"
+    And pool "b" needs 4 VMs
+    And job "x" of long-lived tasks, 1 of which may be missing, on "a1"
+    When the fleet decides
+    And the task of job "x" on "a1" has been ended, and waits
+    And the fleet decides 2 more times
+    Then "a1" was commanded to be maintained
+    And 1 VMs were commanded to be moved to pool "a"
--- a/tests/features/steps/maintenance_steps.py
+++ b/tests/features/steps/maintenance_steps.py
@@ -519,6 +519,12 @@
     _advance_clock_and_decide(context, seconds)
 
 
+@when('the task of job "{name}" on "{vm}" has been ended, and waits')
+def _end_task(context, name, vm):
+    _find_placed(context, name, vm).task.phase = scheduler.TaskPhase.WAITING
+    context.planner._parts.workers.find(f"r-{vm}").placed.clear()
+
+
 @then('"{vm}" was commanded to be maintained')
 def _check_maintained(context, vm):
     assert vm in _maintained_vms(context), context.sent
--- a/tests/features/steps/scheduler_steps.py
+++ b/tests/features/steps/scheduler_steps.py
@@ -276,7 +276,7 @@
         scheduler.plan_evacuation([job], {"due"})
         for job in (context.job, faster)
     ]
-    assert found.room_vms == count, found
+    assert (found.room_vms, found.waiting_vms) == (count, 0), found
     assert found.seconds == 2 * expected.seconds > 0, (found, expected)
 
 
