Let a wave give way to a peak for as long as its deadline allows

The cause: the wave was planned before the lending of the same decision, and it counted as urgent from its beginning, as each of its three batches was taken to need 3 s for evictions besides the maintenance, and the whole twice that.

Now a wave is planned after the lending, and takes from a pool only what that can spare then; VMs that are not due are lent first. It goes before the lending once the time to its deadline is less than a bound of what it needs, and 5 s for a change of the scheduler. The bound is that of list scheduling: the mean load of a place, and the longest VM; the load of a VM is its maintenance, and what its tasks are expected to run on. Long-lived tasks leave meanwhile; if they need longer than the VMs without them, the rest is added.

Commands without an answer are repeated before the lending, as before: their VMs are not lent.

That a wave ends in time with 5 s without a scheduler is checked on random waves.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_fleet.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_fleet.py
@@ -15,6 +15,7 @@
 from peridotsill_jobs import _live_settings
 from peridotsill_jobs import _logs
 from peridotsill_jobs import _ports
+from peridotsill_jobs import _wave_views
 from peridotsill_jobs import _waves
 from peridotsill_jobs import _workers
 import peridotsill_platform
@@ -325,10 +326,34 @@
         self._update_waves(now)
         if now < self._commands_allowed_at:
             return
-        for wave in self._waves.values():
-            self._plan_wave(wave, supplies, now)
+        waves = [
+            each for each in self._waves.values() if not each.is_completed
+        ]
+        if not waves:
+            self._plan_lending(supplies, now)
+            return
+        self._mark_avoided(waves)
+        evacuations = self._plan_evacuations(jobs, supplies)
+        plans = [
+            self._wave_plan(wave, supplies, evacuations, estimator, now)
+            for wave in waves
+        ]
+        for plan in plans:
+            self._resume_maintenance(plan.wave, now)
+            if plan.urgent:
+                self._carry_out(plan, now)
         supplies = self._without_operations(supplies)
-        self._plan_lending(self._make_room(jobs, supplies, now), now)
+        supplies = self._make_room(supplies, evacuations, now)
+        supplies = self._plan_lending(supplies, now)
+        for plan in plans:
+            if not plan.urgent:
+                # The pools' demand went first; see what it has left.
+                self._carry_out(
+                    self._wave_plan(
+                        plan.wave, supplies, evacuations, estimator, now
+                    ),
+                    now,
+                )
 
     def _advance_clearing(self, now: float) -> None:
         """Continue to clear VMs, and send the commands for empty ones.
@@ -369,10 +394,28 @@
             workers=self._parts.workers, evict=self._parts.evict
         )
 
-    def _make_room(
+    def _plan_evacuations(
         self,
         jobs: dict[str, list[peridotsill_scheduler.Job]],
         supplies: list[peridotsill_scheduler.PoolSupply],
+    ) -> dict[str, peridotsill_scheduler.Evacuation]:
+        """Return, by pool, what the long-lived tasks on due VMs need."""
+        leaving = {
+            worker.entry.id
+            for worker in self._parts.workers
+            if worker.avoided or self._is_cleared_for_maintenance(worker.vm)
+        }
+        return {
+            pool.name: peridotsill_scheduler.plan_evacuation(
+                jobs.get(pool.name, ()), leaving
+            )
+            for pool in supplies
+        }
+
+    def _make_room(
+        self,
+        supplies: list[peridotsill_scheduler.PoolSupply],
+        evacuations: dict[str, peridotsill_scheduler.Evacuation],
         now: float,
     ) -> list[peridotsill_scheduler.PoolSupply]:
         """Move long-lived tasks off the VMs that are yet to be maintained.
@@ -380,17 +423,10 @@
         They leave one after another, as their budgets allow; if they began
         to when the VMs are cleared, the last VMs would be late. VMs are
         fetched if they find no room. Return the pools without these VMs, and
-        without those that are kept free as such room.
+        without those that are kept free as such room. VMs that are due come
+        last in them, as they can be maintained if nobody else wants them.
         """
-        if all(each.is_completed for each in self._waves.values()):
-            return supplies
-        workers = self._parts.workers
-        due = [worker for worker in workers if worker.avoided]
-        leaving = {
-            worker.entry.id
-            for worker in workers
-            if worker.avoided or self._is_cleared_for_maintenance(worker.vm)
-        }
+        due = [worker for worker in self._parts.workers if worker.avoided]
         lacking = self._new_evictions().clear_ahead(
             [each for each in due if each.vm not in self._operations], now
         )
@@ -399,12 +435,6 @@
             pool.name: [vm for vm in pool.idle if vm not in due_vms]
             for pool in supplies
         }
-        evacuations = {
-            pool.name: peridotsill_scheduler.plan_evacuation(
-                jobs.get(pool.name, ()), leaving
-            )
-            for pool in supplies
-        }
         for pool, evacuation in evacuations.items():
             lacking[pool] = max(
                 lacking[pool], evacuation.waiting_vms - len(free_vms[pool])
@@ -423,7 +453,13 @@
         }
         return [
             attrs.evolve(
-                pool, idle=tuple(vm for vm in pool.idle if vm not in kept)
+                pool,
+                idle=tuple(
+                    sorted(
+                        (vm for vm in pool.idle if vm not in kept),
+                        key=due_vms.__contains__,
+                    )
+                ),
             )
             for pool in peridotsill_scheduler.after_moves(supplies, moves)
         ]
@@ -635,11 +671,13 @@
         self,
         supplies: list[peridotsill_scheduler.PoolSupply],
         now: float,
-    ) -> None:
+    ) -> list[peridotsill_scheduler.PoolSupply]:
+        """Begin the moves of the lending policy; return the pools after."""
         supply_by_pool = {each.name: each for each in supplies}
         self._log_shortage(supplies, now)
         policy = self._parts.settings.current.lending_policy
-        for move in peridotsill_scheduler.plan_moves(policy, supplies):
+        moves = peridotsill_scheduler.plan_moves(policy, supplies)
+        for move in moves:
             demand = supply_by_pool[move.target].demand
             _logs.log(
                 "vm:lend",
@@ -653,6 +691,7 @@
             )
             self._begin_move(move, now)
         self._advance_clearing(now)
+        return peridotsill_scheduler.after_moves(supplies, moves)
 
     def _begin_move(
         self, move: peridotsill_scheduler.Move, now: float
@@ -757,41 +796,61 @@
                     reason=str(error),
                 )
 
-    def _plan_wave(
+    def _wave_plan(
         self,
         wave: _waves.Wave,
         supplies: list[peridotsill_scheduler.PoolSupply],
+        evacuations: dict[str, peridotsill_scheduler.Evacuation],
+        estimator: peridotsill_scheduler.Estimator,
         now: float,
-    ) -> None:
-        if wave.is_completed:
-            return
+    ) -> _wave_views.WavePlan:
         by_pool = {each.name: each for each in supplies}
         views = []
         for name in wave.order.vms:
             record = self._vms.get(name)
             if record is not None:
-                views.append(self._maintenance_view(wave, record, by_pool))
-        self._mark_avoided(views)
+                view = _wave_views.make_view(
+                    name,
+                    self._worker_of(name),
+                    pool=by_pool[self._effective_pool(record)],
+                    phase=self._maintenance_phase(wave, name),
+                    available=self._is_available(record, now),
+                    estimator=estimator,
+                    now=now,
+                )
+                views.append(view)
+        terms = peridotsill_scheduler.WaveTerms(
+            max_parallel=wave.order.max_parallel,
+            seconds_left=wave.seen_at + wave.order.deadline_seconds - now,
+            maintenance_seconds=self._maintenance_seconds,
+            eviction_seconds=max(
+                (each.seconds for each in evacuations.values()), default=0.0
+            ),
+        )
+        return _wave_views.WavePlan(wave=wave, vms=views, terms=terms)
+
+    def _resume_maintenance(self, wave: _waves.Wave, now: float) -> None:
+        """Send the commands again that got no answer, which is safe.
+
+        They may still be carried out, so their VMs are not lent.
+        """
         for name in wave.unfinished - set(self._operations):
-            # A command without an answer may still be carried out. It is
-            # sent again, which is safe.
             backoff_over = now >= self._backoff_until.get(name, 0.0)
             if name in self._vms and backoff_over:
                 self._begin_maintenance(wave, name, now)
-        ready = {view.name for view in views if self._can_begin(view, now)}
-        chosen = peridotsill_scheduler.plan_maintenance(
-            [
-                view
-                for view in views
-                if view.phase is not _MaintenancePhase.DUE
-                or view.name in ready
-            ],
-            max_parallel=wave.order.max_parallel,
-            seconds_left=wave.seen_at + wave.order.deadline_seconds - now,
-            maintenance_seconds=self._maintenance_seconds,
+
+    def _carry_out(self, plan: _wave_views.WavePlan, now: float) -> None:
+        """Begin the maintenance of the VMs that a wave takes now."""
+        wave = plan.wave
+        out = sorted(
+            each.name for each in plan.vms if each.phase in _OUT_PHASES
         )
-        out = sorted(view.name for view in views if view.phase in _OUT_PHASES)
-        for view in chosen:
+        for view in peridotsill_scheduler.plan_maintenance(
+            plan.vms, plan.terms
+        ):
+            if view.name in self._operations:
+                # Another wave has just taken it.
+                continue
             _logs.log(
                 "wave:take",
                 wave=wave.order.name,
@@ -800,6 +859,7 @@
                 tasks=view.task_count,
                 out=out,
                 max_parallel=wave.order.max_parallel,
+                urgent=plan.urgent,
             )
             self._begin_maintenance(wave, view.name, now)
         self._advance_clearing(now)
@@ -812,38 +872,16 @@
         )
         self._begin_operation(command, now, wave.order.name)
 
-    def _mark_avoided(self, views: list[peridotsill_scheduler.WaveVm]) -> None:
+    def _mark_avoided(self, waves: list[_waves.Wave]) -> None:
         due = {
-            view.name for view in views if view.phase is _MaintenancePhase.DUE
+            name
+            for wave in waves
+            for name in wave.order.vms
+            if self._maintenance_phase(wave, name) is _MaintenancePhase.DUE
         }
         for worker in self._parts.workers:
             worker.avoided = worker.vm in due
 
-    def _can_begin(
-        self, view: peridotsill_scheduler.WaveVm, now: float
-    ) -> bool:
-        return self._is_available(self._vms[view.name], now)
-
-    def _maintenance_view(
-        self,
-        wave: _waves.Wave,
-        record: _ports.VmRecord,
-        pools: dict[str, peridotsill_scheduler.PoolSupply],
-    ) -> peridotsill_scheduler.WaveVm:
-        worker = self._worker_of(record.name)
-        placed = list(worker.placed.values()) if worker else []
-        pool = pools[self._effective_pool(record)]
-        return peridotsill_scheduler.WaveVm(
-            name=record.name,
-            pool=pool.name,
-            phase=self._maintenance_phase(wave, record.name),
-            standby=pool.standby,
-            task_count=len(placed),
-            long_lived_count=sum(each.task.step.long_lived for each in placed),
-            pool_busy=peridotsill_scheduler.wanted_vms(pool) >= pool.size,
-            pool_size=pool.size,
-        )
-
     def _maintenance_phase(
         self, wave: _waves.Wave, vm: str
     ) -> peridotsill_scheduler.MaintenancePhase:
--- a/packages/peridotsill_scheduler/src/peridotsill_scheduler/__init__.py
+++ b/packages/peridotsill_scheduler/src/peridotsill_scheduler/__init__.py
@@ -25,8 +25,12 @@
 from peridotsill_scheduler._lending import Move
 from peridotsill_scheduler._lending import plan_fetches
 from peridotsill_scheduler._lending import plan_moves
+from peridotsill_scheduler._lending import spare_vms
+from peridotsill_scheduler._maintenance import is_urgent
 from peridotsill_scheduler._maintenance import MaintenancePhase
 from peridotsill_scheduler._maintenance import plan_maintenance
+from peridotsill_scheduler._maintenance import seconds_needed
+from peridotsill_scheduler._maintenance import WaveTerms
 from peridotsill_scheduler._maintenance import WaveVm
 from peridotsill_scheduler._model import AdviceTiming
 from peridotsill_scheduler._model import JobSpec
@@ -87,6 +91,7 @@
     "Task",
     "TaskPhase",
     "VmView",
+    "WaveTerms",
     "WaveVm",
     "advisor_answer_for",
     "after_moves",
@@ -96,6 +101,7 @@
     "has_started",
     "is_cleared",
     "is_suspect",
+    "is_urgent",
     "job_work",
     "lending_policies",
     "lending_policy",
@@ -116,6 +122,8 @@
     "refresh_state",
     "remaining_run_seconds",
     "remaining_work",
+    "seconds_needed",
+    "spare_vms",
     "tasks_of",
     "wanted_vms",
 ]
--- a/packages/peridotsill_scheduler/src/peridotsill_scheduler/_lending.py
+++ b/packages/peridotsill_scheduler/src/peridotsill_scheduler/_lending.py
@@ -130,6 +130,12 @@
     ]
 
 
+def spare_vms(pool: _demand.PoolSupply) -> int:
+    """Return how many VMs a pool can do without, now and soon."""
+    needed = max(_demand.wanted_vms(pool), _demand.forecast_vms(pool))
+    return max(0, pool.size - needed)
+
+
 @lending_policy("none")
 def _no_moves(
     pools: collections.abc.Sequence[_demand.PoolSupply],
--- a/packages/peridotsill_scheduler/src/peridotsill_scheduler/_maintenance.py
+++ b/packages/peridotsill_scheduler/src/peridotsill_scheduler/_maintenance.py
@@ -7,11 +7,12 @@
 import attrs
 import peridotsill
 
-# Time to evict a VM's long-lived tasks, on top of its maintenance.
-_EVICTION_SECONDS = 3.0
-# A wave is urgent if the time left is below this multiple of the minimum
-# time that its due VMs need.
-_URGENT_FACTOR = 2.0
+# How long a VM takes one of a wave's places beyond its maintenance: until its
+# command is answered, a list shows it back, and the next VM is chosen.
+_PLACE_OVERHEAD_SECONDS = 1.0
+# A wave keeps this much time for a change of the scheduler, during which no
+# VM is commanded.
+_RESERVE_SECONDS = 5.0
 # Share of a pool that may be out at once, but at least one VM, unless the
 # wave is urgent or the pool is a standby pool.
 _MAX_POOL_SHARE = 0.34
@@ -26,11 +27,17 @@
     DONE = "done"
 
 
+_OUT_PHASES = (MaintenancePhase.CLEARING, MaintenancePhase.BEGUN)
+
+
 @attrs.frozen(kw_only=True)
 class WaveVm:
     """A VM of a wave, in whatever phase of its maintenance.
 
-    ``pool_busy`` is set if the VM's pool needs all of its VMs.
+    ``clear_seconds`` is how long its tasks are expected to run on, without
+    the long-lived ones. ``pool_spare`` is how many VMs its pool can do
+    without. One that is not ``available`` is moving, for instance, and can't
+    be taken now.
     """
 
     name: str
@@ -39,43 +46,87 @@
     standby: bool
     task_count: int
     long_lived_count: int
-    pool_busy: bool
+    pool_spare: int
     pool_size: int
+    clear_seconds: float = 0.0
+    available: bool = True
+
+
+@attrs.frozen(kw_only=True)
+class WaveTerms:
+    """What a wave has to keep, and how long its VMs take.
+
+    At most ``max_parallel`` VMs may be out at once. ``seconds_left`` is the
+    time until the wave's deadline, ``maintenance_seconds`` how long a VM is
+    away, and ``eviction_seconds`` the time in which all long-lived tasks can
+    leave the due VMs, one after another as their budgets allow.
+    """
+
+    max_parallel: int
+    seconds_left: float
+    maintenance_seconds: float
+    eviction_seconds: float = 0.0
+
+    @property
+    def _place_seconds(self) -> float:
+        return self.maintenance_seconds + _PLACE_OVERHEAD_SECONDS
+
+
+def seconds_needed(
+    vms: collections.abc.Iterable[WaveVm], terms: WaveTerms
+) -> float:
+    """Return a bound of how long a wave takes if it uses all its places.
+
+    As long as VMs are due, each place is in use, so the last VM is taken
+    after the mean load of a place at the latest, and then takes its own time.
+    Long-lived tasks leave from now on, while VMs without such tasks are
+    maintained; if they need longer, the places wait for the rest of that.
+    """
+    load = load_without_evictions = longest = 0.0
+    for vm in vms:
+        if vm.phase is MaintenancePhase.DONE:
+            continue
+        seconds = vm.clear_seconds + terms._place_seconds
+        load += seconds
+        if not vm.long_lived_count:
+            load_without_evictions += seconds
+        longest = max(longest, seconds)
+    others = load_without_evictions / terms.max_parallel
+    waiting = max(0.0, terms.eviction_seconds - others)
+    return load / terms.max_parallel + longest + waiting
+
+
+def is_urgent(vms: collections.abc.Iterable[WaveVm], terms: WaveTerms) -> bool:
+    """Tell whether a wave must use all its places to end in time.
+
+    Otherwise it gives way to the pools' demand.
+    """
+    return terms.seconds_left < seconds_needed(vms, terms) + _RESERVE_SECONDS
 
 
 def plan_maintenance(
-    vms: collections.abc.Sequence[WaveVm],
-    *,
-    max_parallel: int,
-    seconds_left: float,
-    maintenance_seconds: float,
+    vms: collections.abc.Sequence[WaveVm], terms: WaveTerms
 ) -> list[WaveVm]:
     """Return the VMs to clear for maintenance next.
 
     VMs of standby pools come first, as nothing runs there, then empty
-    ones. Unless the wave is urgent, no VM is taken from a pool that needs
-    all of its VMs, and only a share of any other pool is out at once;
-    neither limit holds for standby pools.
+    ones. Unless the wave is urgent, a pool keeps the VMs that it needs, and
+    only a share of it is out at once; neither limit holds for standby pools.
 
     Args:
         vms: All VMs of the wave.
-        max_parallel: How many VMs of the wave may be out at once.
-        seconds_left: Time until the wave's deadline.
-        maintenance_seconds: How long the maintenance of one VM takes.
+        terms: What the wave has to keep.
     """
-    due = [vm for vm in vms if vm.phase is MaintenancePhase.DUE]
-    out = [
-        vm
-        for vm in vms
-        if vm.phase in (MaintenancePhase.CLEARING, MaintenancePhase.BEGUN)
-    ]
-    room = max_parallel - len(out)
-    batches = math.ceil(len(due) / max_parallel)
-    min_seconds = batches * (maintenance_seconds + _EVICTION_SECONDS)
-    urgent = seconds_left < min_seconds * _URGENT_FACTOR
-    out_by_pool = collections.Counter(vm.pool for vm in out)
+    out_by_pool = collections.Counter(
+        vm.pool for vm in vms if vm.phase in _OUT_PHASES
+    )
+    room = terms.max_parallel - out_by_pool.total()
+    urgent = is_urgent(vms, terms)
     chosen: list[WaveVm] = []
-    for vm in sorted(due, key=_rank):
+    candidates = [
+        vm for vm in vms if vm.phase is MaintenancePhase.DUE and vm.available
+    ]
+    for vm in sorted(candidates, key=_rank):
         if len(chosen) >= room:
             break
         if not (urgent or vm.standby or _pool_can_spare(vm, out_by_pool)):
@@ -96,7 +147,5 @@
 
 
 def _pool_can_spare(vm: WaveVm, out_by_pool: collections.Counter[str]) -> bool:
-    if vm.pool_busy:
-        return False
     max_out = max(1, math.floor(vm.pool_size * _MAX_POOL_SHARE))
-    return out_by_pool[vm.pool] < max_out
+    return out_by_pool[vm.pool] < min(max_out, vm.pool_spare)
--- a/tests/features/scheduler.feature
+++ b/tests/features/scheduler.feature
@@ -93,6 +93,12 @@
     When the wave is due in 27 s and 56 VMs may be out at once
     Then no VM is taken
 
+  # Guards against late waves: one that gives way to peaks for longer than its
+  # deadline allows, also if the scheduler changes meanwhile.
+  Scenario: A wave whose VMs are needed to the last begins in time
+    Then random waves over busy pools end in time, with 5 s without a scheduler
+    And each takes no VM while it has twice the time that it needs
+
   # Guards against late waves: tasks that may not share a VM left their VMs only
   # as fast as these came back from their maintenance.
   Scenario: Long-lived tasks that leave due VMs need as much room as may miss
