--- a/packages/peridotsill_scheduler/src/peridotsill_scheduler/__init__.py
+++ b/packages/peridotsill_scheduler/src/peridotsill_scheduler/__init__.py
@@ -17,12 +17,20 @@
 from peridotsill_scheduler._estimates import objective_seconds
 from peridotsill_scheduler._estimates import remaining_run_seconds
 from peridotsill_scheduler._estimates import remaining_work
+from peridotsill_scheduler._evacuation import Evacuation
+from peridotsill_scheduler._evacuation import plan_evacuation
+from peridotsill_scheduler._lending import after_moves
 from peridotsill_scheduler._lending import lending_policies
 from peridotsill_scheduler._lending import lending_policy
 from peridotsill_scheduler._lending import Move
+from peridotsill_scheduler._lending import plan_fetches
 from peridotsill_scheduler._lending import plan_moves
+from peridotsill_scheduler._lending import spare_vms
+from peridotsill_scheduler._maintenance import is_urgent
 from peridotsill_scheduler._maintenance import MaintenancePhase
 from peridotsill_scheduler._maintenance import plan_maintenance
+from peridotsill_scheduler._maintenance import seconds_needed
+from peridotsill_scheduler._maintenance import WaveTerms
 from peridotsill_scheduler._maintenance import WaveVm
 from peridotsill_scheduler._model import AdviceTiming
 from peridotsill_scheduler._model import JobSpec
@@ -64,6 +72,7 @@
     "Arrival",
     "Crash",
     "Estimator",
+    "Evacuation",
     "Job",
     "JobSpec",
     "JobState",
@@ -82,14 +91,17 @@
     "Task",
     "TaskPhase",
     "VmView",
+    "WaveTerms",
     "WaveVm",
     "advisor_answer_for",
+    "after_moves",
     "counts_as_suspect",
     "critical_path_seconds",
     "find_culprits",
     "has_started",
     "is_cleared",
     "is_suspect",
+    "is_urgent",
     "job_work",
     "lending_policies",
     "lending_policy",
@@ -99,6 +111,8 @@
     "order_jobs",
     "order_policies",
     "order_policy",
+    "plan_evacuation",
+    "plan_fetches",
     "plan_filler_speed",
     "plan_maintenance",
     "plan_moves",
@@ -108,6 +122,8 @@
     "refresh_state",
     "remaining_run_seconds",
     "remaining_work",
+    "seconds_needed",
+    "spare_vms",
     "tasks_of",
     "wanted_vms",
 ]
