--- a/tests/benches/plumbing.py
+++ b/tests/benches/plumbing.py
@@ -25,6 +25,7 @@
 from emulator import stubs
 import orjson
 import peridotsill
+from returns import result
 
 from peridotsill_adapter import _documents
 from peridotsill_adapter import _machines
@@ -69,6 +70,7 @@
         _cost("the list of 276 VMs", _list_vms(), 1),
         _cost("the commit of 45 jobs of 6 tasks", _commit_batch(), 1),
         _cost("a log line, with its encoding", _write_lines(), _LINES),
+        _cost("a report of 10 runs and an end", _decode_reports(), _CALLS),
         *_measure_calls(),
     ]
 
@@ -272,6 +274,33 @@
     return run
 
 
+def _decode_reports() -> collections.abc.Callable[[], None]:
+    """Decode the same report, as a runner repeats it while its tasks run."""
+    tasks = [f"00000000000000aa.0.0.{number}" for number in range(11)]
+    answer = result.Success(
+        {
+            "clock_ms": 5000.0,
+            "born": 1700000000000,
+            "running": [[task, 1, "", 100, 2.0] for task in tasks[1:]],
+            "ended": [[7, tasks[0], 1, "done", ""]],
+        }
+    )
+    calls = _runners.runner_calls(stubs.runner_entry())
+    read = calls.poll(
+        fence=1,
+        last_seen=0,
+        lease_until_ms=None,
+        wait_seconds=0.0,
+        timeout_seconds=1.0,
+    ).read
+
+    def run() -> None:
+        for _ in range(_CALLS):
+            read(answer)
+
+    return run
+
+
 _ANSWER_BODY = b'{"clock_ms": 5000, "running": [], "ended": []}'
 _ANSWER = (
     b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
--- a/tests/features/plumbing.feature
+++ b/tests/features/plumbing.feature
@@ -87,3 +87,10 @@
   Scenario: Plain data is encoded as the converter of objects encodes it
     When 2000 values are drawn, with objects, keys and numbers of any kind
     Then each has the same JSON text as by the converter, or the same error
+
+  # Guards against SHORT: the names of all runs at each answer of a runner.
+  Scenario: The names of a runner's tasks are taken apart once
+    Given a runner's report of 10 runs that was read before
+    When it is read again with 1 run more, and the calls are counted
+    Then 1 name was taken apart, and the runs are named as before
+    And at most 16384 names are kept, and none of more than 100 characters
--- a/tests/features/steps/plumbing_steps.py
+++ b/tests/features/steps/plumbing_steps.py
@@ -29,6 +29,7 @@
 from peridotsill_adapter import _decode_cache
 from peridotsill_adapter import _documents
 from peridotsill_adapter import _machines
+from peridotsill_adapter import _runners
 from peridotsill_adapter import _table
 from peridotsill_adapter import _unreadable
 from peridotsill_adapter import _wire
@@ -718,3 +719,57 @@
         assert text == expected, (value, text, expected)
         texts.add(text)
     assert len(texts) > len(context.values) / 4, len(texts)
+
+
+def _read_report(tasks):
+    calls = _runners.runner_calls(stubs.runner_entry())
+    call = calls.poll(
+        fence=1,
+        last_seen=0,
+        lease_until_ms=None,
+        wait_seconds=0.0,
+        timeout_seconds=1.0,
+    )
+    running = [[task, 1, "", 100, 2.0] for task in tasks]
+    answer = {"clock_ms": 5.0, "running": running, "ended": []}
+    return call.read(result.Success(answer))
+
+
+def _run_names(count):
+    return [f"{number:016x}.0.0.{number}" for number in range(count)]
+
+
+@given("a runner's report of {count:d} runs that was read before")
+def _report_read_before(context, count):
+    _runners._kept_task_name.cache_clear()
+    context.before = _read_report(_run_names(count))
+
+
+@when("it is read again with 1 run more, and the calls are counted")
+def _read_report_again(context):
+    count = len(context.before.running)
+    with _counted_calls() as context.calls:
+        context.after = _read_report(_run_names(count + 1))
+
+
+@then("1 name was taken apart, and the runs are named as before")
+def _named_as_before(context):
+    count = context.calls[_runners._make_task_name.__code__]
+    assert count == 1, count
+    assert context.after.running[:-1] == context.before.running
+    for run, text in zip(context.after.running, _run_names(11)):
+        assert f"{run.name.job}.{run.name.task}" == text, run
+
+
+@then(
+    "at most {count:d} names are kept, and none of more than {length:d} "
+    "characters"
+)
+def _names_bounded(context, count, length):
+    kept = _runners._kept_task_name.cache_info()
+    assert kept.maxsize == count, kept
+    longer = "x" * (length + 1)
+    for text in (longer, longer + ".0", "x" * length):
+        name = _read_report([text]).running[0].name
+        assert name.job == text.partition(".")[0], name
+    assert _runners._kept_task_name.cache_info().currsize == 12
