Wake the calls' thread up once for what is queued together

What the scheduler's process saw: each order of a round that was queued while the calls' thread waited for its sockets sent a byte to wake it up. Each of these system calls hands the interpreter to the other thread and takes it back. Whoever wakes the thread up now says so first, and what is queued from then on needs no wake-up of its own.

Why none is lost: the flag is cleared only by a thread that sends a byte after it, and set only by the thread of calls, before it looks at the queue. So a callback whose queueing finds the flag cleared is followed by a byte, or is seen by that look.

With four threads that queue 12,000 callbacks while the interpreter switches every microsecond each is run, in order.

--- a/packages/peridotsill/src/peridotsill/_call_loop.py
+++ b/packages/peridotsill/src/peridotsill/_call_loop.py
@@ -101,6 +101,8 @@
         """Queue a callback for the loop's thread; safe from any thread."""
         self._ready_callbacks.append(callback)
         if self._selecting:
+            # Callbacks that follow are seen after the same wake-up.
+            self._selecting = False
             # If the socket's buffer is full, the thread wakes up anyway; a
             # closed socket means that the loop has ended.
             with contextlib.suppress(BlockingIOError, OSError):
--- a/tests/features/plumbing.feature
+++ b/tests/features/plumbing.feature
@@ -94,3 +94,16 @@
     When it is read again with 1 run more, and the calls are counted
     Then 1 name was taken apart, and the runs are named as before
     And at most 16384 names are kept, and none of more than 100 characters
+
+  # Guards against SHORT: a system call for each order of a round, after each
+  # of which the two threads contend for the interpreter.
+  Scenario: Callbacks that are queued together wake the calls' thread up once
+    Given a thread of calls that waits
+    When 100 callbacks are queued before it runs again
+    Then it was woken up once, and all 100 have run in their order
+
+  # Guards against LOST: an order that is queued and never sent.
+  Scenario: No callback is left in the queue, whichever thread runs when
+    Given a thread of calls that waits
+    When 4 threads queue 3000 callbacks each, at drawn moments
+    Then each has run within 5 s of its queueing, in the order of its thread
--- a/tests/features/steps/plumbing_steps.py
+++ b/tests/features/steps/plumbing_steps.py
@@ -8,9 +8,11 @@
 import collections
 import contextlib
 import datetime
+import functools
 import json
 import random
 import sys
+import threading
 import time
 import typing
 import uuid
@@ -773,3 +775,101 @@
         name = _read_report([text]).running[0].name
         assert name.job == text.partition(".")[0], name
     assert _runners._kept_task_name.cache_info().currsize == 12
+
+
+@given("a thread of calls that waits")
+def _waiting_loop(context):
+    context.errors = []
+    context.loop = peridotsill.CallLoop(on_error=context.errors.append)
+    context.stack.callback(context.loop.stop)
+
+
+class _CountedSender:
+    """Counts what is sent, and sends it."""
+
+    def __init__(self, sender):
+        self._sender = sender
+        self.count = 0
+
+    def send(self, data):
+        self.count += 1
+        return self._sender.send(data)
+
+    def close(self):
+        self._sender.close()
+
+
+@when("{count:d} callbacks are queued before it runs again")
+def _queue_callbacks(context, count):
+    loop = context.loop
+    context.sender = _CountedSender(loop._wakeup_sender)
+    loop._wakeup_sender = context.sender
+    context.count = count
+    context.ran = []
+    # As it is while the thread waits for a socket.
+    loop._selecting = True
+    for number in range(count):
+        loop.run_soon(functools.partial(context.ran.append, number))
+    loop.start()
+    _wait_until(lambda: len(context.ran) == count, 5.0)
+
+
+def _wait_until(condition, seconds):
+    deadline = time.monotonic() + seconds
+    while not condition() and time.monotonic() < deadline:
+        time.sleep(0.001)
+
+
+@then("it was woken up once, and all {count:d} have run in their order")
+def _woken_once(context, count):
+    assert context.ran == list(range(count)), context.ran
+    assert context.sender.count == 1, context.sender.count
+
+
+@when("{threads:d} threads queue {count:d} callbacks each, at drawn moments")
+def _queue_from_threads(context, threads, count):
+    context.ran = []
+    context.waits = []
+    context.expected = [list(range(count)) for _ in range(threads)]
+
+    def run(thread, number, queued_at):
+        context.ran.append((thread, number))
+        context.waits.append(time.monotonic() - queued_at)
+
+    def queue_callbacks(thread):
+        draw = random.Random(thread)
+        for number in range(count):
+            context.loop.run_soon(
+                functools.partial(run, thread, number, time.monotonic())
+            )
+            if draw.random() < 0.05:
+                time.sleep(draw.random() * 0.002)
+
+    context.loop.start()
+    workers = [
+        threading.Thread(target=queue_callbacks, args=(each,))
+        for each in range(threads)
+    ]
+    switch_interval = sys.getswitchinterval()
+    context.stack.callback(sys.setswitchinterval, switch_interval)
+    # Threads then switch between almost any two steps.
+    sys.setswitchinterval(1e-6)
+    for worker in workers:
+        worker.start()
+    for worker in workers:
+        worker.join()
+    _wait_until(lambda: len(context.ran) == threads * count, 5.0)
+
+
+@then(
+    "each has run within {seconds:d} s of its queueing, in the order of its "
+    "thread"
+)
+def _all_ran(context, seconds):
+    ran = [
+        [number for thread, number in context.ran if thread == each]
+        for each in range(len(context.expected))
+    ]
+    assert ran == context.expected, [len(each) for each in ran]
+    assert max(context.waits) < seconds, max(context.waits)
+    assert not context.errors, context.errors
