--- a/tests/features/plumbing.feature
+++ b/tests/features/plumbing.feature
@@ -70,7 +70,7 @@
   # Guards against TWICE: an entry that turns odd, or another runner's, is
   # taken for what it was.
   Scenario Outline: What is kept of <rows> is what a first reading finds
-    When <rows> are read 300 times, with drawn fields changed, gone or odd
+    When <rows> are read 3000 times, with drawn fields changed, gone or odd
     Then each reading names what a reader that has kept nothing names
     And an entry whose decoded fields are as before is the same object
 
@@ -87,3 +87,23 @@
   Scenario: Plain data is encoded as the converter of objects encodes it
     When 2000 values are drawn, with objects, keys and numbers of any kind
     Then each has the same JSON text as by the converter, or the same error
+
+  # Guards against SHORT: the names of all runs at each answer of a runner.
+  Scenario: The names of a runner's tasks are taken apart once
+    Given a runner's report of 10 runs that was read before
+    When it is read again with 1 run more, and the calls are counted
+    Then 1 name was taken apart, and the runs are named as before
+    And at most 16384 names are kept, and none of more than 100 characters
+
+  # Guards against SHORT: a system call for each order of a round, after each
+  # of which the two threads contend for the interpreter.
+  Scenario: Callbacks that are queued together wake the calls' thread up once
+    Given a thread of calls that waits
+    When 100 callbacks are queued before it runs again
+    Then it was woken up once, and all 100 have run in their order
+
+  # Guards against LOST: an order that is queued and never sent.
+  Scenario: No callback is left in the queue, whichever thread runs when
+    Given a thread of calls that waits
+    When 4 threads queue 3000 callbacks each, at drawn moments
+    Then each has run within 5 s of its queueing, in the order of its thread
