Compute a queue's mean run time once per ended task

The mean was divided anew each time that a step's run time was asked for, several times for each open job in each decision, and whether a job is long-lived was found from its steps each time. The values are the same.

--- a/packages/peridotsill_scheduler/src/peridotsill_scheduler/_estimates.py
+++ b/packages/peridotsill_scheduler/src/peridotsill_scheduler/_estimates.py
@@ -45,11 +45,16 @@
 
     def __init__(self) -> None:
         self._run_seconds: dict[str, _MovingMean] = {}
+        # By queue, the mean run time once it is used.
+        self._mean_seconds: dict[str, float] = {}
         self._job_work: dict[str, _MovingMean] = {}
 
     def record_task(self, queue: str, seconds: float) -> None:
         """Record the run time of a task that completed successfully."""
-        self._run_seconds.setdefault(queue, _MovingMean()).add(seconds)
+        history = self._run_seconds.setdefault(queue, _MovingMean())
+        history.add(seconds)
+        if len(history) >= _MIN_HISTORY_TASKS:
+            self._mean_seconds[queue] = history.mean
 
     def record_job(self, queue: str, work: float) -> None:
         """Record the estimated work of one occurrence of a job.
@@ -69,10 +74,8 @@
     def task_seconds(self, queue: str, step: _model.Step) -> float:
         """Return the expected run time of a task of ``step``."""
         declared = step.estimated_seconds or _DEFAULT_RUN_SECONDS
-        history = self._run_seconds.get(queue)
-        if not history or len(history) < _MIN_HISTORY_TASKS:
-            return declared
-        return (declared + history.mean) / 2
+        mean = self._mean_seconds.get(queue)
+        return declared if mean is None else (declared + mean) / 2
 
 
 def job_work(job: _progress.Job, estimator: Estimator) -> float:
@@ -125,14 +128,17 @@
         only_remaining: Count steps as taking no time if none of their tasks
             in the occurrences due so far is unfinished.
     """
+    queue = job.spec.queue
     end_seconds: dict[int, float] = {}
     for step in job.spec.steps:
-        start_seconds = max(
-            (end_seconds.get(each, 0.0) for each in step.after), default=0.0
-        )
+        start_seconds = 0.0
+        if step.after:
+            start_seconds = max(
+                [end_seconds.get(each, 0.0) for each in step.after]
+            )
         step_seconds = 0.0
         if not only_remaining or job.tally.of_step(step.index).unfinished:
-            step_seconds = estimator.task_seconds(job.spec.queue, step)
+            step_seconds = estimator.task_seconds(queue, step)
         end_seconds[step.index] = start_seconds + step_seconds
     return max(end_seconds.values(), default=0.0)
 
--- a/packages/peridotsill_scheduler/src/peridotsill_scheduler/_progress.py
+++ b/packages/peridotsill_scheduler/src/peridotsill_scheduler/_progress.py
@@ -190,6 +190,12 @@
         factory=_task_tally.TaskTally, init=False, repr=False
     )
 
+    _long_lived: bool = attrs.field(init=False, repr=False)
+
+    @_long_lived.default
+    def _has_long_lived_step(self) -> bool:
+        return any(step.long_lived for step in self.spec.steps)
+
     def __attrs_post_init__(self) -> None:
         self.count(self.tasks)
 
@@ -215,7 +221,7 @@
     @property
     def long_lived(self) -> bool:
         """Whether some step runs until the job is cancelled."""
-        return any(step.long_lived for step in self.spec.steps)
+        return self._long_lived
 
 
 def advisor_answer_for(
