Compare free capacities as tuples

The largest free capacities are found anew some five times a round; hashing and sorting Resources took most of it.

--- a/packages/peridotsill_scheduler/src/peridotsill_scheduler/_vm_order.py
+++ b/packages/peridotsill_scheduler/src/peridotsill_scheduler/_vm_order.py
@@ -16,6 +16,8 @@
 Rank = tuple[float, ...]
 # What the rank of a VM without suspects depends on, apart from the VM.
 _StepKind = tuple[bool, bool, str]
+# Cores, memory in mebibytes and accelerators.
+_Amount = tuple[float, float, int]
 
 
 def rank_vm(job: _progress.Job, task: _progress.Task, vm: _vms.VmView) -> Rank:
@@ -206,16 +208,16 @@
     """
 
     def __init__(self, *, vms: collections.abc.Sequence[_vms.VmView]) -> None:
-        self._amounts = {vm: vm.free for vm in vms}
-        self._counts: dict[str, collections.Counter[_model.Resources]] = {}
-        self._largest: dict[str, list[_model.Resources]] = {}
+        self._amounts = {vm: _amount(vm.free) for vm in vms}
+        self._counts: dict[str, collections.Counter[_Amount]] = {}
+        self._largest: dict[str, dict[_Amount, _model.Resources]] = {}
 
     def note_change(self, vm: _vms.VmView) -> None:
         """Record that a VM has lost room."""
         former = self._amounts.get(vm)
         if former is None:
             return
-        self._amounts[vm] = vm.free
+        self._amounts[vm] = _amount(vm.free)
         for label, counts in self._counts.items():
             if vm.has_label(label):
                 counts[former] -= 1
@@ -234,25 +236,38 @@
                 if vm.has_label(label)
             )
         if label not in self._largest:
-            self._largest[label] = _without_covered(self._counts[label])
-        return any(free.covers(reserved) for free in self._largest[label])
+            self._largest[label] = {
+                amount: _model.Resources(
+                    cores=amount[0],
+                    memory_mib=amount[1],
+                    accelerators=amount[2],
+                )
+                for amount in _without_covered(self._counts[label])
+            }
+        return any(
+            free.covers(reserved) for free in self._largest[label].values()
+        )
+
+
+def _amount(free: _model.Resources) -> _Amount:
+    return free.cores, free.memory_mib, free.accelerators
 
 
 def _without_covered(
-    amounts: collections.abc.Iterable[_model.Resources],
-) -> list[_model.Resources]:
+    amounts: collections.abc.Iterable[_Amount],
+) -> list[_Amount]:
     """Return the amounts that no other one covers exactly."""
-    kept: list[_model.Resources] = []
-    for amount in sorted(
-        amounts,
-        key=lambda each: (each.cores, each.memory_mib, each.accelerators),
-        reverse=True,
-    ):
+    kept: list[_Amount] = []
+    most_memory: dict[int, float] = {}
+    for amount in sorted(amounts, reverse=True):
         # Those before it have as many cores or more.
+        _, memory_mib, accelerators = amount
+        if memory_mib <= most_memory.get(accelerators, float("-inf")):
+            continue
         if not any(
-            other.memory_mib >= amount.memory_mib
-            and other.accelerators >= amount.accelerators
+            other[1] >= memory_mib and other[2] >= accelerators
             for other in kept
         ):
             kept.append(amount)
+            most_memory[accelerators] = memory_mib
     return kept
