Count tasks of a runner that is not known yet as on its VM

What callers saw: nothing yet, as a new scheduler commanded no VM for 3 s after a takeover.

Cause: tasks that the rows place on a runner which the registry lacks await that runner in Workers. Fleet looked only at the tasks of known runners, and sent the command of a VM without one at once.

Change: such tasks count in the list of idle VMs, in the plan of waves and before a command. The exception is a VM that a wave's row names as begun: it was empty then, and the command is a repeat, which ends nothing that has begun since.

Evidence: "A VM whose runner is not registered, but has tasks, is not empty" failed with the command for a1 and passes; so does "A maintenance that had been done before ends no run", which needs the exception.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_fleet.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_fleet.py
@@ -302,6 +302,22 @@
             return None
         return self._parts.workers.find(record.runner)
 
+    def _awaiting_count(self, vm: str) -> int:
+        """Return how many tasks the rows have on a VM's unknown runner."""
+        record = self._vms.get(vm)
+        if record is None or not record.runner:
+            return 0
+        return self._parts.workers.awaiting_count(record.runner)
+
+    def _has_begun(self, operation: _Operation) -> bool:
+        """Tell whether a VM's command in a wave was recorded before.
+
+        The VM was empty then. Any task on it began after the command was
+        carried out, and a repeat does not end it.
+        """
+        wave = self._waves.get(operation.wave)
+        return wave is not None and operation.command.vm in wave.begun
+
     # Decisions.
 
     def decide(
@@ -340,12 +356,14 @@
             if operation.phase is _OperationPhase.CLEARING:
                 worker = self._worker_of(name)
                 count = len(worker.placed) if worker else 0
+                if not self._has_begun(operation):
+                    count += self._awaiting_count(name)
                 clearing.append((count, name, operation, worker))
         clearing.sort(key=lambda each: each[:2])
         full_speed_tasks: dict[tuple[str, str], frozenset[str]] = {}
         emptied = []
         for count, name, operation, worker in clearing:
-            if worker is None or not count:
+            if not count:
                 emptied.append(operation)
                 continue
             if count < operation.lowest_task_count:
@@ -355,7 +373,7 @@
                 _logs.log("vm:not_cleared", vm=name, tasks=count)
                 self._backoff_until[name] = now + _BACKOFF_SECONDS
                 self._end_operation(name)
-            else:
+            elif worker is not None:
                 self._evict_long_lived(worker, full_speed_tasks)
         self._send_commands(emptied, now)
 
@@ -533,7 +551,11 @@
         if self._is_standby(record.pool):
             return True
         worker = self._worker_of(record.name)
-        return worker is not None and not worker.placed
+        return (
+            worker is not None
+            and not worker.placed
+            and not self._awaiting_count(record.name)
+        )
 
     def _soon_idle(
         self,
@@ -766,7 +788,7 @@
             pool=pool.name,
             phase=self._maintenance_phase(wave, record.name),
             standby=pool.standby,
-            task_count=len(placed),
+            task_count=len(placed) + self._awaiting_count(record.name),
             long_lived_count=sum(each.task.step.long_lived for each in placed),
             pool_busy=peridotsill_scheduler.wanted_vms(pool) >= pool.size,
             pool_size=pool.size,
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_workers.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_workers.py
@@ -528,6 +528,10 @@
             return []
         return self._awaiting_runner.pop(runner, [])
 
+    def awaiting_count(self, runner: str) -> int:
+        """Return how many tasks the rows have on a runner not known here."""
+        return len(self._awaiting_runner.get(runner, ()))
+
     def replace_link(self, worker: Worker) -> None:
         """Connect anew to a runner whose process has ended.
 
--- a/tests/features/steps/maintenance_steps.py
+++ b/tests/features/steps/maintenance_steps.py
@@ -50,6 +50,9 @@
             (worker for worker in self if worker.entry.id == runner), None
         )
 
+    def awaiting_count(self, runner):
+        return 0
+
     def full_speed_tasks(self, job):
         return frozenset(
             placed.task.key
