Read a rest that is not a duration as proof of nothing

A rest of NaN in the row of VM commands would have kept a VM from being commanded for good. Such a row now counts as malformed: all VMs wait as after an earlier version. "All VMs rest, as the row of commands holds a rest of NaN" holds it.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_command_rows.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_command_rows.py
@@ -309,7 +309,7 @@
         isinstance(epoch, int)
         and isinstance(unanswered, list)
         and isinstance(rests, dict)
-        and all(isinstance(left, (int, float)) for left in rests.values())
+        and all(map(_is_duration, rests.values()))
     ):
         return _Content(
             version=row.version,
@@ -319,3 +319,7 @@
         )
     _logs.log("vm:commands_malformed", version=row.version)
     return _Content(version=row.version)
+
+
+def _is_duration(value: object) -> bool:
+    return isinstance(value, (int, float)) and 0 <= value < math.inf
--- a/tests/features/commands.feature
+++ b/tests/features/commands.feature
@@ -62,7 +62,8 @@
       | row                                                |
       | the last scheduler was of an earlier version       |
       | a scheduler of an earlier version came after it    |
-      | the row of commands is malformed                   |
+      | the row of commands holds a rest of "long"         |
+      | the row of commands holds a rest of NaN            |
 
   # Guards against ONE: a holder that was replaced, and did not know, sent a
   # command that the next one knew nothing of.
--- a/tests/features/steps/commands_steps.py
+++ b/tests/features/steps/commands_steps.py
@@ -1,5 +1,6 @@
 """Steps on the VM commands of schedulers that take over from one another."""
 
+import json
 import threading
 import unittest.mock
 
@@ -213,10 +214,10 @@
     lease.release()
 
 
-@given("the row of commands is malformed")
-def _malform_row(context):
+@given("the row of commands holds a rest of {rest}")
+def _malform_row(context, rest):
     value, version = context.store.rows[_command_rows.KEY]
-    malformed = value | {"rests": {"a1": "long"}}
+    malformed = value | {"rests": {"a1": json.loads(rest)}}
     context.store.rows[_command_rows.KEY] = (malformed, version)
 
 
