--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_wave_views.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_wave_views.py
@@ -30,13 +30,18 @@
     name: str,
     worker: _workers.Worker | None,
     *,
+    awaiting_count: int,
     pool: peridotsill_scheduler.PoolSupply,
     phase: peridotsill_scheduler.MaintenancePhase,
     available: bool,
     estimator: peridotsill_scheduler.Estimator,
     now: float,
 ) -> peridotsill_scheduler.WaveVm:
-    """Return the view of a VM, with what its runner's tasks still need."""
+    """Return the view of a VM, with what its runner's tasks still need.
+
+    ``awaiting_count`` is the number of tasks that the rows place on its runner
+    while the registry lacks it.
+    """
     placed = tuple(worker.placed.values()) if worker is not None else ()
     short = [each for each in placed if not each.task.step.long_lived]
     return peridotsill_scheduler.WaveVm(
@@ -44,7 +49,7 @@
         pool=pool.name,
         phase=phase,
         standby=pool.standby,
-        task_count=len(placed),
+        task_count=len(placed) + awaiting_count,
         long_lived_count=len(placed) - len(short),
         pool_spare=peridotsill_scheduler.spare_vms(pool),
         pool_size=pool.size,
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_workers.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_workers.py
@@ -130,7 +130,8 @@
     that may still run here; their capacity stays reserved until they have
     ended. ``lost_runs`` were here when the leases expired, at ``lost_at``,
     while it is not known whether the runner crashed. ``last_applied_end``
-    is the number of the newest end that was applied. ``unknown_runs``
+    is the number of the newest end that was applied. ``reported`` tells that
+    a report of this lifetime was applied, and ``unknown_runs``
     counts the runs in the last report that are neither placed nor
     abandoned here. ``fleet_closed_reason`` says why the fleet lets nothing
     start here, or is empty. ``listed`` tells that the registry has this
@@ -151,6 +152,7 @@
     lost_runs: list[PlacedTask] = attrs.field(factory=list)
     lost_at: float = 0.0
     last_applied_end: int = 0
+    reported: bool = False
     listed: bool = True
     gone: bool = False
     unknown_runs: int = 0
@@ -545,6 +547,10 @@
             return []
         return self._awaiting_runner.pop(runner, [])
 
+    def awaiting_count(self, runner: str) -> int:
+        """Return how many tasks the rows have on a runner not known here."""
+        return len(self._awaiting_runner.get(runner, ()))
+
     def replace_link(self, worker: Worker) -> None:
         """Connect anew to a runner whose process has ended.
 
