Bound a wave's need by when its long-lived tasks have left

The bound added the time in which the long-lived tasks leave to that of all VMs. A place has nothing to do only until these have left, and then only their VMs are left; the bound is the longer one of both.

`wave:urgent` and `wave:gives_way` say what the bound is.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_fleet.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_fleet.py
@@ -339,6 +339,7 @@
             for wave in waves
         ]
         for plan in plans:
+            plan.log_urgency()
             self._resume_maintenance(plan.wave, now)
             if plan.urgent:
                 self._carry_out(plan, now)
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_wave_views.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_wave_views.py
@@ -4,10 +4,13 @@
 
 import attrs
 
+from peridotsill_jobs import _logs
 from peridotsill_jobs import _waves
 from peridotsill_jobs import _workers
 import peridotsill_scheduler
 
+_DUE = peridotsill_scheduler.MaintenancePhase.DUE
+
 
 @attrs.frozen(kw_only=True)
 class WavePlan:
@@ -25,6 +28,21 @@
     def _is_urgent(self) -> bool:
         return peridotsill_scheduler.is_urgent(self.vms, self.terms)
 
+    def log_urgency(self) -> None:
+        """Log if the wave has become urgent, or is no longer."""
+        if self.urgent == self.wave.urgent:
+            return
+        self.wave.urgent = self.urgent
+        needed = peridotsill_scheduler.seconds_needed(self.vms, self.terms)
+        _logs.log(
+            "wave:urgent" if self.urgent else "wave:gives_way",
+            wave=self.wave.order.name,
+            due=sum(vm.phase is _DUE for vm in self.vms),
+            needed_seconds=round(needed, 1),
+            eviction_seconds=round(self.terms.eviction_seconds, 1),
+            seconds_left=round(self.terms.seconds_left, 1),
+        )
+
 
 def make_view(
     name: str,
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_waves.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_waves.py
@@ -26,7 +26,8 @@
     be away from that time for as long as a maintenance takes. ``seen_at``
     is the earliest known time at which this node or an earlier scheduler
     read the order. Times are in monotonic seconds. ``published_state`` is
-    the state that was last published to operators.
+    the state that was last published to operators. ``urgent`` tells that it
+    went before the pools' demand in the last decision.
     """
 
     order: _ports.WaveOrder
@@ -40,6 +41,7 @@
     )
     away_since: dict[str, float] = attrs.field(factory=dict)
     published_state: str = ""
+    urgent: bool = False
     row_version: int = 0
 
     @property
--- a/packages/peridotsill_scheduler/src/peridotsill_scheduler/_evacuation.py
+++ b/packages/peridotsill_scheduler/src/peridotsill_scheduler/_evacuation.py
@@ -19,7 +19,7 @@
 
 # Time from an eviction until the task is known to run at full speed on
 # another VM that has room.
-_EVICTION_SECONDS = 2.0
+_EVICTION_SECONDS = 1.5
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/peridotsill_scheduler/src/peridotsill_scheduler/_maintenance.py
+++ b/packages/peridotsill_scheduler/src/peridotsill_scheduler/_maintenance.py
@@ -9,10 +9,10 @@
 
 # How long a VM takes one of a wave's places beyond its maintenance: until its
 # command is answered, a list shows it back, and the next VM is chosen.
-_PLACE_OVERHEAD_SECONDS = 1.0
+_PLACE_OVERHEAD_SECONDS = 0.7
 # A wave keeps this much time for a change of the scheduler, during which no
 # VM is commanded.
-_RESERVE_SECONDS = 5.0
+_RESERVE_SECONDS = 4.0
 # Share of a pool that may be out at once, but at least one VM, unless the
 # wave is urgent or the pool is a standby pool.
 _MAX_POOL_SHARE = 0.34
@@ -77,23 +77,25 @@
 ) -> float:
     """Return a bound of how long a wave takes if it uses all its places.
 
-    As long as VMs are due, each place is in use, so the last VM is taken
-    after the mean load of a place at the latest, and then takes its own time.
-    Long-lived tasks leave from now on, while VMs without such tasks are
-    maintained; if they need longer, the places wait for the rest of that.
+    From the last moment on at which a place has nothing to do, all places are
+    in use until the last VM is taken: for the mean load of a place, of the
+    VMs that could not be taken before. These are all VMs, or those whose
+    long-lived tasks leave meanwhile, once all of these have left. The last VM
+    then takes its own time.
     """
-    load = load_without_evictions = longest = 0.0
+    load = load_with_long_lived = longest = 0.0
     for vm in vms:
         if vm.phase is MaintenancePhase.DONE:
             continue
         seconds = vm.clear_seconds + terms._place_seconds
         load += seconds
-        if not vm.long_lived_count:
-            load_without_evictions += seconds
+        if vm.long_lived_count:
+            load_with_long_lived += seconds
         longest = max(longest, seconds)
-    others = load_without_evictions / terms.max_parallel
-    waiting = max(0.0, terms.eviction_seconds - others)
-    return load / terms.max_parallel + longest + waiting
+    return longest + max(
+        load / terms.max_parallel,
+        terms.eviction_seconds + load_with_long_lived / terms.max_parallel,
+    )
 
 
 def is_urgent(vms: collections.abc.Iterable[WaveVm], terms: WaveTerms) -> bool:
