Count long-lived tasks out of a wave's urgency, and let them leave in time

They leave in any case, whether the wave uses its places or not. So a wave is urgent if its places are short of time. If long-lived tasks would be late, they leave though they find no room yet, if they will have it on a VM that is not due once other tasks have ended; they are placed first there.

The scenario printed [] for 13 s without the change (mutant).

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_evictions.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_evictions.py
@@ -4,6 +4,8 @@
 import collections.abc
 import typing
 
+import attrs
+
 from peridotsill_jobs import _workers
 import peridotsill_scheduler
 
@@ -42,12 +44,15 @@
         self,
         due: collections.abc.Iterable[_workers.Worker],
         now: float,
+        *,
+        without_room: bool,
     ) -> collections.Counter[str]:
         """Evict what may be evicted from VMs that are yet to be cleared.
 
-        A task is evicted only if it has room on a VM that is not due itself.
-        The VM with the fewest long-lived tasks goes first. Return how many
-        empty VMs each pool lacks for tasks that find no room.
+        A task is evicted only if it has room on a VM that is not due itself,
+        or, if it must leave ``without_room``, if it will have room there once
+        other tasks end. The VM with the fewest long-lived tasks goes first.
+        Return how many empty VMs each pool lacks for tasks without room.
         """
         views: list[peridotsill_scheduler.VmView] = []
         lacking: list[peridotsill_scheduler.VmView] = []
@@ -60,7 +65,10 @@
                     if room is None:
                         room = _empty_view(worker, now)
                         lacking.append(room)
-                    self._count_as_away(placed)
+                    if without_room and _will_have_room(views, worker, placed):
+                        self._end(worker, placed)
+                    else:
+                        self._count_as_away(placed)
                 else:
                     self._end(worker, placed)
                 room.reserve(placed.job.spec.id, placed.task)
@@ -157,6 +165,29 @@
     )
 
 
+def _will_have_room(
+    views: collections.abc.Iterable[peridotsill_scheduler.VmView],
+    worker: _workers.Worker,
+    placed: _workers.PlacedTask,
+) -> bool:
+    """Tell whether other tasks' ends will make room for a task.
+
+    Long-lived tasks are the first to be placed there.
+    """
+    return (
+        _find_room(
+            [
+                attrs.evolve(view, free=view.capacity)
+                for view in views
+                if not view.long_lived_count
+            ],
+            worker,
+            placed,
+        )
+        is not None
+    )
+
+
 def _empty_view(
     worker: _workers.Worker, now: float
 ) -> peridotsill_scheduler.VmView:
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_fleet.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_fleet.py
@@ -348,7 +348,12 @@
             if plan.urgent:
                 self._carry_out(plan, now)
         supplies = self._without_operations(supplies)
-        supplies = self._make_room(supplies, evacuations, now)
+        supplies = self._make_room(
+            supplies,
+            evacuations,
+            now,
+            must_evict=any(plan.must_evict for plan in plans),
+        )
         supplies = self._plan_lending(supplies, now)
         for plan in plans:
             if not plan.urgent:
@@ -426,6 +431,8 @@
         supplies: list[peridotsill_scheduler.PoolSupply],
         evacuations: dict[str, peridotsill_scheduler.Evacuation],
         now: float,
+        *,
+        must_evict: bool,
     ) -> list[peridotsill_scheduler.PoolSupply]:
         """Move long-lived tasks off the VMs that are yet to be maintained.
 
@@ -439,7 +446,9 @@
         lacking: collections.Counter[str] = collections.Counter()
         if self._may_evict(now):
             lacking = self._new_evictions().clear_ahead(
-                [each for each in due if each.vm not in self._operations], now
+                [each for each in due if each.vm not in self._operations],
+                now,
+                without_room=must_evict,
             )
         due_vms = {worker.vm for worker in due}
         free_vms = {
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_wave_views.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_wave_views.py
@@ -28,6 +28,11 @@
     def _is_urgent(self) -> bool:
         return peridotsill_scheduler.is_urgent(self.vms, self.terms)
 
+    @property
+    def must_evict(self) -> bool:
+        """Whether long-lived tasks must leave though they find no room."""
+        return peridotsill_scheduler.must_evict(self.vms, self.terms)
+
     def log_urgency(self) -> None:
         """Log if the wave has become urgent, or is no longer."""
         if self.urgent == self.wave.urgent:
@@ -39,6 +44,7 @@
             wave=self.wave.order.name,
             due=sum(vm.phase is _DUE for vm in self.vms),
             needed_seconds=round(needed, 1),
+            must_evict=self.must_evict,
             eviction_seconds=round(self.terms.eviction_seconds, 1),
             seconds_left=round(self.terms.seconds_left, 1),
         )
--- a/packages/peridotsill_scheduler/src/peridotsill_scheduler/__init__.py
+++ b/packages/peridotsill_scheduler/src/peridotsill_scheduler/__init__.py
@@ -28,6 +28,7 @@
 from peridotsill_scheduler._lending import spare_vms
 from peridotsill_scheduler._maintenance import is_urgent
 from peridotsill_scheduler._maintenance import MaintenancePhase
+from peridotsill_scheduler._maintenance import must_evict
 from peridotsill_scheduler._maintenance import plan_maintenance
 from peridotsill_scheduler._maintenance import seconds_needed
 from peridotsill_scheduler._maintenance import WaveTerms
@@ -106,6 +107,7 @@
     "lending_policies",
     "lending_policy",
     "may_evict",
+    "must_evict",
     "objective_seconds",
     "open_occurrences",
     "order_jobs",
--- a/packages/peridotsill_scheduler/src/peridotsill_scheduler/_maintenance.py
+++ b/packages/peridotsill_scheduler/src/peridotsill_scheduler/_maintenance.py
@@ -68,7 +68,8 @@
     eviction_seconds: float = 0.0
 
     @property
-    def _place_seconds(self) -> float:
+    def place_seconds(self) -> float:
+        """How long a VM takes a place once its tasks have left it."""
         return self.maintenance_seconds + _PLACE_OVERHEAD_SECONDS
 
 
@@ -77,25 +78,13 @@
 ) -> float:
     """Return a bound of how long a wave takes if it uses all its places.
 
-    From the last moment on at which a place has nothing to do, all places are
-    in use until the last VM is taken: for the mean load of a place, of the
-    VMs that could not be taken before. These are all VMs, or those whose
-    long-lived tasks leave meanwhile, once all of these have left. The last VM
-    then takes its own time.
+    As long as VMs are due, all places are in use, so the last VM is taken
+    after the mean load of a place at the latest, and then takes its own time.
+    Long-lived tasks leave their VMs meanwhile, whether the wave uses its
+    places or not.
     """
-    load = load_with_long_lived = longest = 0.0
-    for vm in vms:
-        if vm.phase is MaintenancePhase.DONE:
-            continue
-        seconds = vm.clear_seconds + terms._place_seconds
-        load += seconds
-        if vm.long_lived_count:
-            load_with_long_lived += seconds
-        longest = max(longest, seconds)
-    return longest + max(
-        load / terms.max_parallel,
-        terms.eviction_seconds + load_with_long_lived / terms.max_parallel,
-    )
+    load, longest = _load(vms, terms)
+    return load / terms.max_parallel + longest
 
 
 def is_urgent(vms: collections.abc.Iterable[WaveVm], terms: WaveTerms) -> bool:
@@ -106,6 +95,31 @@
     return terms.seconds_left < seconds_needed(vms, terms) + _RESERVE_SECONDS
 
 
+def must_evict(
+    vms: collections.abc.Iterable[WaveVm], terms: WaveTerms
+) -> bool:
+    """Tell whether long-lived tasks must leave though they find no room.
+
+    Their VMs are maintained once they have left, all of them at the end in
+    the worst case.
+    """
+    load, longest = _load([vm for vm in vms if vm.long_lived_count], terms)
+    needed = terms.eviction_seconds + load / terms.max_parallel + longest
+    return terms.seconds_left < needed + _RESERVE_SECONDS
+
+
+def _load(
+    vms: collections.abc.Iterable[WaveVm], terms: WaveTerms
+) -> tuple[float, float]:
+    """Return how long VMs take places, together and the longest one."""
+    seconds = [
+        vm.clear_seconds + terms.place_seconds
+        for vm in vms
+        if vm.phase is not MaintenancePhase.DONE
+    ]
+    return sum(seconds), max(seconds, default=0.0)
+
+
 def plan_maintenance(
     vms: collections.abc.Sequence[WaveVm], terms: WaveTerms
 ) -> list[WaveVm]:
--- a/tests/features/maintenance.feature
+++ b/tests/features/maintenance.feature
@@ -350,3 +350,20 @@
     Then no task was ended
     When 2 s pass
     Then a task of job "x" was ended, and no other
+
+  # Guards against late waves: tasks that find no room while a peak fills their
+  # pool, and would not all leave in the time that is left then.
+  Scenario Outline: Long-lived tasks leave without room if they would be late
+    Given a wave over "a1" to "a3" with at most 4 out at once
+    And the wave is due in <left> s
+    And pool "a" needs 4 VMs
+    And job "x" of long-lived tasks, 1 of which may be missing, on "a1", "a2", "a3"
+    And "a4" is full with other tasks
+    When the fleet decides
+    Then no VM was commanded to be maintained
+    And <ended>
+
+    Examples:
+      | left | ended                                     |
+      | 30   | no task was ended                         |
+      | 13   | a task of job "x" was ended, and no other |
--- a/tests/features/steps/maintenance_steps.py
+++ b/tests/features/steps/maintenance_steps.py
@@ -410,6 +410,21 @@
     spec: scheduler.JobSpec
 
 
+@given('"{vm}" is full with other tasks')
+def _fill(context, vm):
+    step = scheduler.Step(
+        index=0, task_count=1, demand=scheduler.Resources(cores=32)
+    )
+    queue = scheduler.Queue(name="q", host="h", prefix="/", pool="a")
+    spec = scheduler.JobSpec(id="full", queue="q", payload="", steps=(step,))
+    job = scheduler.Job(spec=spec, queue=queue, arrived_at=0.0)
+    scheduler.open_occurrences(job, 0.0)
+    worker = context.planner._parts.workers.find(f"r-{vm}")
+    worker.placed[("full", "0.0.0")] = unittest.mock.Mock(
+        job=job, task=job.tasks[0], vm=vm, speed_percent=100
+    )
+
+
 @given('"a1" runs a task of 1 s, "a2" of 0.5 s and "a3" of 9 s')
 def _place_tasks(context):
     for name, seconds in (("a1", 1.0), ("a2", 0.5), ("a3", 9.0)):
@@ -442,6 +457,7 @@
     step = scheduler.Step(
         index=0,
         task_count=len(names),
+        demand=scheduler.Resources(cores=4),
         long_lived=True,
         max_per_vm=1,
         may_miss=1,
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -514,6 +514,15 @@
         feature="maintenance",
         scenario="A scheduler that has just begun",
     ),
+    Mutant(
+        promise="waves: long-lived tasks leave without room if late",
+        package="peridotsill_jobs",
+        module="_evictions.py",
+        old="if without_room and ",
+        new="if False and ",
+        feature="maintenance",
+        scenario="Long-lived tasks leave without room",
+    ),
     Mutant(
         promise="store: the first read after a failure is not a long poll",
         package="peridotsill_jobs",
