--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_fleet.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_fleet.py
@@ -28,6 +28,9 @@
 # `Wave.out`, they include a VM that is still being cleared.
 _OUT_PHASES = (_MaintenancePhase.CLEARING, _MaintenancePhase.BEGUN)
 
+# No task is evicted for this long after the scheduler began. A stop that an
+# earlier scheduler ordered may not be in the rows; it takes less time.
+_UNRECORDED_STOPS_SECONDS = 1.5
 # Period of the decisions about VMs; short compared with a move.
 _DECISION_PERIOD_SECONDS = 0.2
 # Pause before the next operation on a VM if an operation ended without its
@@ -128,6 +131,7 @@
         self._backoff_until: dict[str, float] = {}
         self._next_decision_at = 0.0
         self._shortage_logged_at = float("-inf")
+        self._began_at = _clock.monotonic_seconds()
 
     @property
     def _maintenance_seconds(self) -> float:
@@ -348,21 +352,27 @@
         waves = [
             each for each in self._waves.values() if not each.is_completed
         ]
+        self._mark_avoided(waves)
         if not waves:
             self._plan_lending(supplies, now)
             return
-        self._mark_avoided(waves)
         evacuations = self._plan_evacuations(jobs, supplies)
         plans = [
             self._wave_plan(wave, supplies, evacuations, estimator, now)
             for wave in waves
         ]
         for plan in plans:
+            plan.log_urgency()
             self._resume_maintenance(plan.wave, now)
             if plan.urgent:
                 self._carry_out(plan, now)
         supplies = self._without_operations(supplies)
-        supplies = self._make_room(supplies, evacuations, now)
+        supplies = self._make_room(
+            supplies,
+            evacuations,
+            now,
+            must_evict=any(plan.must_evict for plan in plans),
+        )
         supplies = self._plan_lending(supplies, now)
         for plan in plans:
             if not plan.urgent:
@@ -392,6 +402,7 @@
         clearing.sort(key=lambda each: each[:2])
         evictions = self._new_evictions()
         emptied = []
+        evictions_allowed = self._may_evict(now)
         for count, name, operation, worker in clearing:
             if not count:
                 emptied.append(operation)
@@ -408,10 +419,13 @@
                 )
                 self._backoff_until[name] = now + _BACKOFF_SECONDS
                 self._end_operation(name)
-            elif worker is not None:
+            elif worker is not None and evictions_allowed:
                 evictions.clear(worker)
         self._send_commands(emptied, now)
 
+    def _may_evict(self, now: float) -> bool:
+        return now >= self._began_at + _UNRECORDED_STOPS_SECONDS
+
     def _new_evictions(self) -> _evictions.Evictions:
         return _evictions.Evictions(
             workers=self._parts.workers, evict=self._parts.evict
@@ -440,6 +454,8 @@
         supplies: list[peridotsill_scheduler.PoolSupply],
         evacuations: dict[str, peridotsill_scheduler.Evacuation],
         now: float,
+        *,
+        must_evict: bool,
     ) -> list[peridotsill_scheduler.PoolSupply]:
         """Move long-lived tasks off the VMs that are yet to be maintained.
 
@@ -450,9 +466,13 @@
         last in them, as they can be maintained if nobody else wants them.
         """
         due = [worker for worker in self._parts.workers if worker.avoided]
-        lacking = self._new_evictions().clear_ahead(
-            [each for each in due if each.vm not in self._operations], now
-        )
+        lacking: collections.Counter[str] = collections.Counter()
+        if self._may_evict(now):
+            lacking = self._new_evictions().clear_ahead(
+                [each for each in due if each.vm not in self._operations],
+                now,
+                without_room=must_evict,
+            )
         due_vms = {worker.vm for worker in due}
         free_vms = {
             pool.name: [vm for vm in pool.idle if vm not in due_vms]
--- a/tests/features/steps/maintenance_steps.py
+++ b/tests/features/steps/maintenance_steps.py
@@ -38,6 +38,10 @@
     )
 
 
+def _stop(worker, placed):
+    placed.task.phase = scheduler.TaskPhase.STOPPING
+
+
 def _mock_worker(name):
     worker = unittest.mock.Mock(
         entry=unittest.mock.Mock(id=f"r-{name}", pool="a"),
@@ -87,7 +91,9 @@
             placed.task.key
             for worker in self
             for placed in worker.placed.values()
-            if placed.job is job and placed.speed_percent == 100
+            if placed.job is job
+            and placed.speed_percent == 100
+            and placed.task.phase is scheduler.TaskPhase.RUNNING
         )
 
 
@@ -128,11 +134,12 @@
                 handover_seconds=3.0,
             ),
             command_sender=command_sender,
-            evict=unittest.mock.Mock(),
+            evict=unittest.mock.Mock(side_effect=_stop),
             requeue_lost=unittest.mock.Mock(),
         )
     )
     context.planner._parts.command_row.claim()
+    context.planner._began_at = float("-inf")
     _list_vms(context, _clock.monotonic_seconds())
 
 
@@ -442,6 +449,21 @@
     spec: scheduler.JobSpec
 
 
+@given('"{vm}" is full with other tasks')
+def _fill(context, vm):
+    step = scheduler.Step(
+        index=0, task_count=1, demand=scheduler.Resources(cores=32)
+    )
+    queue = scheduler.Queue(name="q", host="h", prefix="/", pool="a")
+    spec = scheduler.JobSpec(id="full", queue="q", payload="", steps=(step,))
+    job = scheduler.Job(spec=spec, queue=queue, arrived_at=0.0)
+    scheduler.open_occurrences(job, 0.0)
+    worker = context.planner._parts.workers.find(f"r-{vm}")
+    worker.placed[("full", "0.0.0")] = unittest.mock.Mock(
+        job=job, task=job.tasks[0], vm=vm, speed_percent=100
+    )
+
+
 @given('"a1" runs a task of 1 s, "a2" of 0.5 s and "a3" of 9 s')
 def _place_tasks(context):
     for name, seconds in (("a1", 1.0), ("a2", 0.5), ("a3", 9.0)):
@@ -474,6 +496,7 @@
     step = scheduler.Step(
         index=0,
         task_count=len(names),
+        demand=scheduler.Resources(cores=4),
         long_lived=True,
         max_per_vm=1,
         may_miss=1,
@@ -509,6 +532,11 @@
     assert found == [name], found
 
 
+@given("the scheduler has just begun")
+def _begin_now(context):
+    context.planner._began_at = _clock.monotonic_seconds()
+
+
 @then("no task was ended")
 def _check_none_evicted(context):
     context.planner._parts.evict.assert_not_called()
