--- a/tests/features/steps/maintenance_steps.py
+++ b/tests/features/steps/maintenance_steps.py
@@ -421,11 +421,6 @@
     assert not _maintained_vms(context), context.sent
 
 
-@then("{count:d} VMs were commanded to be maintained")
-def _check_count_maintained(context, count):
-    assert len(_maintained_vms(context)) == count, context.sent
-
-
 @then("only one VM was commanded to be maintained")
 def _check_one_maintained(context):
     assert len(_maintained_vms(context)) == 1, context.sent
