--- a/tests/emulator/rules.py
+++ b/tests/emulator/rules.py
@@ -6,6 +6,10 @@
 
 import attrs
 
+# The hand-over time of the nodes' settings, less the longest time for which
+# an order is on its way.
+_MIN_HANDOVER_SECONDS = 3.0 - 0.2
+
 
 @attrs.define
 class Interval:
@@ -96,6 +100,7 @@
       acknowledged success (copies of speculative steps are exempt).
     - LIMIT: no runner exceeds its cores, and no wave its number of VMs that
       are down at once.
+    - ONE: no two schedulers order a VM in turns within the hand-over time.
     - ORDER: no step starts before the steps that it depends on are done.
     - REFUSED: no task of a refused job runs.
     - BUDGET: no task is started three times more after three runners have
@@ -113,6 +118,7 @@
         + _early_steps(world, intervals)
         + _rejected_runs(world, intervals)
         + _exceeded_waves(world)
+        + _orders_in_turns(world)
         + _starts_after_cancellation(world, intervals)
         + _starts_after_crashes(intervals)
     )
@@ -201,6 +207,23 @@
     return [f"LIMIT: {line}" for line in world.wave_limit_violations]
 
 
+def _orders_in_turns(world):
+    violations = []
+    last_by_vm = {}
+    with world.lock:
+        orders = list(world.orders)
+    for ordered_at, vm, fence in orders:
+        last_at, last_fence = last_by_vm.get(vm, (float("-inf"), fence))
+        seconds = ordered_at - last_at
+        if fence != last_fence and seconds < _MIN_HANDOVER_SECONDS:
+            violations.append(
+                f"ONE: {vm} was ordered under fence {fence} {seconds:.2f} s "
+                f"after it was under {last_fence}"
+            )
+        last_by_vm[vm] = (ordered_at, fence)
+    return violations
+
+
 def _starts_after_cancellation(world, intervals):
     violations = []
     for each in intervals:
--- a/tests/emulator/world.py
+++ b/tests/emulator/world.py
@@ -95,6 +95,8 @@
         self._omissions = []
         self.lock = threading.RLock()
         self.commands = []
+        # All accepted orders for VMs, also those that changed nothing.
+        self.orders = []
         self.highest_fences = collections.Counter()
         self._id_numbers = itertools.count(1)
         self._stopped = threading.Event()
@@ -346,6 +348,7 @@
             if fence < self.highest_fences[vm]:
                 return 409, "fence"
             self.highest_fences[vm] = fence
+            self.orders.append((time.monotonic(), vm, fence))
             if pool is not None and record["pool"] == pool:
                 return 200, ""
             if wave is not None and vm in self.waves[wave]["done"]:
--- a/tests/features/commands.feature
+++ b/tests/features/commands.feature
@@ -124,3 +124,13 @@
     When holders take over from one another in 60 drawn runs
     Then no two of them command a VM within the hand-over time
     And most VMs are commanded by several of them
+
+  Scenario Outline: The rule checker finds a VM that two schedulers order in turns
+    When a VM is ordered under fence 1, and <seconds> s later under fence <fence>
+    Then the rules broken are "<rules>"
+
+    Examples:
+      | seconds | fence | rules |
+      | 2.5     | 2     | ONE   |
+      | 3.0     | 2     |       |
+      | 2.5     | 1     |       |
--- a/tests/features/steps/commands_steps.py
+++ b/tests/features/steps/commands_steps.py
@@ -8,6 +8,7 @@
 from behave import then
 from behave import when
 from emulator import handovers
+from emulator import rules
 from emulator import stubs
 import peridotsill
 from returns import result
@@ -408,3 +409,31 @@
         wave, fleet._vms[vm], {each.name: each for each in supplies}
     )
     assert view.task_count == 1, view
+
+
+@when(
+    "a VM is ordered under fence 1, and {seconds:g} s later "
+    "under fence {fence:d}"
+)
+def _order_vm(context, seconds, fence):
+    world = unittest.mock.Mock(
+        lock=threading.Lock(),
+        orders=[(10.0, "a1", 1), (10.0 + seconds, "a1", fence)],
+        runners={},
+        wave_limit_violations=(),
+        rejected=(),
+    )
+    world.log.lock = threading.Lock()
+    world.log.intervals = []
+    context.broken_rules = rules.broken_rules(world)
+
+
+@then('the rules broken are "{names}"')
+def _check_broken_rules(context, names):
+    found = [line.partition(":")[0] for line in context.broken_rules]
+    assert found == names.split(), context.broken_rules
+
+
+@then('the rules broken are ""')
+def _check_no_broken_rule(context):
+    assert not context.broken_rules, context.broken_rules
