--- a/packages/peridotsill_scheduler/src/peridotsill_scheduler/_progress.py
+++ b/packages/peridotsill_scheduler/src/peridotsill_scheduler/_progress.py
@@ -1,7 +1,5 @@
 """The scheduler's state of jobs and their tasks."""
 
-import typing
-
 import attrs
 import peridotsill
 
@@ -54,22 +52,6 @@
 )
 
 
-def _report_phase(
-    task: "Task", attribute: typing.Any, phase: TaskPhase
-) -> TaskPhase:
-    task.report_phase(phase)
-    return phase
-
-
-def _report_crashes(
-    task: "Task",
-    attribute: typing.Any,
-    crashes: tuple[_crashes.Crash, ...],
-) -> tuple[_crashes.Crash, ...]:
-    task.report_crashes(crashes)
-    return crashes
-
-
 @attrs.define(kw_only=True, eq=False)
 class Task:
     """One task of one occurrence of a job.
@@ -88,9 +70,7 @@
     occurrence: int
     step: _model.Step
     index: int
-    phase: TaskPhase = attrs.field(
-        default=TaskPhase.WAITING, on_setattr=_report_phase
-    )
+    _phase: TaskPhase = attrs.field(default=TaskPhase.WAITING, alias="phase")
     run: int = 0
     runner: str = ""
     lifetime: int = 0
@@ -100,8 +80,8 @@
     started_at: float = 0.0
     failed_on: str = ""
     not_before: float = 0.0
-    crashes: tuple[_crashes.Crash, ...] = attrs.field(
-        default=(), on_setattr=_report_crashes
+    _crash_history: tuple[_crashes.Crash, ...] = attrs.field(
+        default=(), alias="crashes"
     )
     requeued_at: float = 0.0
     _tally: _task_tally.TaskTally | None = attrs.field(
@@ -112,17 +92,29 @@
         """Report changes to the counts of the job from now on."""
         self._tally = tally
 
-    def report_phase(self, phase: TaskPhase) -> None:
-        """Report the phase that the task is about to get."""
-        if self._tally is not None and phase is not self.phase:
-            self._tally.change_phase(self, self.phase, phase)
+    @property
+    def phase(self) -> TaskPhase:
+        """The task's phase; each change is reported to the job's counts."""
+        return self._phase
+
+    @phase.setter
+    def phase(self, phase: TaskPhase) -> None:
+        if self._tally is not None:
+            self._tally.change_phase(self, self._phase, phase)
+        self._phase = phase
+
+    @property
+    def crashes(self) -> tuple[_crashes.Crash, ...]:
+        """Crashes under the task's runs; changes are reported as well."""
+        return self._crash_history
 
-    def report_crashes(self, crashes: tuple[_crashes.Crash, ...]) -> None:
-        """Report the crashes that the task is about to get."""
+    @crashes.setter
+    def crashes(self, crashes: tuple[_crashes.Crash, ...]) -> None:
         if self._tally is not None:
             self._tally.change_suspicion(
-                was_suspect=bool(self.crashes), is_suspect=bool(crashes)
+                was_suspect=bool(self._crash_history), is_suspect=bool(crashes)
             )
+        self._crash_history = crashes
 
     @property
     def key(self) -> str:
@@ -155,13 +147,6 @@
     valid_until: float
 
 
-def _count_tasks(
-    job: "Job", attribute: typing.Any, tasks: list[Task]
-) -> list[Task]:
-    job.count(tasks)
-    return tasks
-
-
 @attrs.define(kw_only=True, eq=False)
 class Job:
     """A job and its tasks.
@@ -181,7 +166,7 @@
     arrived_at: float
     arrived_ms: float = 0.0
     state: JobState = JobState.QUEUED
-    tasks: list[Task] = attrs.field(factory=list, on_setattr=_count_tasks)
+    _tasks: list[Task] = attrs.field(factory=list, alias="tasks")
     row_version: int = 0
     opened_count: int = 0
     advisor_answers: list[AdvisorAnswer] = attrs.field(factory=list)
@@ -196,10 +181,17 @@
         return any(step.long_lived for step in self.spec.steps)
 
     def __attrs_post_init__(self) -> None:
-        self.count(self.tasks)
+        self.tasks = self._tasks
 
-    def count(self, tasks: list[Task]) -> None:
-        """Count tasks; former ones report no more."""
+    @property
+    def tasks(self) -> list[Task]:
+        """The tasks of the occurrences that were due so far."""
+        return self._tasks
+
+    @tasks.setter
+    def tasks(self, tasks: list[Task]) -> None:
+        self._tasks = tasks
+        # Former tasks report to a tally that is no longer used.
         self._tally = _task_tally.TaskTally(tasks=tasks)
 
     @property
--- a/packages/peridotsill_scheduler/src/peridotsill_scheduler/_task_tally.py
+++ b/packages/peridotsill_scheduler/src/peridotsill_scheduler/_task_tally.py
@@ -61,6 +61,7 @@
     ) -> None:
         self._groups: dict[tuple[int, int], StepTasks] = {}
         self._waiting_groups: dict[tuple[int, int], StepTasks] = {}
+        self._counts = PhaseCounts()
         self._by_step: dict[int, PhaseCounts] = {}
         self._positions: dict[_progress.Task, int] = {}
         self._suspect_count = 0
@@ -88,13 +89,7 @@
     @property
     def counts(self) -> PhaseCounts:
         """The counts of all tasks."""
-        by_step = self._by_step.values()
-        return PhaseCounts(
-            waiting=sum(each.waiting for each in by_step),
-            active=sum(each.active for each in by_step),
-            done=sum(each.done for each in by_step),
-            failed=sum(each.failed for each in by_step),
-        )
+        return self._counts
 
     def of_step(self, step: int) -> PhaseCounts:
         """Return the counts of a step's tasks in all occurrences."""
@@ -123,6 +118,16 @@
         group = self._groups.get((occurrence, step))
         return group is not None and group.counts.unfinished > 0
 
+    def _count(
+        self, group: StepTasks, task: "_progress.Task", name: str, number: int
+    ) -> None:
+        for counts in (
+            group.counts,
+            self._by_step[task.step.index],
+            self._counts,
+        ):
+            counts.add(name, number)
+
     def change_phase(
         self,
         task: "_progress.Task",
@@ -130,14 +135,16 @@
         phase: "_progress.TaskPhase",
     ) -> None:
         """Count a task in another phase than its former one."""
+        name = former.count_name
+        if name == phase.count_name:
+            return
         key = (task.occurrence, task.step.index)
         group = self._groups[key]
-        if former.count_name == "waiting":
+        if name == "waiting":
             del group.waiting[self._positions[task]]
             if not group.waiting:
                 del self._waiting_groups[key]
-        group.counts.add(former.count_name, -1)
-        self._by_step[task.step.index].add(former.count_name, -1)
+        self._count(group, task, name, -1)
         self._add(task, phase)
 
     def _add(
@@ -145,11 +152,11 @@
     ) -> None:
         key = (task.occurrence, task.step.index)
         group = self._groups[key]
-        if phase.count_name == "waiting":
+        name = phase.count_name
+        if name == "waiting":
             group.waiting[self._positions[task]] = task
             self._waiting_groups[key] = group
-        group.counts.add(phase.count_name, 1)
-        self._by_step[task.step.index].add(phase.count_name, 1)
+        self._count(group, task, name, 1)
 
     def change_suspicion(self, *, was_suspect: bool, is_suspect: bool) -> None:
         """Count a task as a suspect, or no longer."""
