--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_fleet.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_fleet.py
@@ -348,7 +348,7 @@
         self._update_waves(now)
         if not self._parts.command_row.claim():
             return
-        self._parts.command_row.remove_old_names()
+        self._parts.command_row.refresh()
         waves = [
             each for each in self._waves.values() if not each.is_completed
         ]
