Look at a job's own tasks to see which run at full speed

Which tasks of a job run at full speed was found by a look at each task on each VM, for each job with long-lived tasks on VMs that are to be empty, and at each look; that is now in each decision while a wave lasts. It takes the job's tasks and their VMs. And room for a task is looked for among the VMs of its pool that are not due, in place of the views of all VMs.

The result is the same; what it saves was not measured.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_evictions.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_evictions.py
@@ -54,18 +54,22 @@
         other tasks end. The VM with the fewest long-lived tasks goes first.
         Return how many empty VMs each pool lacks for tasks without room.
         """
-        views: list[peridotsill_scheduler.VmView] = []
+        views: dict[str, list[peridotsill_scheduler.VmView]] = {}
         lacking: list[peridotsill_scheduler.VmView] = []
         for worker in sorted(due, key=_count_long_lived):
             for placed in self._evictable(worker):
-                views = views or [each.view(now) for each in self._workers]
-                room = _find_room(views, worker, placed)
+                pool = worker.entry.pool
+                if pool not in views:
+                    views[pool] = self._views_of(pool, now)
+                room = _find_room(views[pool], worker, placed)
                 if room is None:
                     room = _find_room(lacking, worker, placed)
                     if room is None:
                         room = _empty_view(worker, now)
                         lacking.append(room)
-                    if without_room and _will_have_room(views, worker, placed):
+                    if without_room and _will_have_room(
+                        views[pool], worker, placed
+                    ):
                         self._end(worker, placed)
                     else:
                         self._count_as_away(placed)
@@ -97,6 +101,16 @@
             for placed in worker.placed.values()
         ]
 
+    def _views_of(
+        self, pool: str, now: float
+    ) -> list[peridotsill_scheduler.VmView]:
+        """Return the views of a pool's VMs that are not due."""
+        return [
+            worker.view(now)
+            for worker in self._workers
+            if worker.entry.pool == pool and not worker.avoided
+        ]
+
     def _evictable(
         self, worker: _workers.Worker
     ) -> collections.abc.Iterator[_workers.PlacedTask]:
@@ -158,7 +172,6 @@
             view
             for view in views
             if view.pool == worker.entry.pool
-            and not view.avoided
             and view.has_room(placed.job, placed.task)
         ),
         None,
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_workers.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_workers.py
@@ -380,16 +380,22 @@
 
         Only tasks in a current report of their runner count.
         """
-        return frozenset(
-            placed.task.key
-            for worker in self._workers.values()
-            for placed in worker.placed.values()
-            if placed.job is job
-            and worker.link.silent_seconds < _REPORT_VALID_SECONDS
-            and placed.task.phase is peridotsill_scheduler.TaskPhase.RUNNING
-            and placed.listed_by_runner
-            and placed.speed_percent == _FULL_SPEED_PERCENT
-        )
+        keys = set()
+        for task in job.tasks:
+            worker = self._workers.get(task.runner)
+            if worker is None:
+                continue
+            placed = worker.placed.get((job.spec.id, task.key))
+            if (
+                placed is not None
+                and placed.job is job
+                and worker.link.silent_seconds < _REPORT_VALID_SECONDS
+                and task.phase is peridotsill_scheduler.TaskPhase.RUNNING
+                and placed.listed_by_runner
+                and placed.speed_percent == _FULL_SPEED_PERCENT
+            ):
+                keys.add(task.key)
+        return frozenset(keys)
 
     def forget_job(self, job: peridotsill_scheduler.Job) -> None:
         """Remove a job's tasks from all runners, as its row was re-read."""
