--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_fleet.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_fleet.py
@@ -9,6 +9,7 @@
 
 from peridotsill_jobs import _catalog
 from peridotsill_jobs import _clock
+from peridotsill_jobs import _command_rows
 from peridotsill_jobs import _commands
 from peridotsill_jobs import _evictions
 from peridotsill_jobs import _feeds
@@ -27,6 +28,9 @@
 # `Wave.out`, they include a VM that is still being cleared.
 _OUT_PHASES = (_MaintenancePhase.CLEARING, _MaintenancePhase.BEGUN)
 
+# No task is evicted for this long after the scheduler began. A stop that an
+# earlier scheduler ordered may not be in the rows; it takes less time.
+_UNRECORDED_STOPS_SECONDS = 1.5
 # Period of the decisions about VMs; short compared with a move.
 _DECISION_PERIOD_SECONDS = 0.2
 # Pause before the next operation on a VM if an operation ended without its
@@ -101,6 +105,7 @@
     keys: _ports.Keys
     documents: _ports.Documents
     workers: _workers.Workers
+    command_row: _command_rows.CommandRow
     command_sender: _commands.CommandSender
     evict: collections.abc.Callable[
         [_workers.Worker, _workers.PlacedTask], None
@@ -111,11 +116,8 @@
 class Fleet:
     """Plans and tracks operations on VMs, at most one at a time per VM."""
 
-    def __init__(
-        self, *, parts: FleetParts, commands_allowed_at: float
-    ) -> None:
+    def __init__(self, *, parts: FleetParts) -> None:
         self._parts = parts
-        self._commands_allowed_at = commands_allowed_at
         self._vms: dict[str, _ports.VmRecord] = {}
         self._list_requested_at = float("-inf")
         self._operations: dict[str, _Operation] = {}
@@ -129,6 +131,7 @@
         self._backoff_until: dict[str, float] = {}
         self._next_decision_at = 0.0
         self._shortage_logged_at = float("-inf")
+        self._began_at = _clock.monotonic_seconds()
 
     @property
     def _maintenance_seconds(self) -> float:
@@ -187,6 +190,9 @@
         operation = self._operations.get(outcome.command.vm)
         if operation is None or operation.command != outcome.command:
             return
+        self._parts.command_row.mark_answered(
+            outcome.command.vm, outcome.ended_at
+        )
         if outcome.result in _MAY_BE_CARRIED_OUT:
             self._remember_endangered(operation.runner, outcome.ended_at)
         if outcome.result is _commands.CommandResult.DONE:
@@ -304,6 +310,22 @@
             return None
         return self._parts.workers.find(record.runner)
 
+    def _awaiting_count(self, vm: str) -> int:
+        """Return how many tasks the rows have on a VM's unknown runner."""
+        record = self._vms.get(vm)
+        if record is None or not record.runner:
+            return 0
+        return self._parts.workers.awaiting_count(record.runner)
+
+    def _has_begun(self, operation: _Operation) -> bool:
+        """Tell whether a VM's command in a wave was recorded before.
+
+        The VM was empty then. Any task on it began after the command was
+        carried out, and a repeat does not end it.
+        """
+        wave = self._waves.get(operation.wave)
+        return wave is not None and operation.command.vm in wave.begun
+
     # Decisions.
 
     def decide(
@@ -324,26 +346,33 @@
         self._next_decision_at = now + _DECISION_PERIOD_SECONDS
         supplies = self._pool_supplies(jobs, estimator, now)
         self._update_waves(now)
-        if now < self._commands_allowed_at:
+        if not self._parts.command_row.claim():
             return
+        self._parts.command_row.remove_old_names()
         waves = [
             each for each in self._waves.values() if not each.is_completed
         ]
+        self._mark_avoided(waves)
         if not waves:
             self._plan_lending(supplies, now)
             return
-        self._mark_avoided(waves)
         evacuations = self._plan_evacuations(jobs, supplies)
         plans = [
             self._wave_plan(wave, supplies, evacuations, estimator, now)
             for wave in waves
         ]
         for plan in plans:
+            plan.log_urgency()
             self._resume_maintenance(plan.wave, now)
             if plan.urgent:
                 self._carry_out(plan, now)
         supplies = self._without_operations(supplies)
-        supplies = self._make_room(supplies, evacuations, now)
+        supplies = self._make_room(
+            supplies,
+            evacuations,
+            now,
+            must_evict=any(plan.must_evict for plan in plans),
+        )
         supplies = self._plan_lending(supplies, now)
         for plan in plans:
             if not plan.urgent:
@@ -367,12 +396,15 @@
             if operation.phase is _OperationPhase.CLEARING:
                 worker = self._worker_of(name)
                 count = len(worker.placed) if worker else 0
+                if not self._has_begun(operation):
+                    count += self._awaiting_count(name)
                 clearing.append((count, name, operation, worker))
         clearing.sort(key=lambda each: each[:2])
         evictions = self._new_evictions()
         emptied = []
+        evictions_allowed = self._may_evict(now)
         for count, name, operation, worker in clearing:
-            if worker is None or not count:
+            if not count:
                 emptied.append(operation)
                 continue
             if count < operation.lowest_task_count:
@@ -383,14 +415,17 @@
                     "vm:not_cleared",
                     vm=name,
                     tasks=count,
-                    rest=evictions.describe_rest(worker),
+                    rest=evictions.describe_rest(worker) if worker else [],
                 )
                 self._backoff_until[name] = now + _BACKOFF_SECONDS
                 self._end_operation(name)
-            else:
+            elif worker is not None and evictions_allowed:
                 evictions.clear(worker)
         self._send_commands(emptied, now)
 
+    def _may_evict(self, now: float) -> bool:
+        return now >= self._began_at + _UNRECORDED_STOPS_SECONDS
+
     def _new_evictions(self) -> _evictions.Evictions:
         return _evictions.Evictions(
             workers=self._parts.workers, evict=self._parts.evict
@@ -419,6 +454,8 @@
         supplies: list[peridotsill_scheduler.PoolSupply],
         evacuations: dict[str, peridotsill_scheduler.Evacuation],
         now: float,
+        *,
+        must_evict: bool,
     ) -> list[peridotsill_scheduler.PoolSupply]:
         """Move long-lived tasks off the VMs that are yet to be maintained.
 
@@ -429,9 +466,13 @@
         last in them, as they can be maintained if nobody else wants them.
         """
         due = [worker for worker in self._parts.workers if worker.avoided]
-        lacking = self._new_evictions().clear_ahead(
-            [each for each in due if each.vm not in self._operations], now
-        )
+        lacking: collections.Counter[str] = collections.Counter()
+        if self._may_evict(now):
+            lacking = self._new_evictions().clear_ahead(
+                [each for each in due if each.vm not in self._operations],
+                now,
+                without_room=must_evict,
+            )
         due_vms = {worker.vm for worker in due}
         free_vms = {
             pool.name: [vm for vm in pool.idle if vm not in due_vms]
@@ -504,9 +545,17 @@
         ready = [
             each
             for each in operations
-            if self._begin_in_wave(each, begun, now)
+            if self._may_command(each.command.vm, now)
+            and self._begin_in_wave(each, begun, now)
         ]
-        if begun and not self._wave_rows.save(begun):
+        if not ready:
+            return
+        outcome = self._parts.command_row.record(
+            frozenset(each.command.vm for each in ready),
+            self._wave_rows.changes(begun),
+        )
+        self._wave_rows.apply_outcome(begun, outcome)
+        if not isinstance(outcome, result.Success):
             return
         for operation in ready:
             self._send_command(operation, now)
@@ -589,6 +638,34 @@
             record.state is _ports.VmState.UP
             and record.name not in self._operations
             and now >= self._backoff_until.get(record.name, 0.0)
+            and self._may_command(record.name, now)
+        )
+
+    def _may_command(self, vm: str, now: float) -> bool:
+        """Tell whether it is known that a command for a VM can't do harm.
+
+        Neither may it follow a command of an earlier scheduler too soon, nor
+        end a task that an earlier scheduler started since the rows were read.
+        """
+        command_row = self._parts.command_row
+        if not command_row.may_command(vm, self._list_requested_at):
+            return False
+        return now >= command_row.unproved_until or self._is_reported(vm)
+
+    def _is_reported(self, vm: str) -> bool:
+        """Tell whether all tasks on a VM are known from its runner's report.
+
+        A runner that has answered accepts nothing more of an earlier
+        scheduler. VMs on standby are off.
+        """
+        record = self._vms.get(vm)
+        if record is None:
+            return False
+        if self._is_standby(record.pool):
+            return True
+        worker = self._worker_of(vm)
+        return (
+            worker is not None and worker.reported and not worker.unknown_runs
         )
 
     def _is_standby(self, pool: str) -> bool:
@@ -650,7 +727,11 @@
         if self._is_standby(record.pool):
             return True
         worker = self._worker_of(record.name)
-        return worker is not None and not worker.placed
+        return (
+            worker is not None
+            and not worker.placed
+            and not self._awaiting_count(record.name)
+        )
 
     def _soon_idle(
         self,
@@ -827,6 +908,7 @@
                 view = _wave_views.make_view(
                     name,
                     self._worker_of(name),
+                    awaiting_count=self._awaiting_count(name),
                     pool=by_pool[self._effective_pool(record)],
                     phase=self._maintenance_phase(wave, name),
                     available=self._is_available(record, now),
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_workers.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_workers.py
@@ -13,6 +13,7 @@
 from peridotsill_jobs import _links
 from peridotsill_jobs import _logs
 from peridotsill_jobs import _ports
+from peridotsill_jobs import _reserved_room
 import peridotsill_scheduler
 
 # A runner whose last tasks all failed, this many and of two jobs or more,
@@ -42,6 +43,8 @@
 _MAX_CLOCK_SLOWNESS = 1.03
 
 JobTask = tuple[peridotsill_scheduler.Job, peridotsill_scheduler.Task]
+# A job's id, a task's key and a run's number.
+RunId = tuple[str, str, int]
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -127,14 +130,16 @@
     that may still run here; their capacity stays reserved until they have
     ended. ``lost_runs`` were here when the leases expired, at ``lost_at``,
     while it is not known whether the runner crashed. ``last_applied_end``
-    is the number of the newest end that was applied. ``unknown_runs``
+    is the number of the newest end that was applied. ``reported`` tells that
+    a report of this lifetime was applied, and ``unknown_runs``
     counts the runs in the last report that are neither placed nor
     abandoned here. ``fleet_closed_reason`` says why the fleet lets nothing
     start here, or is empty. ``listed`` tells that the registry has this
     lifetime of the runner, ``gone`` that its process was found to have
     ended, ``avoided`` that its VM is due in a wave. The lifetime is known
     since ``known_at``, and has been used since ``took_over_at`` in place of
-    those in ``ended_lifetimes``. Times are those of
+    those in ``ended_lifetimes``. ``late_runs`` are runs by orders to one of
+    these, whose leases are by its clock. Times are those of
     `_clock.monotonic_seconds`.
     """
 
@@ -147,6 +152,7 @@
     lost_runs: list[PlacedTask] = attrs.field(factory=list)
     lost_at: float = 0.0
     last_applied_end: int = 0
+    reported: bool = False
     listed: bool = True
     gone: bool = False
     unknown_runs: int = 0
@@ -162,6 +168,10 @@
     known_at: float = 0.0
     took_over_at: float = float("-inf")
     ended_lifetimes: frozenset[int] = frozenset()
+    late_runs: frozenset[RunId] = frozenset()
+    _room: _reserved_room.ReservedRoom = attrs.field(
+        factory=_reserved_room.ReservedRoom, init=False
+    )
 
     @property
     def lifetime(self) -> int:
@@ -182,14 +192,35 @@
             *self.lost_runs,
         )
 
-    def lose_runs(self, now: float) -> None:
-        """Take all runs off the runner, as their leases have expired."""
-        self.lost_runs = [*self.runs]
+    def lose_runs(
+        self, now: float, *, kept: frozenset[RunId] = frozenset()
+    ) -> list[JobTask]:
+        """Take runs off the runner, as their leases have expired.
+
+        Args:
+            now: In seconds of `_clock.monotonic_seconds`.
+            kept: The runs whose leases may last yet.
+
+        Returns:
+            The tasks that were placed here and are lost.
+        """
+        lost = {
+            key: placed
+            for key, placed in self.placed.items()
+            if (*key, placed.run) not in kept
+        }
+        abandoned = self.abandoned.keys() - kept
+        if not lost and not abandoned:
+            return []
+        self.lost_runs += [
+            *lost.values(),
+            *(self.abandoned.pop(run) for run in sorted(abandoned)),
+        ]
         self.lost_at = now
-        for placed in self.placed.values():
+        for key, placed in lost.items():
             placed.mark_former()
-        self.placed.clear()
-        self.abandoned.clear()
+            del self.placed[key]
+        return [(placed.job, placed.task) for placed in lost.values()]
 
     def forget_lost_runs(self, now: float) -> None:
         """Forget lost runs if the runner answers again, or after a while."""
@@ -267,23 +298,11 @@
 
     def view(self, now: float) -> peridotsill_scheduler.VmView:
         """Return the scheduler's view, with the tasks' resources reserved."""
-        entry = self.entry
-        view = peridotsill_scheduler.VmView(
-            runner=entry.id,
-            lifetime=entry.lifetime,
-            vm=self.vm,
-            pool=entry.pool,
-            domain=entry.domain,
-            rack=entry.rack,
-            labels=entry.labels,
-            capacity=entry.capacity,
-            free=entry.capacity,
-            closed_reason=self.closed_reason(now),
-            avoided=self.avoided,
-            made_at=now,
-        )
-        for placed in (*self.placed.values(), *self.abandoned.values()):
-            view.reserve(placed.job.spec.id, placed.task)
+        tasks = [*self.placed.values(), *self.abandoned.values()]
+        view = self._room.view(self.entry, tasks, now)
+        view.vm = self.vm
+        view.closed_reason = self.closed_reason(now)
+        view.avoided = self.avoided
         return view
 
 
@@ -528,6 +547,10 @@
             return []
         return self._awaiting_runner.pop(runner, [])
 
+    def awaiting_count(self, runner: str) -> int:
+        """Return how many tasks the rows have on a runner not known here."""
+        return len(self._awaiting_runner.get(runner, ()))
+
     def replace_link(self, worker: Worker) -> None:
         """Connect anew to a runner whose process has ended.
 
@@ -616,9 +639,7 @@
             run_count=run_count,
         )
         if worker is not None:
-            placed = worker.placed.values()
-            tasks += [(each.job, each.task) for each in placed]
-            worker.lose_runs(_clock.monotonic_seconds())
+            tasks += worker.lose_runs(_clock.monotonic_seconds())
             if evidence != _departures.VM_IS_DOWN:
                 worker.lost_runs.clear()
             self._connect_anew(worker)
@@ -645,15 +666,11 @@
                 ) and self._has_inherited_expired(
                     worker.entry.id, len(worker.runs), max_lease_seconds
                 )
-            if (
-                expired
-                and _former_lease_seconds(worker, max_lease_seconds) < 0
-            ):
-                lost_tasks += [
-                    (placed.job, placed.task)
-                    for placed in worker.placed.values()
-                ]
-                worker.lose_runs(now)
+            if expired:
+                left = _former_lease_seconds(worker, max_lease_seconds)
+                lost_tasks += worker.lose_runs(
+                    now, kept=worker.late_runs if left >= 0 else frozenset()
+                )
         if self._inherited_leases.answer_seconds_left(self._registry_read_at):
             return lost_tasks
         for runner, tasks in tuple(self._awaiting_runner.items()):
--- a/packages/peridotsill_scheduler/src/peridotsill_scheduler/_maintenance.py
+++ b/packages/peridotsill_scheduler/src/peridotsill_scheduler/_maintenance.py
@@ -9,10 +9,10 @@
 
 # How long a VM takes one of a wave's places beyond its maintenance: until its
 # command is answered, a list shows it back, and the next VM is chosen.
-_PLACE_OVERHEAD_SECONDS = 1.0
+_PLACE_OVERHEAD_SECONDS = 0.7
 # A wave keeps this much time for a change of the scheduler, during which no
 # VM is commanded.
-_RESERVE_SECONDS = 5.0
+_RESERVE_SECONDS = 4.0
 # Share of a pool that may be out at once, but at least one VM, unless the
 # wave is urgent or the pool is a standby pool.
 _MAX_POOL_SHARE = 0.34
@@ -68,7 +68,8 @@
     eviction_seconds: float = 0.0
 
     @property
-    def _place_seconds(self) -> float:
+    def place_seconds(self) -> float:
+        """How long a VM takes a place once its tasks have left it."""
         return self.maintenance_seconds + _PLACE_OVERHEAD_SECONDS
 
 
@@ -77,23 +78,13 @@
 ) -> float:
     """Return a bound of how long a wave takes if it uses all its places.
 
-    As long as VMs are due, each place is in use, so the last VM is taken
+    As long as VMs are due, all places are in use, so the last VM is taken
     after the mean load of a place at the latest, and then takes its own time.
-    Long-lived tasks leave from now on, while VMs without such tasks are
-    maintained; if they need longer, the places wait for the rest of that.
+    Long-lived tasks leave their VMs meanwhile, whether the wave uses its
+    places or not.
     """
-    load = load_without_evictions = longest = 0.0
-    for vm in vms:
-        if vm.phase is MaintenancePhase.DONE:
-            continue
-        seconds = vm.clear_seconds + terms._place_seconds
-        load += seconds
-        if not vm.long_lived_count:
-            load_without_evictions += seconds
-        longest = max(longest, seconds)
-    others = load_without_evictions / terms.max_parallel
-    waiting = max(0.0, terms.eviction_seconds - others)
-    return load / terms.max_parallel + longest + waiting
+    load, longest = _load(vms, terms)
+    return load / terms.max_parallel + longest
 
 
 def is_urgent(vms: collections.abc.Iterable[WaveVm], terms: WaveTerms) -> bool:
@@ -104,6 +95,31 @@
     return terms.seconds_left < seconds_needed(vms, terms) + _RESERVE_SECONDS
 
 
+def must_evict(
+    vms: collections.abc.Iterable[WaveVm], terms: WaveTerms
+) -> bool:
+    """Tell whether long-lived tasks must leave though they find no room.
+
+    Their VMs are maintained once they have left, all of them at the end in
+    the worst case.
+    """
+    load, longest = _load([vm for vm in vms if vm.long_lived_count], terms)
+    needed = terms.eviction_seconds + load / terms.max_parallel + longest
+    return terms.seconds_left < needed + _RESERVE_SECONDS
+
+
+def _load(
+    vms: collections.abc.Iterable[WaveVm], terms: WaveTerms
+) -> tuple[float, float]:
+    """Return how long VMs take places, together and the longest one."""
+    seconds = [
+        vm.clear_seconds + terms.place_seconds
+        for vm in vms
+        if vm.phase is not MaintenancePhase.DONE
+    ]
+    return sum(seconds), max(seconds, default=0.0)
+
+
 def plan_maintenance(
     vms: collections.abc.Sequence[WaveVm], terms: WaveTerms
 ) -> list[WaveVm]:
--- a/tests/features/maintenance.feature
+++ b/tests/features/maintenance.feature
@@ -345,3 +345,41 @@
     When the fleet decides
     Then "a3" was commanded to be moved
     And "a2" was not commanded to be moved
+
+  # Guards against breaking rule LIMIT: VMs that were ready together did not
+  # count towards the bound for one another.
+  Scenario: A VM beyond the bound is held back though all begin at once
+    Given a wave over "a1" to "a4" with at most 2 out at once
+    And the wave is due in 2 s
+    And all 4 VMs have been chosen for it
+    When the fleet decides
+    Then 2 VMs were commanded to be maintained
+  # Guards against AVAIL: an earlier scheduler had ordered a runner to stop a
+  # task without recording it, and the next one ended another one of its step.
+  Scenario: A scheduler that has just begun ends no long-lived task
+    Given a wave over "a1" to "a2" with at most 1 out at once
+    And the wave is due in 60 s
+    And pool "a" needs 4 VMs
+    And job "x" of long-lived tasks, 1 of which may be missing, on "a1", "a2"
+    And the scheduler has just begun
+    When the fleet decides
+    Then no task was ended
+    When 2 s pass
+    Then a task of job "x" was ended, and no other
+
+  # Guards against late waves: tasks that find no room while a peak fills their
+  # pool, and would not all leave in the time that is left then.
+  Scenario Outline: Long-lived tasks leave without room if they would be late
+    Given a wave over "a1" to "a3" with at most 4 out at once
+    And the wave is due in <left> s
+    And pool "a" needs 4 VMs
+    And job "x" of long-lived tasks, 1 of which may be missing, on "a1", "a2", "a3"
+    And "a4" is full with other tasks
+    When the fleet decides
+    Then no VM was commanded to be maintained
+    And <ended>
+
+    Examples:
+      | left | ended                                     |
+      | 30   | no task was ended                         |
+      | 13   | a task of job "x" was ended, and no other |
--- a/tests/features/steps/maintenance_steps.py
+++ b/tests/features/steps/maintenance_steps.py
@@ -9,6 +9,7 @@
 from emulator import stubs
 
 from peridotsill_jobs import _clock
+from peridotsill_jobs import _command_rows
 from peridotsill_jobs import _commands
 from peridotsill_jobs import _feeds
 from peridotsill_jobs import _fleet
@@ -37,6 +38,10 @@
     )
 
 
+def _stop(worker, placed):
+    placed.task.phase = scheduler.TaskPhase.STOPPING
+
+
 def _mock_worker(name):
     worker = unittest.mock.Mock(
         entry=unittest.mock.Mock(id=f"r-{name}", pool="a"),
@@ -78,12 +83,17 @@
             (worker for worker in self if worker.entry.id == runner), None
         )
 
+    def awaiting_count(self, runner):
+        return 0
+
     def full_speed_tasks(self, job):
         return frozenset(
             placed.task.key
             for worker in self
             for placed in worker.placed.values()
-            if placed.job is job and placed.speed_percent == 100
+            if placed.job is job
+            and placed.speed_percent == 100
+            and placed.task.phase is scheduler.TaskPhase.RUNNING
         )
 
 
@@ -116,12 +126,20 @@
             keys=context.keys,
             documents=unittest.mock.Mock(),
             workers=_StubWorkers(map(_mock_worker, names)),
+            command_row=_command_rows.CommandRow(
+                table=context.store,
+                lease=unittest.mock.Mock(
+                    epoch=1, seconds_since_last_holder=0.0
+                ),
+                handover_seconds=3.0,
+            ),
             command_sender=command_sender,
-            evict=unittest.mock.Mock(),
+            evict=unittest.mock.Mock(side_effect=_stop),
             requeue_lost=unittest.mock.Mock(),
-        ),
-        commands_allowed_at=0.0,
+        )
     )
+    context.planner._parts.command_row.claim()
+    context.planner._began_at = float("-inf")
     _list_vms(context, _clock.monotonic_seconds())
 
 
@@ -364,6 +382,21 @@
     assert _maintained_vms(context) == set(context.catalog.waves[0].vms)
 
 
+@given("all {count:d} VMs have been chosen for it")
+def _choose_all(context, count):
+    fleet, now = context.planner, _clock.monotonic_seconds()
+    fleet._update_waves(now)
+    (wave,) = fleet._waves.values()
+    assert len(wave.order.vms) == count
+    for vm in wave.order.vms:
+        fleet._begin_maintenance(wave, vm, now)
+
+
+@then("{count:d} VMs were commanded to be maintained")
+def _check_maintained_count(context, count):
+    assert len(_maintained_vms(context)) == count, context.sent
+
+
 @then("the wave's row was written once")
 def _check_one_write(context):
     writes = [key for keys in context.store.committed for key in keys].count(
@@ -388,11 +421,6 @@
     assert not _maintained_vms(context), context.sent
 
 
-@then("{count:d} VMs were commanded to be maintained")
-def _check_count_maintained(context, count):
-    assert len(_maintained_vms(context)) == count, context.sent
-
-
 @then("only one VM was commanded to be maintained")
 def _check_one_maintained(context):
     assert len(_maintained_vms(context)) == 1, context.sent
@@ -416,6 +444,21 @@
     spec: scheduler.JobSpec
 
 
+@given('"{vm}" is full with other tasks')
+def _fill(context, vm):
+    step = scheduler.Step(
+        index=0, task_count=1, demand=scheduler.Resources(cores=32)
+    )
+    queue = scheduler.Queue(name="q", host="h", prefix="/", pool="a")
+    spec = scheduler.JobSpec(id="full", queue="q", payload="", steps=(step,))
+    job = scheduler.Job(spec=spec, queue=queue, arrived_at=0.0)
+    scheduler.open_occurrences(job, 0.0)
+    worker = context.planner._parts.workers.find(f"r-{vm}")
+    worker.placed[("full", "0.0.0")] = unittest.mock.Mock(
+        job=job, task=job.tasks[0], vm=vm, speed_percent=100
+    )
+
+
 @given('"a1" runs a task of 1 s, "a2" of 0.5 s and "a3" of 9 s')
 def _place_tasks(context):
     for name, seconds in (("a1", 1.0), ("a2", 0.5), ("a3", 9.0)):
@@ -448,6 +491,7 @@
     step = scheduler.Step(
         index=0,
         task_count=len(names),
+        demand=scheduler.Resources(cores=4),
         long_lived=True,
         max_per_vm=1,
         may_miss=1,
@@ -483,6 +527,11 @@
     assert found == [name], found
 
 
+@given("the scheduler has just begun")
+def _begin_now(context):
+    context.planner._began_at = _clock.monotonic_seconds()
+
+
 @then("no task was ended")
 def _check_none_evicted(context):
     context.planner._parts.evict.assert_not_called()
--- a/tests/features/steps/plumbing_steps.py
+++ b/tests/features/steps/plumbing_steps.py
@@ -8,9 +8,11 @@
 import collections
 import contextlib
 import datetime
+import functools
 import json
 import random
 import sys
+import threading
 import time
 import typing
 import uuid
@@ -29,6 +31,7 @@
 from peridotsill_adapter import _decode_cache
 from peridotsill_adapter import _documents
 from peridotsill_adapter import _machines
+from peridotsill_adapter import _runners
 from peridotsill_adapter import _table
 from peridotsill_adapter import _unreadable
 from peridotsill_adapter import _wire
@@ -368,7 +371,7 @@
         return str(error)
 
 
-@when("{rows} are read 300 times, with drawn fields changed, gone or odd")
+@when("{rows} are read 3000 times, with drawn fields changed, gone or odd")
 def _read_changing(context, rows):
     draw = random.Random(3900)
     client = _Answers()
@@ -386,7 +389,7 @@
 
     reader = make_reader()
     context.readings = []
-    for version in range(300):
+    for version in range(3000):
         for document, original in zip(documents, originals):
             if draw.random() < 0.5:
                 _draw_change(draw, document, original)
@@ -402,13 +405,47 @@
         context.readings.append((json.dumps(documents), kept, first))
 
 
+def _check_fields(document, entry):
+    """Check that each field of an entry is the document's."""
+    capacity = document.get("capacity") or {}
+    labels = document.get("labels", [])
+    expected = {
+        "domain": document.get("zone", ""),
+        "labels": frozenset(each for each in labels if isinstance(each, str)),
+        "capacity": scheduler.Resources(
+            cores=capacity.get("cpu", 0) / 1000.0,
+            memory_mib=float(capacity.get("mem_mb", 0)),
+            accelerators=int(capacity.get("gpu", 0)),
+        ),
+    }
+    if isinstance(entry, peridotsill_jobs.RunnerEntry):
+        expected["lifetime"] = document.get("born", 0)
+        expected["pool"] = document["service"]
+        expected["address"] = document["address"]
+        expected["vm"] = document.get("machine", "")
+        expected["state"] = document["state"]
+    else:
+        expected["name"] = document["machine"]
+        expected["pool"] = document["pool"]
+        expected["runner"] = str(document.get("id") or "")
+        if document["state"] in ("up", "moving"):
+            expected["state"] = document["state"]
+    found = {name: getattr(entry, name) for name in expected}
+    assert found == expected, (document, entry)
+
+
 @then("each reading names what a reader that has kept nothing names")
 def _same_as_first(context):
     named = 0
     for documents, kept, first in context.readings:
         assert kept == first, (documents, kept, first)
         assert repr(kept) == repr(first), (documents, kept, first)
-        named += not isinstance(kept, str) and any(kept)
+        if isinstance(kept, str):
+            continue
+        named += any(kept)
+        for document, entry in zip(json.loads(documents), kept):
+            if entry is not None:
+                _check_fields(document, entry)
     assert named >= 30, f"{named} readings name anything"
 
 
@@ -718,3 +755,155 @@
         assert text == expected, (value, text, expected)
         texts.add(text)
     assert len(texts) > len(context.values) / 4, len(texts)
+
+
+def _read_report(tasks):
+    calls = _runners.runner_calls(stubs.runner_entry())
+    call = calls.poll(
+        fence=1,
+        last_seen=0,
+        lease_until_ms=None,
+        wait_seconds=0.0,
+        timeout_seconds=1.0,
+    )
+    running = [[task, 1, "", 100, 2.0] for task in tasks]
+    answer = {"clock_ms": 5.0, "running": running, "ended": []}
+    return call.read(result.Success(answer))
+
+
+def _run_names(count):
+    return [f"{number:016x}.0.0.{number}" for number in range(count)]
+
+
+@given("a runner's report of {count:d} runs that was read before")
+def _report_read_before(context, count):
+    _runners._kept_task_name.cache_clear()
+    context.before = _read_report(_run_names(count))
+
+
+@when("it is read again with 1 run more, and the calls are counted")
+def _read_report_again(context):
+    count = len(context.before.running)
+    with _counted_calls() as context.calls:
+        context.after = _read_report(_run_names(count + 1))
+
+
+@then("1 name was taken apart, and the runs are named as before")
+def _named_as_before(context):
+    count = context.calls[_runners._make_task_name.__code__]
+    assert count == 1, count
+    assert context.after.running[:-1] == context.before.running
+    for run, text in zip(context.after.running, _run_names(11)):
+        assert f"{run.name.job}.{run.name.task}" == text, run
+
+
+@then(
+    "at most {count:d} names are kept, and none of more than {length:d} "
+    "characters"
+)
+def _names_bounded(context, count, length):
+    kept = _runners._kept_task_name.cache_info()
+    assert kept.maxsize == count, kept
+    longer = "x" * (length + 1)
+    for text in (longer, longer + ".0", "x" * length):
+        name = _read_report([text]).running[0].name
+        assert name.job == text.partition(".")[0], name
+    assert _runners._kept_task_name.cache_info().currsize == 12
+
+
+@given("a thread of calls that waits")
+def _waiting_loop(context):
+    context.errors = []
+    context.loop = peridotsill.CallLoop(on_error=context.errors.append)
+    context.stack.callback(context.loop.stop)
+
+
+class _CountedSender:
+    """Counts what is sent, and sends it."""
+
+    def __init__(self, sender):
+        self._sender = sender
+        self.count = 0
+
+    def send(self, data):
+        self.count += 1
+        return self._sender.send(data)
+
+    def close(self):
+        self._sender.close()
+
+
+@when("{count:d} callbacks are queued before it runs again")
+def _queue_callbacks(context, count):
+    loop = context.loop
+    context.sender = _CountedSender(loop._wakeup_sender)
+    loop._wakeup_sender = context.sender
+    context.count = count
+    context.ran = []
+    # As it is while the thread waits for a socket.
+    loop._selecting = True
+    for number in range(count):
+        loop.run_soon(functools.partial(context.ran.append, number))
+    loop.start()
+    _wait_until(lambda: len(context.ran) == count, 5.0)
+
+
+def _wait_until(condition, seconds):
+    deadline = time.monotonic() + seconds
+    while not condition() and time.monotonic() < deadline:
+        time.sleep(0.001)
+
+
+@then("it was woken up once, and all {count:d} have run in their order")
+def _woken_once(context, count):
+    assert context.ran == list(range(count)), context.ran
+    assert context.sender.count == 1, context.sender.count
+
+
+@when("{threads:d} threads queue {count:d} callbacks each, at drawn moments")
+def _queue_from_threads(context, threads, count):
+    context.ran = []
+    context.waits = []
+    context.expected = [list(range(count)) for _ in range(threads)]
+
+    def run(thread, number, queued_at):
+        context.ran.append((thread, number))
+        context.waits.append(time.monotonic() - queued_at)
+
+    def queue_callbacks(thread):
+        draw = random.Random(thread)
+        for number in range(count):
+            context.loop.run_soon(
+                functools.partial(run, thread, number, time.monotonic())
+            )
+            if draw.random() < 0.05:
+                time.sleep(draw.random() * 0.002)
+
+    context.loop.start()
+    workers = [
+        threading.Thread(target=queue_callbacks, args=(each,))
+        for each in range(threads)
+    ]
+    switch_interval = sys.getswitchinterval()
+    context.stack.callback(sys.setswitchinterval, switch_interval)
+    # Threads then switch between almost any two steps.
+    sys.setswitchinterval(1e-6)
+    for worker in workers:
+        worker.start()
+    for worker in workers:
+        worker.join()
+    _wait_until(lambda: len(context.ran) == threads * count, 5.0)
+
+
+@then(
+    "each has run within {seconds:d} s of its queueing, in the order of its "
+    "thread"
+)
+def _all_ran(context, seconds):
+    ran = [
+        [number for thread, number in context.ran if thread == each]
+        for each in range(len(context.expected))
+    ]
+    assert ran == context.expected, [len(each) for each in ran]
+    assert max(context.waits) < seconds, max(context.waits)
+    assert not context.errors, context.errors
