Let VMs rest no longer than the last scheduler may command them

The row named them as unanswered long after their answers, and a holder that had given up or released the lease counted as one that might use it to the end.

Answers are now recorded, at most once a second, and a holder that left its waits has stopped when the next one begins.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_command_rows.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_command_rows.py
@@ -24,8 +24,8 @@
 KEY = "control//vm-commands"
 # Stands for all VMs where a row names VMs.
 _ALL_VMS = ""
-# Shortest time between two writes that only remove names from the row.
-_REMOVAL_PERIOD_SECONDS = 1.0
+# Shortest time between two writes that only shorten the rests of VMs.
+_REFRESH_PERIOD_SECONDS = 1.0
 
 
 @attrs.frozen(kw_only=True)
@@ -81,15 +81,18 @@
         self._handover_seconds = handover_seconds
         self._began_at = _clock.monotonic_seconds()
         self._silent_seconds = lease.seconds_since_last_holder
+        # Otherwise the last holder may live, and use its lease to the end.
+        self._has_stopped = lease.inherited_waits is not None
         self._claimed_at: float | None = None
         self._version = 0
         # Until when a VM rests that an earlier holder has commanded.
         self._rest_until: dict[str, float] = {}
         self._unanswered: set[str] = set()
         self._answered_at: dict[str, float] = {}
-        # The names that the row may hold.
+        # The names that the row may hold, and those as unanswered.
         self._recorded: frozenset[str] = frozenset()
-        self._next_removal_at = 0.0
+        self._recorded_unanswered: frozenset[str] = frozenset()
+        self._next_refresh_at = 0.0
 
     @property
     def unproved_until(self) -> float:
@@ -151,8 +154,11 @@
             for vm, left in content.rests.items()
         }
         is_last_holders = content.epoch == self._epoch - 1
-        silent_seconds = self._silent_seconds if is_last_holders else 0.0
-        lease_ended_at = self._began_at + _lease.LEASE_SECONDS - silent_seconds
+        lease_ended_at = self._began_at
+        if not is_last_holders:
+            lease_ended_at += _lease.LEASE_SECONDS
+        elif not self._has_stopped:
+            lease_ended_at += _lease.LEASE_SECONDS - self._silent_seconds
         for vm in content.unanswered:
             rests[vm] = lease_ended_at + self._handover_seconds
         if not is_last_holders and self._epoch > 1:
@@ -205,15 +211,21 @@
         self._unanswered.discard(vm)
         self._answered_at[vm] = answered_at
 
-    def remove_old_names(self) -> None:
-        """Remove names from the row that no other holder needs any more."""
+    def refresh(self) -> None:
+        """Record answers, and remove names that nobody needs any more.
+
+        So VMs rest no longer than needed when another holder takes over.
+        """
         now = _clock.monotonic_seconds()
-        if self._claimed_at is None or now < self._next_removal_at:
+        if self._claimed_at is None or now < self._next_refresh_at:
             return
         content = self._content(())
-        if self._recorded <= self._names(content):
+        if (
+            self._recorded <= self._names(content)
+            and self._recorded_unanswered <= content.unanswered
+        ):
             return
-        self._next_removal_at = now + _REMOVAL_PERIOD_SECONDS
+        self._next_refresh_at = now + _REFRESH_PERIOD_SECONDS
         self._answered_at = {
             vm: at
             for vm, at in self._answered_at.items()
@@ -268,6 +280,7 @@
             case result.Success(revision):
                 self._version = int(revision)
                 self._recorded = self._names(content)
+                self._recorded_unanswered = content.unanswered
             case result.Failure(error):
                 _logs.log(
                     "vm:commands_unwritten",
@@ -276,6 +289,7 @@
                 )
                 # It may have been written all the same.
                 self._recorded |= self._names(content)
+                self._recorded_unanswered |= content.unanswered
                 if isinstance(error, peridotsill_platform.exceptions.Conflict):
                     self._read()
         return outcome
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_fleet.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_fleet.py
@@ -342,7 +342,7 @@
         self._update_waves(now)
         if not self._parts.command_row.claim():
             return
-        self._parts.command_row.remove_old_names()
+        self._parts.command_row.refresh()
         for wave in self._waves.values():
             self._plan_wave(wave, supplies, now)
         self._plan_lending(supplies, now)
