Take no VM whose tasks are awaited for one about to be free

A pool that lacks room for tasks leaving due VMs counted a VM without a known runner as free soon, also if the rows place tasks on that runner.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_fleet.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_fleet.py
@@ -534,9 +534,9 @@
         operation = self._operations.get(record.name)
         if operation is None:
             worker = self._worker_of(record.name)
-            return worker is None or (
-                not worker.placed and bool(worker.closed_reason(now))
-            )
+            if worker is None:
+                return not self._awaiting_count(record.name)
+            return not worker.placed and bool(worker.closed_reason(now))
         return operation.command.kind is _CommandKind.MOVE
 
     def _send_commands(self, operations: list[_Operation], now: float) -> None:
