--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_lifetimes.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_lifetimes.py
@@ -16,6 +16,8 @@
 from peridotsill_jobs import _workers
 import peridotsill_scheduler
 
+_RunId = tuple[str, str, int]
+
 
 class LifetimeTracker:
     """Replaces runners that have ended, and requeues what they ran."""
@@ -128,7 +130,6 @@
         task: peridotsill_scheduler.Task,
     ) -> None:
         if task.lifetime != worker.lifetime:
-            worker.late_runs |= {(job.spec.id, task.key, task.run)}
             task.lifetime = worker.lifetime
             self._job_store.mark_dirty(job)
         self._workers.place(worker, job, task, last_answered_at=0.0)
@@ -143,7 +144,7 @@
     )
 
 
-def _reported_runs(report: _ports.RunnerReport) -> frozenset[_workers.RunId]:
+def _reported_runs(report: _ports.RunnerReport) -> frozenset[_RunId]:
     """Return the runs that a report lists as running or ended."""
     running = [(each.name, each.run) for each in report.running]
     ended = [(each.name, each.run) for each in report.ended]
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_workers.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_workers.py
@@ -42,8 +42,6 @@
 _MAX_CLOCK_SLOWNESS = 1.03
 
 JobTask = tuple[peridotsill_scheduler.Job, peridotsill_scheduler.Task]
-# A job's id, a task's key and a run's number.
-RunId = tuple[str, str, int]
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -136,8 +134,7 @@
     lifetime of the runner, ``gone`` that its process was found to have
     ended, ``avoided`` that its VM is due in a wave. The lifetime is known
     since ``known_at``, and has been used since ``took_over_at`` in place of
-    those in ``ended_lifetimes``. ``late_runs`` are runs by orders to one of
-    these, whose leases are by its clock. Times are those of
+    those in ``ended_lifetimes``. Times are those of
     `_clock.monotonic_seconds`.
     """
 
@@ -165,7 +162,6 @@
     known_at: float = 0.0
     took_over_at: float = float("-inf")
     ended_lifetimes: frozenset[int] = frozenset()
-    late_runs: frozenset[RunId] = frozenset()
 
     @property
     def lifetime(self) -> int:
@@ -186,35 +182,14 @@
             *self.lost_runs,
         )
 
-    def lose_runs(
-        self, now: float, *, kept: frozenset[RunId] = frozenset()
-    ) -> list[JobTask]:
-        """Take runs off the runner, as their leases have expired.
-
-        Args:
-            now: In seconds of `_clock.monotonic_seconds`.
-            kept: The runs whose leases may last yet.
-
-        Returns:
-            The tasks that were placed here and are lost.
-        """
-        lost = {
-            key: placed
-            for key, placed in self.placed.items()
-            if (*key, placed.run) not in kept
-        }
-        abandoned = self.abandoned.keys() - kept
-        if not lost and not abandoned:
-            return []
-        self.lost_runs += [
-            *lost.values(),
-            *(self.abandoned.pop(run) for run in sorted(abandoned)),
-        ]
+    def lose_runs(self, now: float) -> None:
+        """Take all runs off the runner, as their leases have expired."""
+        self.lost_runs = [*self.runs]
         self.lost_at = now
-        for key, placed in lost.items():
+        for placed in self.placed.values():
             placed.mark_former()
-            del self.placed[key]
-        return [(placed.job, placed.task) for placed in lost.values()]
+        self.placed.clear()
+        self.abandoned.clear()
 
     def forget_lost_runs(self, now: float) -> None:
         """Forget lost runs if the runner answers again, or after a while."""
@@ -641,7 +616,9 @@
             run_count=run_count,
         )
         if worker is not None:
-            tasks += worker.lose_runs(_clock.monotonic_seconds())
+            placed = worker.placed.values()
+            tasks += [(each.job, each.task) for each in placed]
+            worker.lose_runs(_clock.monotonic_seconds())
             if evidence != _departures.VM_IS_DOWN:
                 worker.lost_runs.clear()
             self._connect_anew(worker)
@@ -668,11 +645,15 @@
                 ) and self._has_inherited_expired(
                     worker.entry.id, len(worker.runs), max_lease_seconds
                 )
-            if expired:
-                left = _former_lease_seconds(worker, max_lease_seconds)
-                lost_tasks += worker.lose_runs(
-                    now, kept=worker.late_runs if left >= 0 else frozenset()
-                )
+            if (
+                expired
+                and _former_lease_seconds(worker, max_lease_seconds) < 0
+            ):
+                lost_tasks += [
+                    (placed.job, placed.task)
+                    for placed in worker.placed.values()
+                ]
+                worker.lose_runs(now)
         if self._inherited_leases.answer_seconds_left(self._registry_read_at):
             return lost_tasks
         for runner, tasks in tuple(self._awaiting_runner.items()):
