--- a/packages/peridotsill/src/peridotsill/_json_http.py
+++ b/packages/peridotsill/src/peridotsill/_json_http.py
@@ -1,10 +1,8 @@
 """JSON over HTTP: a client for peers and the platform, and a WSGI app."""
 
 import collections.abc
-import contextlib
 import hmac
 import http
-import re
 import socket
 import typing
 import urllib.parse
@@ -13,7 +11,6 @@
 import urllib3
 
 from peridotsill import _codec
-from peridotsill import _http_connections
 from peridotsill import exceptions
 
 _KEEPALIVE_OPTIONS = [
@@ -25,11 +22,11 @@
     (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 10000),
 ]
 
-_HTTP_PORT = 80
-_METHODS_WITHOUT_BODY = ("GET", "HEAD", "DELETE")
-# Paths that are sent as they are.
-_PLAIN_PATH = re.compile(r"(?:/(?!\.)[A-Za-z0-9_.~%=&+,:@?-]*)+")
-_LINE_BREAK = re.compile(r"[\r\n]")
+_NOT_SENT_ERRORS = (
+    urllib3.exceptions.NewConnectionError,
+    urllib3.exceptions.ConnectTimeoutError,
+    urllib3.exceptions.LocationValueError,
+)
 
 
 class JsonClient:
@@ -38,11 +35,6 @@
     After a call that failed in transport, such as by a timeout, the whole
     pool is replaced: the other connections that were open then may be
     broken as well, so later calls open new ones.
-
-    Args:
-        base: URL of the peer, such as ``http://127.0.0.1:8080``.
-        token: Bearer token of each request; none if it is empty.
-        connections: Most connections that are kept open between calls.
     """
 
     def __init__(
@@ -50,19 +42,16 @@
     ) -> None:
         self._base = base.rstrip("/")
         self._token = token
-        # None if the URL is none of an HTTP peer; then each call fails.
-        self._pool: _http_connections.ConnectionPool | None = None
-        with contextlib.suppress(ValueError):
-            url = urllib.parse.urlsplit(self._base)
-            self._host = url.netloc
-            self._base_path = url.path
-            if url.scheme == "http" and url.hostname:
-                self._pool = _http_connections.ConnectionPool(
-                    host=url.hostname,
-                    port=url.port or _HTTP_PORT,
-                    socket_options=_KEEPALIVE_OPTIONS,
-                    max_idle=connections,
-                )
+        self._connections = connections
+        self._pool = self._new_pool()
+
+    def _new_pool(self) -> urllib3.PoolManager:
+        return urllib3.PoolManager(
+            num_pools=4,
+            maxsize=self._connections,
+            retries=False,
+            socket_options=_KEEPALIVE_OPTIONS,
+        )
 
     def call(
         self,
@@ -79,66 +68,41 @@
             PeerUnavailable: If no usable response came in time.
             PeerRefused: If the response's status is 400 or above.
         """
-        if self._pool is None:
-            raise exceptions.PeerUnavailable(
-                f"{self._base}: not the URL of an HTTP peer", sent=False
-            )
         headers = {"Content-Type": "application/json"}
         headers.update(extra_headers or {})
         if self._token:
             headers["Authorization"] = f"Bearer {self._token}"
         payload = None if body is None else _codec.encode(body)
-        request = self._encode_request(method, path, headers, payload)
+        pool = self._pool
         try:
-            status, content = self._pool.exchange(request, timeout_seconds)
-        except _http_connections.NotSent as error:
-            cause = error.__cause__
-            raise exceptions.PeerUnavailable(
-                f"{self._base}{path}: {type(cause).__name__}",
-                sent=False,
-                refused=isinstance(cause, ConnectionRefusedError),
-            ) from error
-        except (OSError, ValueError) as error:
+            response = pool.request(
+                method,
+                f"{self._base}{path}",
+                body=payload,
+                headers=headers,
+                timeout=urllib3.Timeout(
+                    connect=min(1.0, timeout_seconds), total=timeout_seconds
+                ),
+                redirect=False,
+            )
+        except (urllib3.exceptions.HTTPError, OSError) as error:
+            self._replace_pool(pool)
             raise exceptions.PeerUnavailable(
-                f"{self._base}{path}: {type(error).__name__}", sent=True
+                f"{self._base}{path}: {type(error).__name__}",
+                sent=not isinstance(error, _NOT_SENT_ERRORS),
+                refused=isinstance(error.__cause__, ConnectionRefusedError),
             ) from error
-        return decode_response(status, content)
+        return decode_response(response.status, response.data)
 
     def close(self) -> None:
         """Close the pooled connections."""
-        if self._pool is not None:
-            self._pool.clear()
+        self._pool.clear()
 
-    def _encode_request(
-        self,
-        method: str,
-        path: str,
-        headers: dict[str, str],
-        payload: bytes | None,
-    ) -> bytes:
-        """Return a request's bytes.
-
-        Raises:
-            ValueError: If a header holds a line break.
-        """
-        target = f"{self._base_path}{path}"
-        if not _PLAIN_PATH.fullmatch(target):
-            target = urllib3.util.parse_url(f"{self._base}{path}").request_uri
-        if payload is not None:
-            headers["Content-Length"] = str(len(payload))
-        elif method not in _METHODS_WITHOUT_BODY:
-            headers["Content-Length"] = "0"
-        for value in headers.values():
-            if _LINE_BREAK.search(value):
-                raise ValueError(f"a header with a line break: {value!r}")
-        lines = [
-            f"{method} {target} HTTP/1.1",
-            f"Host: {self._host}",
-            "Accept-Encoding: identity",
-            *(f"{name}: {value}" for name, value in headers.items()),
-            "\r\n",
-        ]
-        return "\r\n".join(lines).encode("latin-1") + (payload or b"")
+    def _replace_pool(self, pool: urllib3.PoolManager) -> None:
+        # Another thread's failed call may have replaced it already.
+        if self._pool is pool:
+            self._pool = self._new_pool()
+            pool.clear()
 
 
 def decode_response(status: int, content: bytes) -> typing.Any:
