Show that a decision asks a silent table five times, in a failing scenario

On it asked for the same record of commands three times in one decision, besides the refresh and the wave's state; each may take a whole timeout.

--- a/tests/features/review.feature
+++ b/tests/features/review.feature
@@ -49,3 +49,15 @@
     And one of epoch 2 that never learned that it held the lease
     When a third one takes over 0.7 s after the second one's takeover
     Then it may command any VM at once
+
+  # Guards against rounds that stand still while the table is slow: each part
+  # of a decision tried to record the same commands again.
+  Scenario: A decision asks a table that gives no answer only once
+    Given a fleet with idle VMs "a1" to "a4" in pool "a" and none in "b"
+    And a wave over "a1" to "a4" with at most 2 out at once
+    And the wave is due in 2 s
+    And pool "b" needs 4 VMs
+    And the table gives no answer any more
+    When the fleet decides
+    And the fleet decides again
+    Then the table was asked once in the last decision
--- a/tests/features/steps/review_steps.py
+++ b/tests/features/steps/review_steps.py
@@ -228,3 +228,27 @@
 @then("each call has its own answer")
 def _check_answers(context):
     assert context.answers == [1, 2, 3], context.answers
+
+
+@given("the table gives no answer any more")
+def _stop_answers(context):
+    context.asked = []
+
+    def commit(transaction):
+        context.asked.append([write.key for write in transaction.writes])
+        return result.Failure(
+            peridotsill_platform.exceptions.OutcomeUnknown("silent")
+        )
+
+    context.store.commit = commit
+
+
+@when("the fleet decides again")
+def _decide_again(context):
+    context.asked.clear()
+    context.execute_steps("When the fleet decides")
+
+
+@then("the table was asked once in the last decision")
+def _check_asked_once(context):
+    assert len(context.asked) == 1, context.asked
