Fetch no VM that is kept as room for long-lived tasks

Found in review. A VM to which a task had just been sent could be fetched for another pool in the same step, as the VMs to fetch were chosen before those to keep. The task then waited with its step's budget used, and two pools of a wave could take VMs from each other in turns.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_fleet.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_fleet.py
@@ -483,26 +483,22 @@
                 lacking[pool], evacuation.waiting_vms - len(free_vms[pool])
             )
         lacking -= self._vms_on_their_way(due_vms, now)
+        kept = {
+            vm
+            for pool, evacuation in evacuations.items()
+            for vm in free_vms[pool][: evacuation.room_vms]
+        }
+        supplies = [_without_idle(pool, kept) for pool in supplies]
         moves = peridotsill_scheduler.plan_fetches(supplies, lacking, due_vms)
         for move in moves:
             _logs.log(
                 "vm:fetch", vm=move.vm, source=move.source, target=move.target
             )
             self._begin_move(move, now)
-        kept = {
-            vm
-            for pool, evacuation in evacuations.items()
-            for vm in free_vms[pool][: evacuation.room_vms]
-        }
         return [
             attrs.evolve(
                 pool,
-                idle=tuple(
-                    sorted(
-                        (vm for vm in pool.idle if vm not in kept),
-                        key=due_vms.__contains__,
-                    )
-                ),
+                idle=tuple(sorted(pool.idle, key=due_vms.__contains__)),
             )
             for pool in peridotsill_scheduler.after_moves(supplies, moves)
         ]
@@ -990,3 +986,12 @@
         if operation is not None and operation.wave == wave.order.name:
             return _MaintenancePhase.CLEARING
         return _MaintenancePhase.DUE
+
+
+def _without_idle(
+    pool: peridotsill_scheduler.PoolSupply, vms: set[str]
+) -> peridotsill_scheduler.PoolSupply:
+    """Return a pool with some of its idle VMs left out."""
+    return attrs.evolve(
+        pool, idle=tuple(vm for vm in pool.idle if vm not in vms)
+    )
