Ask a table that gives no answer once in a round about VMs

Found in review: each part of a decision tried the same failed record of commands again, five writes in a row, each waited for up to 1.2 s while no start is sent and no end handled. Commands of a decision are now recorded once, at its end, and after a write without an answer no other is tried in that round.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_command_rows.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_command_rows.py
@@ -211,27 +211,29 @@
         self._unanswered.discard(vm)
         self._answered_at[vm] = answered_at
 
-    def refresh(self) -> None:
+    def refresh(self) -> bool:
         """Record answers, and remove names that nobody needs any more.
 
         So VMs rest no longer than needed when another holder takes over.
+        Return whether no write has failed.
         """
         now = _clock.monotonic_seconds()
         if self._claimed_at is None or now < self._next_refresh_at:
-            return
+            return True
         content = self._content(())
         if (
             self._recorded <= self._names(content)
             and self._recorded_unanswered <= content.unanswered
         ):
-            return
+            return True
         self._next_refresh_at = now + _REFRESH_PERIOD_SECONDS
         self._answered_at = {
             vm: at
             for vm, at in self._answered_at.items()
             if vm in content.rests
         }
-        self._commit(self._version, content, ())
+        outcome = self._commit(self._version, content, ())
+        return isinstance(outcome, result.Success)
 
     def _content(self, vms: collections.abc.Iterable[str]) -> _Content:
         """Return what the row has to say before VMs are commanded."""
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_fleet.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_fleet.py
@@ -20,6 +20,7 @@
 from peridotsill_jobs import _waves
 from peridotsill_jobs import _workers
 import peridotsill_platform
+import peridotsill_platform.exceptions
 import peridotsill_scheduler
 
 _MaintenancePhase = peridotsill_scheduler.MaintenancePhase
@@ -130,6 +131,9 @@
         ] = {}
         self._backoff_until: dict[str, float] = {}
         self._next_decision_at = 0.0
+        # False once a write of this round got no answer. Another one would be
+        # waited for in vain while nothing else of the round is done.
+        self._may_write = True
         self._shortage_logged_at = float("-inf")
         self._began_at = _clock.monotonic_seconds()
 
@@ -340,15 +344,25 @@
             estimator: Estimates the run times of tasks.
         """
         now = _clock.monotonic_seconds()
+        self._may_write = True
         self._advance_clearing(now)
-        if now < self._next_decision_at or not self._vms:
-            return
-        self._next_decision_at = now + _DECISION_PERIOD_SECONDS
+        if now >= self._next_decision_at and self._vms:
+            self._next_decision_at = now + _DECISION_PERIOD_SECONDS
+            self._begin_operations(jobs, estimator, now)
+            self._advance_clearing(now)
+
+    def _begin_operations(
+        self,
+        jobs: dict[str, list[peridotsill_scheduler.Job]],
+        estimator: peridotsill_scheduler.Estimator,
+        now: float,
+    ) -> None:
         supplies = self._pool_supplies(jobs, estimator, now)
         self._update_waves(now)
         if not self._parts.command_row.claim():
             return
-        self._parts.command_row.refresh()
+        if self._may_write:
+            self._may_write = self._parts.command_row.refresh()
         waves = [
             each for each in self._waves.values() if not each.is_completed
         ]
@@ -536,7 +550,12 @@
         return operation.command.kind is _CommandKind.MOVE
 
     def _send_commands(self, operations: list[_Operation], now: float) -> None:
-        """Record the commands of operations in one write, then send them."""
+        """Record the commands of operations in one write, then send them.
+
+        If a write of this round got no answer, they wait for the next round.
+        """
+        if not self._may_write:
+            return
         begun: dict[_waves.Wave, set[str]] = {}
         ready = [
             each
@@ -551,10 +570,15 @@
             self._wave_rows.changes(begun),
         )
         self._wave_rows.apply_outcome(begun, outcome)
-        if not isinstance(outcome, result.Success):
-            return
-        for operation in ready:
-            self._send_command(operation, now)
+        match outcome:
+            case result.Success():
+                for operation in ready:
+                    self._send_command(operation, now)
+            case result.Failure(peridotsill_platform.exceptions.Conflict()):
+                # The rows have been read again.
+                pass
+            case result.Failure():
+                self._may_write = False
 
     def _send_command(self, operation: _Operation, now: float) -> None:
         operation.phase = _OperationPhase.CALLING
@@ -782,7 +806,6 @@
                 waiting_work=round(demand.waiting, 1),
             )
             self._begin_move(move, now)
-        self._advance_clearing(now)
         return peridotsill_scheduler.after_moves(supplies, moves)
 
     def _begin_move(
@@ -856,9 +879,10 @@
                     age_seconds=round(now - wave.seen_at, 1),
                 )
             wave.order = order
-            if wave.has_unrecorded_changes:
-                self._wave_rows.save({wave: frozenset()})
-            self._publish_wave_state(wave)
+            if wave.has_unrecorded_changes and self._may_write:
+                self._may_write = self._wave_rows.save({wave: frozenset()})
+            if self._may_write:
+                self._publish_wave_state(wave)
 
     def _publish_wave_state(self, wave: _waves.Wave) -> None:
         remaining = [
@@ -882,6 +906,7 @@
                 wave.published_state = state
                 _logs.log("wave:state", wave=wave.order.name, state=state)
             case result.Failure(error):
+                self._may_write = False
                 _logs.log(
                     "wave:unwritten",
                     wave=wave.order.name,
@@ -955,7 +980,6 @@
                 urgent=plan.urgent,
             )
             self._begin_maintenance(wave, view.name, now)
-        self._advance_clearing(now)
 
     def _begin_maintenance(
         self, wave: _waves.Wave, vm: str, now: float
