--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_command_rows.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_command_rows.py
@@ -24,6 +24,8 @@
 KEY = "control//vm-commands"
 # Stands for all VMs where a row names VMs.
 _ALL_VMS = ""
+# The epoch of a malformed row, before that of any holder.
+_UNKNOWN_EPOCH = -1
 # Shortest time between two writes that only shorten the rests of VMs.
 _REFRESH_PERIOD_SECONDS = 1.0
 
@@ -58,8 +60,9 @@
     Example: a holder has 3 of 276 VMs moved and is cut off. The row names
     these 3, and the next holder commands any of the other 273 at once.
 
-    A row that someone else than the last holder wrote proves nothing about
-    the last holder's commands, and then all VMs rest.
+    A holder after the row's writer has not claimed the row, and so has sent
+    nothing, unless it is of an earlier version, which records no commands;
+    then all VMs rest.
 
     Args:
         table: The table with the row.
@@ -161,7 +164,7 @@
             lease_ended_at += _lease.LEASE_SECONDS - self._silent_seconds
         for vm in content.unanswered:
             rests[vm] = lease_ended_at + self._handover_seconds
-        if not is_last_holders and self._epoch > 1:
+        if self._lease.commands_recorded_since > content.epoch + 1:
             rests[_ALL_VMS] = max(
                 rests.get(_ALL_VMS, -math.inf), self.unproved_until
             )
@@ -211,27 +214,29 @@
         self._unanswered.discard(vm)
         self._answered_at[vm] = answered_at
 
-    def refresh(self) -> None:
+    def refresh(self) -> bool:
         """Record answers, and remove names that nobody needs any more.
 
         So VMs rest no longer than needed when another holder takes over.
+        Return whether no write has failed.
         """
         now = _clock.monotonic_seconds()
         if self._claimed_at is None or now < self._next_refresh_at:
-            return
+            return True
         content = self._content(())
         if (
             self._recorded <= self._names(content)
             and self._recorded_unanswered <= content.unanswered
         ):
-            return
+            return True
         self._next_refresh_at = now + _REFRESH_PERIOD_SECONDS
         self._answered_at = {
             vm: at
             for vm, at in self._answered_at.items()
             if vm in content.rests
         }
-        self._commit(self._version, content, ())
+        outcome = self._commit(self._version, content, ())
+        return isinstance(outcome, result.Success)
 
     def _content(self, vms: collections.abc.Iterable[str]) -> _Content:
         """Return what the row has to say before VMs are commanded."""
@@ -307,9 +312,9 @@
                 f"epoch {content.epoch} has claimed the VM commands"
             )
             return None
-        if content.epoch == self._epoch:
+        if content.epoch == self._epoch or self._claimed_at is not None:
             # An earlier write of this holder was done, though its answer was
-            # lost.
+            # lost; or somebody else has damaged the row that it has claimed.
             self._version = content.version
         return content
 
@@ -332,7 +337,7 @@
             rests=rests,
         )
     _logs.log("vm:commands_malformed", version=row.version)
-    return _Content(version=row.version)
+    return _Content(version=row.version, epoch=_UNKNOWN_EPOCH)
 
 
 def _is_duration(value: object) -> bool:
