Don't take a run as lost that a cut list of ends leaves out

Cause: a runner lists 500 ends at a time. A run that a report listed neither as running nor as ended counted as absent, even if the list was cut off.

The rest of the ends is in the next reports.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_lifetimes.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_lifetimes.py
@@ -76,11 +76,11 @@
         The next one has the same id, so it carries out orders that were sent
         to the ended one and came late.
         """
-        reported = _reported_runs(event.report)
+        reported = _ReportedRuns(event.report)
         moved: list[_workers.PlacedTask] = []
         late: list[_workers.PlacedTask] = []
         for key, placed in tuple(ended.placed.items()):
-            if (*key, placed.run) in reported:
+            if reported.may_include((*key, placed.run)):
                 moved.append(ended.placed.pop(key))
             elif placed.last_answered_at >= event.requested_at:
                 late.append(ended.placed.pop(key))
@@ -111,13 +111,14 @@
         Those of another lifetime that the report lists came late to this one.
         No others will: it refuses what an earlier scheduler has sent.
         """
-        reported = _reported_runs(event.report)
+        reported = _ReportedRuns(event.report)
         lost: list[_workers.JobTask] = []
         for job, task in self._workers.take_awaiting(
             event.runner, event.requested_at
         ):
-            is_reported = (job.spec.id, task.key, task.run) in reported
-            if is_reported or task.lifetime == worker.lifetime:
+            run_id = (job.spec.id, task.key, task.run)
+            is_same_lifetime = task.lifetime == worker.lifetime
+            if is_same_lifetime or reported.may_include(run_id):
                 self._place(worker, job, task)
             else:
                 lost.append((job, task))
@@ -144,10 +145,17 @@
     )
 
 
-def _reported_runs(report: _ports.RunnerReport) -> frozenset[_RunId]:
-    """Return the runs that a report lists as running or ended."""
-    running = [(each.name, each.run) for each in report.running]
-    ended = [(each.name, each.run) for each in report.ended]
-    return frozenset(
-        (name.job, name.task, run) for name, run in running + ended
-    )
+class _ReportedRuns:
+    """The runs that a report lists as running or ended."""
+
+    def __init__(self, report: _ports.RunnerReport) -> None:
+        running = [(each.name, each.run) for each in report.running]
+        ended = [(each.name, each.run) for each in report.ended]
+        self._ids = frozenset(
+            (name.job, name.task, run) for name, run in running + ended
+        )
+        self._lists_all_ends = report.lists_all_ends
+
+    def may_include(self, run_id: _RunId) -> bool:
+        """Tell whether a run is listed, or may be among ends left out."""
+        return run_id in self._ids or not self._lists_all_ends
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_ports.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_ports.py
@@ -153,12 +153,17 @@
 
 @attrs.frozen(kw_only=True)
 class RunnerReport:
-    """A runner's status report; ``clock_ms`` is its monotonic clock."""
+    """A runner's status report; ``clock_ms`` is its monotonic clock.
+
+    ``lists_all_ends`` is false if ``ended`` may have been cut off. Then a run
+    that is not listed may have ended on the runner.
+    """
 
     lifetime: int
     clock_ms: float
     running: tuple[ReportedRun, ...]
     ended: tuple[ReportedEnd, ...]
+    lists_all_ends: bool = True
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_runs.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_runs.py
@@ -284,10 +284,10 @@
             if reported is not None:
                 self._record_running(placed, reported)
                 self._stop_if_unwanted(worker, placed, event.requested_at)
-            elif placed.last_answered_at < event.requested_at:
+            elif _shows_absence(event, placed):
                 del worker.placed[key]
                 self.requeue_lost([(placed.job, placed.task)], "not there")
-        self._reconcile_abandoned(worker, running, event.requested_at)
+        self._reconcile_abandoned(worker, running, event)
         worker.reported = True
         worker.unknown_runs = len(running)
         for each in running.values():
@@ -298,18 +298,17 @@
         self,
         worker: _workers.Worker,
         running: dict[tuple[str, str, int], _ports.ReportedRun],
-        requested_at: float,
+        event: _link_events.ReportReceived,
     ) -> None:
         """Stop the abandoned runs that are listed; forget the others.
 
-        An unlisted run is kept until a poll that was sent after the answer
-        to its last order.
+        An unlisted run is kept until a report shows its absence.
         """
         for key, placed in tuple(worker.abandoned.items()):
             reported = running.pop(key, None)
             if reported is not None:
                 worker.link.order_stop(reported.name, reported.run)
-            elif placed.last_answered_at < requested_at:
+            elif _shows_absence(event, placed):
                 del worker.abandoned[key]
 
     def _record_running(
@@ -495,5 +494,19 @@
         self._stop_tasks(job)
 
 
+def _shows_absence(
+    event: _link_events.ReportReceived, placed: _workers.PlacedTask
+) -> bool:
+    """Tell whether a report shows that a run it doesn't list is not there.
+
+    It was asked for after the answer to the last order about the run, and the
+    run's end is not among those that were cut off.
+    """
+    return (
+        event.report.lists_all_ends
+        and placed.last_answered_at < event.requested_at
+    )
+
+
 def _describe_failures(task: peridotsill_scheduler.Task) -> str:
     return f"task {task.key} failed {task.failures} times"
--- a/tests/emulator/nodes.py
+++ b/tests/emulator/nodes.py
@@ -203,19 +203,26 @@
         steps,
         *,
         seconds=0.1,
+        ends_at=0.0,
         poison=False,
         deadly=(),
         **fields,
     ):
         """Submit a job whose tasks take ``seconds``, or fail with ``poison``.
 
+        With ``ends_at`` they all end at that monotonic time instead.
         The tasks whose indexes ``deadly`` lists crash their runner.
         ``fields`` are added to the document. A job
         that is answered with status 429 or 503 must not run, unless it is
         submitted again and accepted.
         """
         spec = json.dumps(
-            {"seconds": seconds, "poison": poison, "deadly": list(deadly)}
+            {
+                "seconds": seconds,
+                "ends_at": ends_at,
+                "poison": poison,
+                "deadly": list(deadly),
+            }
         )
         body = json.dumps({"spec": spec, "steps": steps, **fields})
         self.world.record_job(job_id, body)
--- a/tests/emulator/world.py
+++ b/tests/emulator/world.py
@@ -39,7 +39,8 @@
     """A platform with pools of VMs, each of which has one runner.
 
     A job's ``spec`` is a JSON object: ``seconds`` is how long each of its
-    tasks takes, and with ``poison`` set its tasks fail on every runner.
+    tasks takes, or ``ends_at`` the monotonic time at which all of them end;
+    with ``poison`` set its tasks fail on every runner.
     The tasks whose indexes ``deadly`` lists crash the runner that starts
     them after ``deadly_seconds``, or with 0 before it answers the start;
     it is back after ``crash_seconds``. With ``crashed_vms_are_silent`` the
@@ -486,7 +487,10 @@
         """Return how long a task takes; infinite for a long-lived one."""
         if self.step_of(task).get("long_lived"):
             return float("inf")
-        return self._task_spec(task).get("seconds", 0.1)
+        spec = self._task_spec(task)
+        if spec.get("ends_at"):
+            return max(0.0, spec["ends_at"] - time.monotonic())
+        return spec.get("seconds", 0.1)
 
     def is_poison(self, task):
         """Tell whether a task fails on every runner."""
--- a/tests/features/steps/lifetime_steps.py
+++ b/tests/features/steps/lifetime_steps.py
@@ -159,7 +159,14 @@
     context.controller._run_round()
 
 
-def _answer(context, asked, answering, running=(), requested_at=None):
+def _answer(
+    context,
+    asked,
+    answering,
+    running=(),
+    requested_at=None,
+    lists_all_ends=True,
+):
     """Report as a lifetime to the link that was made for another one.
 
     A link's first poll is sent when it is made.
@@ -183,20 +190,29 @@
                 clock_ms=1000.0,
                 running=tuple(running),
                 ended=(),
+                lists_all_ends=lists_all_ends,
             ),
         )
     )
 
 
+_CUT_LIST = "a list that is cut off"
 _LISTS = {
     "nothing": (),
+    _CUT_LIST: (),
     "run 1": (_ports.ReportedRun(name=base._TASK, run=1, checkpoint=""),),
 }
 
 
 @when("lifetime {lifetime:d} answers the link to it with {what}")
 def _answers(context, lifetime, what):
-    _answer(context, lifetime, lifetime, _LISTS[what])
+    _answer(
+        context,
+        lifetime,
+        lifetime,
+        _LISTS[what],
+        lists_all_ends=what != _CUT_LIST,
+    )
 
 
 @when(
@@ -211,7 +227,13 @@
     "lifetime {lifetime:d} answers the link to lifetime {asked:d} with {what}"
 )
 def _answers_other_link(context, lifetime, asked, what):
-    _answer(context, asked, lifetime, _LISTS[what])
+    _answer(
+        context,
+        asked,
+        lifetime,
+        _LISTS[what],
+        lists_all_ends=what != _CUT_LIST,
+    )
 
 
 @then("run 1 of the task is not lost")
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -1403,7 +1403,8 @@
         module="_progress_rows.py",
         old=(
             "            *(each for each in task_writes if each is not None)"
-            ",\n            _make_write(_own_key(job), job.row_version, value),"
+            ",\n"
+            "            _make_write(_own_key(job), job.row_version, value),"
         ),
         new=(
             "            _make_write(_own_key(job), job.row_version, value),\n"
