Hold back long-lived tasks under which runners crash, don't give them up

AVAIL: a job of long-lived tasks was shown as failed after two crashes under one of its tasks, and its other tasks were stopped on sound runners, all at one moment. Nothing of it ran again.

Cause: the verdict on a task that seems to crash its runners gave up its job as for any other job. A suspect runs alone, so that a second crash by chance decides.

A long-lived task is started again at once after two crashes, and after pauses of 3, 15, 75 s and more after further ones, also across takeovers. Its job goes on and gives the reason.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_runs.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_runs.py
@@ -169,6 +169,14 @@
         self._counters.add("tasks_given_up")
         self._update_job_state(job)
 
+    def report_trouble(
+        self, job: peridotsill_scheduler.Job, reason: str
+    ) -> None:
+        """Tell callers why a task of a job that goes on does not run."""
+        job.failure_reason = reason
+        self._counters.add("tasks_held_back")
+        self._job_store.mark_dirty(job)
+
     def _complete_task(
         self,
         worker: _workers.Worker,
@@ -339,6 +347,9 @@
             crashes=len(task.crashes),
         )
         task.crashes = ()
+        job = placed.job
+        if not job.final and not any(each.crashes for each in job.tasks):
+            job.failure_reason = ""
         self._job_store.mark_dirty(placed.job)
 
     def _stop_if_unwanted(
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_suspects.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_suspects.py
@@ -1,6 +1,7 @@
 """Holds crashes against the tasks that they hit, until the cause is known."""
 
 import collections
+import collections.abc
 
 import attrs
 
@@ -23,10 +24,11 @@
 
 
 class Suspects:
-    """Records crashes in the tasks' rows, and gives up those that cause them.
+    """Records crashes in the tasks' rows, and acts on those that cause them.
 
     The crashes that are held against a task are in its job's row, so that a
-    new scheduler knows them, and from them those of the VMs.
+    new scheduler knows them, and from them those of the VMs. A task that is
+    the cause is given up; a long-lived one pauses for longer and longer.
     """
 
     def __init__(
@@ -41,9 +43,14 @@
     def adopt(self) -> None:
         """Hold the crashes in the open jobs' rows against their VMs.
 
-        When they came is not recorded, so they count from now on.
+        When they came is not recorded, so they count from now on, and so
+        do the pauses of long-lived tasks.
         """
         now = _clock.monotonic_seconds()
+        for job in self._job_store.open_jobs:
+            for task in job.tasks:
+                if task.crashes and not task.active:
+                    self._pause(task, now)
         hosts = {
             crash.id: crash.host
             for job in self._job_store.open_jobs
@@ -64,8 +71,8 @@
         """Hold a runner's crash against the tasks that it ran.
 
         A task whose start had not been sent to it was not there.
-        Those that are found to be the cause are given up, and the others
-        that their crashes hit are cleared.
+        The others that were hit by crashes of those that are found to be the
+        cause are cleared.
 
         Args:
             worker: The runner, with the tasks that it ran.
@@ -89,9 +96,17 @@
             hits, crash_id=crash_id, host_is_suspect=host_is_suspect
         )
         for job, task in culprits:
-            self._give_up(job, task, beside=len(hits) - 1)
+            self._log_culprit(job, task, beside=len(hits) - 1)
+            reason = _describe_crashes(task)
+            if task.step.long_lived:
+                self._runs.report_trouble(job, reason)
+            else:
+                self._runs.give_up(job, task, reason)
         self._clear_others(
-            {crash.id for _, task in culprits for crash in task.crashes}
+            explained={
+                crash.id for _, task in culprits for crash in task.crashes
+            },
+            culprits=[task for _, task in culprits],
         )
 
     def _hold_against(
@@ -115,30 +130,43 @@
             task, crash, age_is_known=placed.is_age_known
         ):
             task.crashes = (*task.crashes, crash)
+            self._pause(task, crashed_at)
             self._job_store.mark_dirty(placed.job)
 
-    def _give_up(
+    def _pause(
+        self, task: peridotsill_scheduler.Task, crashed_at: float
+    ) -> None:
+        pause_seconds = peridotsill_scheduler.restart_pause_seconds(task)
+        if pause_seconds:
+            task.not_before = max(task.not_before, crashed_at + pause_seconds)
+
+    def _log_culprit(
         self,
         job: peridotsill_scheduler.Job,
         task: peridotsill_scheduler.Task,
         beside: int,
     ) -> None:
+        pause_seconds = peridotsill_scheduler.restart_pause_seconds(task)
         _logs.log(
-            "task:given_up",
+            "task:held_back" if task.step.long_lived else "task:given_up",
             job=job.spec.id,
             task=task.key,
             run=task.run,
             beside=beside,
+            pause_seconds=pause_seconds,
             crashes=[
                 f"{each.runner} at {each.host} after {each.run_seconds} s"
                 for each in task.crashes
             ],
         )
-        reason = f"{len(task.crashes)} runners crashed under task {task.key}"
-        self._runs.give_up(job, task, reason)
 
-    def _clear_others(self, explained: set[_CrashId]) -> None:
-        """Drop crashes with a known cause from all tasks and hosts."""
+    def _clear_others(
+        self,
+        *,
+        explained: set[_CrashId],
+        culprits: collections.abc.Collection[peridotsill_scheduler.Task],
+    ) -> None:
+        """Drop crashes with a known cause from all other tasks and hosts."""
         if not explained:
             return
         for crashes in self._crashes_by_host.values():
@@ -146,6 +174,8 @@
         cleared_count = 0
         for job in tuple(self._job_store.open_jobs):
             for task in job.tasks:
+                if task in culprits:
+                    continue
                 if not explained.isdisjoint(each.id for each in task.crashes):
                     task.crashes = tuple(
                         each
@@ -159,3 +189,10 @@
             runners=sorted(runner for runner, _ in explained),
             cleared_tasks=cleared_count,
         )
+
+
+def _describe_crashes(task: peridotsill_scheduler.Task) -> str:
+    reason = f"{len(task.crashes)} runners crashed under task {task.key}"
+    if task.step.long_lived:
+        reason += ", which is started again at growing intervals"
+    return reason
--- a/packages/peridotsill_scheduler/src/peridotsill_scheduler/__init__.py
+++ b/packages/peridotsill_scheduler/src/peridotsill_scheduler/__init__.py
@@ -6,6 +6,8 @@
 from peridotsill_scheduler._crashes import find_culprits
 from peridotsill_scheduler._crashes import is_cleared
 from peridotsill_scheduler._crashes import is_suspect
+from peridotsill_scheduler._crashes import restart_pause_seconds
+from peridotsill_scheduler._crashes import suspicion_group
 from peridotsill_scheduler._demand import Arrival
 from peridotsill_scheduler._demand import pool_demand
 from peridotsill_scheduler._demand import PoolDemand
@@ -124,8 +126,10 @@
     "refresh_state",
     "remaining_run_seconds",
     "remaining_work",
+    "restart_pause_seconds",
     "seconds_needed",
     "spare_vms",
+    "suspicion_group",
     "tasks_of",
     "wanted_vms",
 ]
--- a/packages/peridotsill_scheduler/src/peridotsill_scheduler/_crashes.py
+++ b/packages/peridotsill_scheduler/src/peridotsill_scheduler/_crashes.py
@@ -6,6 +6,10 @@
 VM. If a runner then crashes under it alone, the task is the cause, and those
 that were only beside it are cleared; if the task ends or outlives its earlier
 runs, others may join it.
+
+A task that is the cause is given up, unless it is long-lived: such a task has
+to run until its job is cancelled, so it is started again at growing intervals,
+and the others of its job run on.
 """
 
 import collections.abc
@@ -34,6 +38,14 @@
 _MAX_WAIT_ALONE_SECONDS = 8.0
 # The same for a long-lived task, which is at work only while it runs.
 _MAX_LONG_LIVED_WAIT_SECONDS = 2.0
+# From this number of crashes on a long-lived task pauses before it is started
+# again. The first pause and the wait for a VM of its own are shorter together
+# than it may be away; with the next ones, a task that crashes each of its
+# runners crashes a few of them and not one each second.
+_PAUSE_FROM_CRASHES = 3
+_FIRST_PAUSE_SECONDS = 3.0
+_PAUSE_FACTOR = 5.0
+_MAX_PAUSE_SECONDS = 600.0
 # A suspect has outlived its crashes at this multiple of the longest time that
 # it ran before one, and never before the minimum.
 _OUTLIVED_FACTOR = 2.0
@@ -64,6 +76,18 @@
         return self.runner, self.lifetime
 
 
+def suspicion_group(job_id: str, task: "_progress.Task") -> str:
+    """Name the tasks that are told apart from others, but not from another.
+
+    These are all tasks of a job, as the job fails with any of them, or a
+    single long-lived task, as the others of its job run on without it. The
+    members of a gang stay together.
+    """
+    if task.step.long_lived and not task.step.gang:
+        return f"{job_id}.{task.key}"
+    return job_id
+
+
 def is_suspect(task: "_progress.Task") -> bool:
     """Tell whether a runner has crashed under a task, for no known cause."""
     return bool(task.crashes)
@@ -78,7 +102,9 @@
         if task.step.long_lived
         else _MAX_WAIT_ALONE_SECONDS
     )
-    return now < task.requeued_at + max_wait_seconds
+    # A pause is not a part of the wait.
+    waits_since = max(task.requeued_at, task.not_before)
+    return now < waits_since + max_wait_seconds
 
 
 def _is_likely_cause(task: "_progress.Task") -> bool:
@@ -88,6 +114,21 @@
     )
 
 
+def restart_pause_seconds(task: "_progress.Task") -> float:
+    """Return for how long a long-lived task pauses after its last crash.
+
+    It is 0 for other tasks, as these are given up. Example: 0, 0, 3, 15 and
+    75 s after the first five crashes of a task that never runs for long.
+    """
+    excess = len(task.crashes) - _PAUSE_FROM_CRASHES
+    if not task.step.long_lived or excess < 0:
+        return 0.0
+    # The exponent is bounded, as the history of crashes is not.
+    exponent = min(excess, 10)
+    pause_seconds = _FIRST_PAUSE_SECONDS * _PAUSE_FACTOR**exponent
+    return min(pause_seconds, _MAX_PAUSE_SECONDS)
+
+
 def has_outlived_crashes(task: "_progress.Task", now: float) -> bool:
     """Tell whether a run has lasted longer than those that crashed."""
     if not task.started_at:
@@ -131,16 +172,24 @@
     crash_id: tuple[str, int],
     host_is_suspect: bool,
 ) -> list[Hit]:
-    """Return the tasks to give up after a crash.
+    """Return the tasks that are held to be the cause of a crash.
 
     Args:
         hits: All tasks that were on the runner. Those against which the
-            crash is not held are company, but are not given up.
+            crash is not held are company, but are not the cause.
         crash_id: Identifies the crash.
         host_is_suspect: Whether the VM has had other crashes without a
             known cause.
     """
-    alone = len({job.key for job, _ in hits}) == 1
+    alone = (
+        len(
+            {
+                (job.key, suspicion_group(job.spec.id, task))
+                for job, task in hits
+            }
+        )
+        == 1
+    )
     return [
         (job, task)
         for job, task in hits
--- a/packages/peridotsill_scheduler/src/peridotsill_scheduler/_progress.py
+++ b/packages/peridotsill_scheduler/src/peridotsill_scheduler/_progress.py
@@ -156,7 +156,8 @@
     submission. ``row_version`` is the version of the progress row, 0 as
     long as there is none. ``opened_count`` counts the occurrences whose tasks
     have been created. ``advisor_answers`` is used only for queues
-    with placement advice. ``failure_reason`` says why a job has failed.
+    with placement advice. ``failure_reason`` says why a job has failed, or
+    why a long-lived task of it does not run for now.
     ``tasks`` is assigned anew, or with ``+=``, when it changes, as it is then
     counted anew.
     """
--- a/packages/peridotsill_scheduler/src/peridotsill_scheduler/_vm_order.py
+++ b/packages/peridotsill_scheduler/src/peridotsill_scheduler/_vm_order.py
@@ -41,16 +41,15 @@
         penalty = vm.filler_count * 8 - vm.long_lived_count
     else:
         penalty = 0.0
+    group = _crashes.suspicion_group(job.spec.id, task)
     if _crashes.is_suspect(task):
         company: tuple[float, ...] = (
-            not vm.is_free_of_others(job),
-            len(vm.suspect_jobs - {job.spec.id}),
+            not vm.is_free_of_others(group),
+            len(vm.suspect_groups - {group}),
             vm.unexplained_crashes,
         )
     else:
-        beside_suspect = bool(vm.suspect_jobs) and (
-            vm.suspect_jobs != {job.spec.id}
-        )
+        beside_suspect = bool(vm.suspect_groups - {group})
         company = (beside_suspect, 0.0, 0.0)
     return (
         *company,
@@ -155,7 +154,7 @@
             del group[bisect.bisect_left(group, (former[-1], position))]
         self._with_suspects.discard(position)
         vm = self._vms[position]
-        if vm.suspect_jobs:
+        if vm.suspect_groups:
             self._with_suspects.add(position)
             return
         rank = rank_vm(job, task, vm)
--- a/packages/peridotsill_scheduler/src/peridotsill_scheduler/_vms.py
+++ b/packages/peridotsill_scheduler/src/peridotsill_scheduler/_vms.py
@@ -17,9 +17,9 @@
     ``step_counts`` counts the reserved tasks by job id, occurrence and step
     index. ``made_at`` is the time of the view, in seconds of the monotonic
     clock. ``unexplained_crashes`` counts recent crashes on the VM without a
-    known cause. ``jobs`` holds the ids of the jobs with reserved tasks, and
-    ``suspect_jobs`` those of them with a task that runners have crashed under
-    and that has not outlived these crashes.
+    known cause. ``groups`` holds the suspicion groups of the reserved
+    tasks, and ``suspect_groups`` those of them with a task that runners have
+    crashed under and that has not outlived these crashes.
     """
 
     runner: str
@@ -40,8 +40,8 @@
     long_lived_count: int = 0
     made_at: float = 0.0
     unexplained_crashes: int = 0
-    jobs: set[str] = attrs.field(factory=set)
-    suspect_jobs: set[str] = attrs.field(factory=set)
+    groups: set[str] = attrs.field(factory=set)
+    suspect_groups: set[str] = attrs.field(factory=set)
 
     def copy(self) -> "VmView":
         """Return a copy on which tasks can be reserved on trial."""
@@ -49,23 +49,23 @@
         for name in _FIELD_NAMES:
             setattr(twin, name, getattr(self, name))
         twin.step_counts = dict(self.step_counts)
-        twin.jobs = set(self.jobs)
-        twin.suspect_jobs = set(self.suspect_jobs)
+        twin.groups = set(self.groups)
+        twin.suspect_groups = set(self.suspect_groups)
         return twin
 
     @property
     def is_held(self) -> bool:
         """Whether a suspect has the VM to itself."""
-        return len(self.suspect_jobs) == 1 and len(self.jobs) == 1
+        return len(self.suspect_groups) == 1 and len(self.groups) == 1
 
     @property
     def has_nonnegative_room(self) -> bool:
         """Whether no more is reserved than the VM's capacity."""
         return self.free.covers(_model.Resources())
 
-    def is_free_of_others(self, job: _progress.Job) -> bool:
-        """Tell whether no other job has a task here."""
-        return self.jobs <= {job.spec.id}
+    def is_free_of_others(self, group: str) -> bool:
+        """Tell whether no task of another suspicion group is here."""
+        return self.groups <= {group}
 
     def reserve(self, job_id: str, task: _progress.Task) -> None:
         """Reserve a task's resources, and count the task."""
@@ -73,11 +73,12 @@
         key = (job_id, task.occurrence, task.step.index)
         self.step_counts[key] = self.step_counts.get(key, 0) + 1
         self.task_count += 1
-        self.jobs.add(job_id)
+        group = _crashes.suspicion_group(job_id, task)
+        self.groups.add(group)
         if _crashes.is_suspect(task) and not _crashes.has_outlived_crashes(
             task, self.made_at
         ):
-            self.suspect_jobs.add(job_id)
+            self.suspect_groups.add(group)
         self.serving_count += bool(task.step.tail_target_ms)
         self.filler_count += task.step.fills
         self.long_lived_count += task.step.long_lived
@@ -100,7 +101,8 @@
         if self.closed_reason or not self.free.covers(step.reserved):
             return False
         if self.is_held or _crashes.must_run_alone(task, self.made_at):
-            if not self.is_free_of_others(job):
+            group = _crashes.suspicion_group(job.spec.id, task)
+            if not self.is_free_of_others(group):
                 return False
         if step.max_per_vm:
             key = (job.spec.id, task.occurrence, step.index)
--- a/tests/features/steps/suspect_steps.py
+++ b/tests/features/steps/suspect_steps.py
@@ -10,7 +10,9 @@
 from emulator import stubs
 import peridotsill
 
+from peridotsill_jobs import _ports
 from peridotsill_jobs import _records
+from peridotsill_jobs import _runs
 from peridotsill_jobs import _suspects
 from peridotsill_jobs import _workers
 import peridotsill_scheduler as scheduler
@@ -517,3 +519,87 @@
     del row.value["crashes"]
     _records.restore_progress(job, row)
     assert job.tasks[0].run == 1 and not job.tasks[0].crashes
+
+
+# Long-lived tasks that are held back.
+
+
+@given(
+    'a long-lived task of job "{name}" that runs alone and crashes its runners'
+)
+def _held_back(context, name):
+    _prepare(context)
+    context.name = name
+    context.told = []
+    context.suspects._runs.report_trouble.side_effect = lambda job, reason: (
+        context.told.append(reason)
+    )
+
+
+def _crash_alone(context, number):
+    """Let the task crash another runner; return its pause in seconds."""
+    _run_on(context, f"i-{number}", [context.name], long_lived=True)
+    context.suspects.record_crash(context.worker, context.clock)
+    task = context.jobs[context.name].tasks[0]
+    task.phase = scheduler.TaskPhase.WAITING
+    pause = max(0.0, task.not_before - context.clock)
+    context.clock += pause
+    return pause
+
+
+@then("it is started again {pauses} s after its first {count:d} crashes")
+def _pauses(context, pauses, count):
+    expected = [
+        float(each) for each in pauses.replace(" and", ",").split(", ")
+    ]
+    found = [_crash_alone(context, number) for number in range(count)]
+    assert found == expected, found
+    assert not context.given_up, context.given_up
+
+
+@then(
+    'job "{name}" is not final, and says that {count:d} runners crashed '
+    "under its task"
+)
+def _says_crashes(context, name, count):
+    assert not context.jobs[name].final
+    assert context.told[-1].startswith(
+        f"{count} runners crashed under task 0.0.0"
+    ), context.told
+
+
+@then("a new scheduler that reads the rows pauses for {seconds:g} s, too")
+def _pauses_after_takeover(context, seconds):
+    task = context.jobs[context.name].tasks[0]
+    task.not_before = 0.0
+    context.clock += 100.0
+    new = _suspects.Suspects(
+        job_store=context.job_store, runs=unittest.mock.Mock()
+    )
+    new.adopt()
+    assert task.not_before - context.clock == seconds, task.not_before
+
+
+@when("it has run for {seconds:g} s and is reported")
+def _runs_on(context, seconds):
+    _run_on(context, "i-9", [context.name], seconds=seconds, long_lived=True)
+    job = context.jobs[context.name]
+    job.failure_reason = context.told[-1]
+    tracker = _runs.RunTracker(
+        job_store=unittest.mock.Mock(),
+        workers=unittest.mock.Mock(),
+        estimator=unittest.mock.Mock(),
+        counters=unittest.mock.Mock(),
+    )
+    (placed,) = context.worker.placed.values()
+    name = _ports.TaskName(job=job.spec.id, task="0.0.0")
+    tracker._record_running(
+        placed,
+        _ports.ReportedRun(name=name, run=placed.task.run, checkpoint=""),
+    )
+
+
+@then('job "{name}" is not final, and says nothing of crashes')
+def _says_nothing(context, name):
+    job = context.jobs[name]
+    assert not job.final and not job.failure_reason, job.failure_reason
--- a/tests/features/suspects.feature
+++ b/tests/features/suspects.feature
@@ -122,6 +122,21 @@
     When runner "i-1" crashes
     Then task "old" has no crashes
 
+  # Guards against BUDGET: a long-lived task, which is not given up, would crash
+  # a runner each second. Guards against LOST: it pauses for too long.
+  Scenario: A long-lived task pauses for longer with each crash
+    Given a long-lived task of job "bad" that runs alone and crashes its runners
+    Then it is started again 0, 0, 3, 15 and 75 s after its first 5 crashes
+    And job "bad" is not final, and says that 5 runners crashed under its task
+    And a new scheduler that reads the rows pauses for 75 s, too
+
+  Scenario: A long-lived task that was held back is cleared once it runs
+    Given a long-lived task of job "bad" that runs alone and crashes its runners
+    Then it is started again 0, 0 and 3 s after its first 3 crashes
+    When it has run for 6 s and is reported
+    Then task "bad" has no crashes
+    And job "bad" is not final, and says nothing of crashes
+
   # Guards against BUDGET: a crash that showed only after the leases of the
   # runs had expired was held against nobody.
   Scenario Outline: Runs that were lost to silence, if their runner had crashed
