Fence all writes of progress, so that a paused holder's write fails

TWICE, AVAIL: the tasks of long-lived jobs were stopped on sound runners, all at one moment, and ran twice, after a scheduler had been killed whose predecessor had been paused.

Cause: a holder's write required the version of the rows that it replaced and nothing else. A holder that finds all in order writes none of them, so the write of a paused predecessor succeeded, and the next holder believed it. What it wrote came from its own clock: "lease ran out".

A holder now replaces a fence row before it reads the jobs' rows, and each of its writes of progress requires that version. Runs count as lost by the clock only while the lease is held. A wave's progress and state require the row of VM commands as this holder has claimed it.

Evidence: paused_holders.feature.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_command_rows.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_command_rows.py
@@ -97,6 +97,11 @@
         self._recorded_unanswered: frozenset[str] = frozenset()
         self._next_refresh_at = 0.0
 
+    @property
+    def is_claimed(self) -> bool:
+        """Whether earlier holders can't write with this row any more."""
+        return self._claimed_at is not None
+
     @property
     def unproved_until(self) -> float:
         """Until when a VM's state has to be proved, other than by the rows.
@@ -209,6 +214,25 @@
                 self._rest_until.pop(vm, None)
         return outcome
 
+    def write_others(
+        self, changes: collections.abc.Iterable[_waves.RowChange]
+    ) -> peridotsill_platform.CommitResult:
+        """Write other rows, unless another holder has claimed this one."""
+        changes = tuple(changes)
+        claimed = peridotsill_platform.Check(key=KEY, version=self._version)
+        outcome = self._table.commit(
+            peridotsill_platform.Transaction(
+                checks=(claimed, *_checks(changes)),
+                writes=tuple(each.write for each in changes),
+            )
+        )
+        match outcome:
+            case result.Failure(
+                peridotsill_platform.exceptions.Conflict() as error
+            ) if KEY in error.keys:
+                self._read()
+        return outcome
+
     def mark_answered(self, vm: str, answered_at: float) -> None:
         """Remember that a VM's command is not sent any more."""
         self._unanswered.discard(vm)
@@ -277,7 +301,7 @@
         )
         outcome = self._table.commit(
             peridotsill_platform.Transaction(
-                checks=(check, *(each.check for each in changes)),
+                checks=(check, *_checks(changes)),
                 writes=(write, *(each.write for each in changes)),
             )
         )
@@ -319,6 +343,12 @@
         return content
 
 
+def _checks(
+    changes: collections.abc.Iterable[_waves.RowChange],
+) -> tuple[peridotsill_platform.Check, ...]:
+    return tuple(each.check for each in changes if each.check is not None)
+
+
 def _parse(row: peridotsill.Row) -> _Content:
     """Parse the row; a malformed one proves nothing about any holder."""
     epoch = row.value.get("epoch")
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_controller.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_controller.py
@@ -322,12 +322,8 @@
         now = _clock.monotonic_seconds()
         for ended in self._workers.pop_ended():
             self._runs.requeue_lost(ended.tasks, ended.evidence)
-        self._runs.requeue_lost(
-            self._workers.pop_expired(self._max_lease_seconds), "lease ran out"
-        )
-        self._runs.requeue_lost(
-            self._workers.pop_speculative(), "silent, and may be copied"
-        )
+        if self._parts.lease.held:
+            self._requeue_silent()
         self._open_due_occurrences()
         jobs = self._jobs_by_pool()
         starts: list[peridotsill_scheduler.Start] = []
@@ -349,6 +345,19 @@
             self._withdraw_rejected_starts(unsent)
             self._acknowledge_ends(reread_keys)
 
+    def _requeue_silent(self) -> None:
+        """Requeue the tasks of runners that have been silent for too long.
+
+        Only the holder of the lease knows for how long: after a pause, another
+        scheduler may have extended the leases of runs.
+        """
+        self._runs.requeue_lost(
+            self._workers.pop_expired(self._max_lease_seconds), "lease ran out"
+        )
+        self._runs.requeue_lost(
+            self._workers.pop_speculative(), "silent, and may be copied"
+        )
+
     def _is_registry_valid(
         self, registry: _feeds.RegistrySnapshot, now: float
     ) -> bool:
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_fleet.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_fleet.py
@@ -879,11 +879,20 @@
                     age_seconds=round(now - wave.seen_at, 1),
                 )
             wave.order = order
+            if not self._parts.command_row.is_claimed:
+                continue
             if wave.has_unrecorded_changes and self._may_write:
-                self._may_write = self._wave_rows.save({wave: frozenset()})
+                self._may_write = self._save_wave(wave)
             if self._may_write:
                 self._publish_wave_state(wave)
 
+    def _save_wave(self, wave: _waves.Wave) -> bool:
+        unchanged: _waves.BegunVms = {wave: frozenset()}
+        outcome = self._parts.command_row.write_others(
+            self._wave_rows.changes(unchanged)
+        )
+        return self._wave_rows.apply_outcome(unchanged, outcome)
+
     def _publish_wave_state(self, wave: _waves.Wave) -> None:
         remaining = [
             vm
@@ -895,13 +904,11 @@
             return
         key = self._parts.keys.wave_status_prefix + wave.order.name
         value = self._parts.documents.wave_status(state)
-        commit_result = self._parts.table.commit(
-            peridotsill_platform.Transaction(
-                checks=(),
-                writes=(peridotsill_platform.Write(key=key, value=value),),
-            )
+        change = _waves.RowChange(
+            check=None,
+            write=peridotsill_platform.Write(key=key, value=value),
         )
-        match commit_result:
+        match self._parts.command_row.write_others((change,)):
             case result.Success():
                 wave.published_state = state
                 _logs.log("wave:state", wave=wave.order.name, state=state)
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_job_store.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_job_store.py
@@ -15,6 +15,7 @@
 from peridotsill_jobs import _pending
 from peridotsill_jobs import _progress_rows
 from peridotsill_jobs import _records
+from peridotsill_jobs import _write_fence
 import peridotsill_platform
 import peridotsill_platform.exceptions
 import peridotsill_scheduler
@@ -65,13 +66,15 @@
 
 def _transaction(
     batch: list[_JobWrites],
+    fence_checks: tuple[peridotsill_platform.Check, ...],
 ) -> peridotsill_platform.Transaction:
     writes = [write for each in batch for write in each.writes]
+    row_checks = (
+        peridotsill_platform.Check(key=each.key, version=each.version)
+        for each in writes
+    )
     return peridotsill_platform.Transaction(
-        checks=tuple(
-            peridotsill_platform.Check(key=each.key, version=each.version)
-            for each in writes
-        ),
+        checks=(*fence_checks, *row_checks),
         writes=tuple(
             peridotsill_platform.Write(key=each.key, value=each.value)
             for each in writes
@@ -84,7 +87,8 @@
 
     A job's ``progress`` row is written only if it still has the version
     that this scheduler last read or wrote. So of two schedulers that each
-    record a start before they order it, only one succeeds.
+    record a start before they order it, only one succeeds. Nor is any row
+    written once another scheduler has begun to read them.
     """
 
     def __init__(
@@ -104,6 +108,7 @@
         self._pending_row_remover = _pending.PendingRowRemover(table=table)
         self._catalog = catalog
         self._lease = lease
+        self._fence = _write_fence.WriteFence(table=table, lease=lease)
         self._counters = counters
         self._jobs: dict[_JobKey, peridotsill_scheduler.Job] = {}
         self._by_id: dict[str, list[peridotsill_scheduler.Job]] = {}
@@ -135,7 +140,12 @@
         return tuple(self._by_id.get(job_id, ()))
 
     def load(self) -> int | None:
-        """Read all rows; return the revision of ``jobs``, None on failure."""
+        """Read all rows; return the revision of ``jobs``, None on failure.
+
+        Earlier schedulers can't write any of them from then on.
+        """
+        if not self._fence.claim():
+            return None
         revision: int | None = None
         rows = []
         for name in (_records.JOBS, _records.PROGRESS):
@@ -356,7 +366,9 @@
         remaining = list(batch)
         while remaining:
             started_at = time.monotonic()
-            outcome = self._table.commit(_transaction(remaining))
+            outcome = self._table.commit(
+                _transaction(remaining, self._fence.checks)
+            )
             elapsed = time.monotonic() - started_at
             self._counters.observe("commit_seconds", elapsed)
             match outcome:
@@ -365,8 +377,11 @@
                         self._record_written(each, int(revision))
                     break
                 case result.Failure(
-                    peridotsill_platform.exceptions.Conflict()
+                    peridotsill_platform.exceptions.Conflict() as error
                 ):
+                    self._fence.handle_conflict(error.keys)
+                    if self._lease.lost:
+                        return None
                     remaining = self._resolve_conflict(remaining, reread_keys)
                 case result.Failure(
                     peridotsill_platform.exceptions.CommitRejected() as error
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_waves.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_waves.py
@@ -112,9 +112,9 @@
 
 @attrs.frozen(kw_only=True)
 class RowChange:
-    """A write of a row if its version is unchanged."""
+    """A write of a row if its version is unchanged, or without a check."""
 
-    check: peridotsill_platform.Check
+    check: peridotsill_platform.Check | None
     write: peridotsill_platform.Write
 
 
@@ -148,21 +148,6 @@
                 )
         return False
 
-    def save(self, begun: BegunVms) -> bool:
-        """Write the rows of waves at once; false if that may not be done.
-
-        Args:
-            begun: The waves, each with the VMs that begin now.
-        """
-        changes = self.changes(begun)
-        outcome = self._table.commit(
-            peridotsill_platform.Transaction(
-                checks=tuple(each.check for each in changes),
-                writes=tuple(each.write for each in changes),
-            )
-        )
-        return self.apply_outcome(begun, outcome)
-
     def changes(self, begun: BegunVms) -> tuple[RowChange, ...]:
         """Return the writes of waves' rows, if they are as they were read."""
         return tuple(_change(wave, vms) for wave, vms in begun.items())
--- /dev/null
+++ b/tests/features/soak.feature
@@ -0,0 +1,7 @@
+Feature: Overlapping series of signals to nodes under load
+
+  # Guards against AVAIL, TWICE and LOST around pauses, restarts and changes of
+  # the configuration that come in series. `python -m emulator.soak` plays more.
+  Scenario: Nothing is lost, run twice or stopped, whatever the nodes go through
+    When the series of signals of seeds 11 and 12 are played
+    Then no long-lived task ended, all jobs were completed and no rule was broken
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -1388,6 +1388,27 @@
         feature="plumbing",
         scenario="What happens during the second commit of a round",
     ),
+    Mutant(
+        promise="pauses: writes require the fence that the holder has claimed",
+        package="peridotsill_jobs",
+        module="_job_store.py",
+        old="        checks=(*fence_checks, *row_checks),",
+        new="        checks=tuple(row_checks),",
+        feature="paused_holders",
+        scenario="A write of an earlier holder fails",
+    ),
+    Mutant(
+        promise="pauses: nothing is lost by the clock without the lease",
+        package="peridotsill_jobs",
+        module="_controller.py",
+        old=(
+            "        if self._parts.lease.held:\n"
+            "            self._requeue_silent"
+        ),
+        new="        if True:\n            self._requeue_silent",
+        feature="paused_holders",
+        scenario="After a pause nothing is lost",
+    ),
     Mutant(
         promise="sizes: a job that the table rejects holds up no other",
         package="peridotsill_jobs",
