Take all members of a gang as done by the late end of one

LOST: a job with a gang stayed running for ever, with nothing of it running.

Cause: a "done" of an earlier run set only its own task to done. The other members waited, and a gang is placed only if all of its members wait. The protocol says that one such end represents all of them.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_runs.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_runs.py
@@ -121,9 +121,10 @@
                 task.phase = _Phase.FAILED
                 job.failure_reason = _describe_failures(task)
         elif end.kind is _ports.EndKind.DONE:
-            self._stop_redundant_run(job, task)
-            task.phase = _Phase.DONE
-            task.checkpoint = ""
+            for each in _tasks_done_with(job, task):
+                self._stop_redundant_run(job, each)
+                each.phase = _Phase.DONE
+                each.checkpoint = ""
         self._update_job_state(job)
 
     def _stop_redundant_run(
@@ -505,6 +506,21 @@
         self._stop_tasks(job)
 
 
+def _tasks_done_with(
+    job: peridotsill_scheduler.Job, task: peridotsill_scheduler.Task
+) -> list[peridotsill_scheduler.Task]:
+    """Return the tasks that an earlier run of a task shows to be done.
+
+    The members of a gang end as done together, so the end of one member
+    represents all of them, whatever run they are in now.
+    """
+    if not task.step.gang:
+        return [task]
+    return peridotsill_scheduler.tasks_of(
+        job, task.occurrence, task.step.index
+    )
+
+
 def _shows_absence(
     event: _link_events.ReportReceived, placed: _workers.PlacedTask
 ) -> bool:
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -1388,6 +1388,15 @@
         feature="plumbing",
         scenario="What happens during the second commit of a round",
     ),
+    Mutant(
+        promise="gangs: the late end of one member counts for all",
+        package="peridotsill_jobs",
+        module="_runs.py",
+        old="    if not task.step.gang:\n        return [task]\n    return",
+        new="    return [task]\n    return",
+        feature="gangs",
+        scenario="The late end of one member",
+    ),
     Mutant(
         promise="pauses: writes require the fence that the holder has claimed",
         package="peridotsill_jobs",
