Let all members of a gang resume from the same checkpoint

GANG: after a crash the members of a gang were started with different checkpoints, so they never came together: each run ended "alone" and the job never ended.

Cause: each start carried what its member itself had saved last.

Evidence: gangs.feature fails with the former code (mutant) and passes.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_controller.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_controller.py
@@ -524,6 +524,8 @@
         job, task = start.job, start.task
         if job.state is _JobState.QUEUED:
             self._record_first_start(job, now)
+        if task.step.gang:
+            task.checkpoint = _gang_checkpoint(job, task)
         task.run = self._next_run_number(job, task)
         task.phase = _TaskPhase.ASSIGNED
         task.runner = start.vm.runner
@@ -618,6 +620,20 @@
                 self._workers.adopt(job, task)
 
 
+def _gang_checkpoint(
+    job: peridotsill_scheduler.Job, task: peridotsill_scheduler.Task
+) -> str:
+    """Return the checkpoint from which all members of a gang resume.
+
+    They work together only if they resume from the same one, and that of any
+    member is valid for all of them.
+    """
+    members = peridotsill_scheduler.tasks_of(
+        job, task.occurrence, task.step.index
+    )
+    return next((each.checkpoint for each in members if each.checkpoint), "")
+
+
 def _log_failed_call(error: Exception) -> None:
     lines = traceback.format_exception(error)
     _logs.log("calls:failed", traceback="".join(lines))
--- a/tests/features/gangs.feature
+++ b/tests/features/gangs.feature
@@ -12,3 +12,18 @@
       | state                  |
       | has not been started   |
       | runs on other runners  |
+
+  # Guards against GANG and LOST: each member resumed from what it had saved
+  # itself, so after a crash the values differed and the gang never came together.
+  Scenario Outline: All members of a gang resume from the same checkpoint
+    Given a gang of 3 tasks that waits with checkpoints <saved>
+    When a round starts the gang
+    Then all 3 starts carry one checkpoint, which is one of <saved>
+    And the rows of its tasks have that checkpoint
+
+    Examples:
+      | saved    |
+      | a, b, c  |
+      | -, b, c  |
+      | -, -, c  |
+      | -, -, -  |
--- a/tests/features/steps/gang_steps.py
+++ b/tests/features/steps/gang_steps.py
@@ -7,6 +7,7 @@
 import controller_steps as base
 
 from peridotsill_jobs import _ports
+from peridotsill_jobs import _records
 import peridotsill_scheduler as scheduler
 
 _Phase = scheduler.TaskPhase
@@ -82,3 +83,42 @@
     )
     expected = [(task.key, 2) for task in context.job.tasks]
     assert stops == (expected if context.restarted else []), stops
+
+
+def _values(saved):
+    return [each.replace("-", "") for each in saved.split(", ")]
+
+
+@given("a gang of {count:d} tasks that waits with checkpoints {saved}")
+def _waiting_gang(context, count, saved):
+    _make_gang(context, count, checkpointing=True)
+    for task, value in zip(context.job.tasks, _values(saved), strict=True):
+        task.run = 1
+        task.checkpoint = value
+    context.controller._registry = base._registry_now()
+
+
+@when("a round starts the gang")
+def _start_gang(context):
+    context.controller._run_round()
+
+
+@then("all {count:d} starts carry one checkpoint, which is one of {saved}")
+def _one_checkpoint(context, count, saved):
+    starts = [
+        order for link in context.links.values() for order in link.starts
+    ]
+    assert len(starts) == count, starts
+    found = {order.checkpoint for order in starts}
+    assert len(found) == 1, found
+    (context.checkpoint,) = found
+    saved_values = {each for each in _values(saved) if each}
+    assert found <= (saved_values or {""}), found
+
+
+@then("the rows of its tasks have that checkpoint")
+def _rows_have_it(context):
+    key = _records.row_key(_records.PROGRESS, "q", base._JOB)
+    tasks = _records.parse_tasks(context.store.rows[key][0])
+    found = {each.checkpoint for each in tasks.values()}
+    assert len(tasks) == 3 and found == {context.checkpoint}, tasks
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -1397,6 +1397,15 @@
         feature="gangs",
         scenario="The late end of one member",
     ),
+    Mutant(
+        promise="gangs: all members resume from the same checkpoint",
+        package="peridotsill_jobs",
+        module="_controller.py",
+        old="        if task.step.gang:\n            task.checkpoint",
+        new="        if False:\n            task.checkpoint",
+        feature="gangs",
+        scenario="All members of a gang resume",
+    ),
     Mutant(
         promise="pauses: writes require the fence that the holder has claimed",
         package="peridotsill_jobs",
