Cut what is handed over with the lease to what fits in its row

A holder that gives the lease back leaves an entry for each runner that is silent. With some thousand of these the row is larger than the store accepts: the lease is not released, has to expire, and the next holder waits for each runner in full.

The shortest waits are kept. Runners without an entry are waited for by the longest lease, or by the longest wait that was left out.

Evidence: sizes.feature, waits for 10 and 17,000 runners: the row fits, no runner is waited for more shortly, and 900 or more keep their waits.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_controller.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_controller.py
@@ -23,6 +23,7 @@
 from peridotsill_jobs import _fleet
 from peridotsill_jobs import _gone_runners
 from peridotsill_jobs import _grants
+from peridotsill_jobs import _handed_over_waits
 from peridotsill_jobs import _inherited_leases
 from peridotsill_jobs import _job_store
 from peridotsill_jobs import _lease
@@ -247,13 +248,21 @@
         for job in self._job_store.cancelled:
             self._runs.cancel(job)
         self._suspects.adopt()
-        self._parts.lease.set_waits_source(
-            lambda: self._workers.remaining_waits(self._max_lease_seconds)
-        )
+        self._parts.lease.set_waits_source(self._compute_waits)
         _logs.log(
             "scheduler:began", epoch=self._parts.lease.epoch, jobs=len(jobs)
         )
 
+    def _compute_waits(self) -> dict[str, float]:
+        max_lease_seconds = self._max_lease_seconds
+        return _handed_over_waits.fit_waits(
+            self._workers.remaining_waits(max_lease_seconds),
+            max_bytes=self._parts.ports.table_limits.value_bytes,
+            longest_lease_seconds=_grants.longest_lease_seconds(
+                max_lease_seconds
+            ),
+        )
+
     def _handle_events(self) -> None:
         with contextlib.suppress(queue.Empty):
             self._handle_event(
--- a/tests/features/sizes.feature
+++ b/tests/features/sizes.feature
@@ -71,3 +71,18 @@
     And the table rejects 2 of them
     When the group is committed
     Then 10 transactions are done and 2 are rejected
+
+  # Guards against LOST: a lease that can't be released with what it hands over
+  # has to expire, and each runner is waited for in full.
+  Scenario Outline: What is handed over with the lease fits in its row
+    Given waits for <count> runners of up to <seconds> s
+    When they are handed over in a row of 49152 bytes
+    Then the row fits, and the next holder waits no shorter for any runner
+    And it waits no longer for <kept> runners at least
+
+    Examples:
+      | count | seconds | kept  |
+      | 10    | 3       | 10    |
+      | 10    | 12      | 10    |
+      | 17000 | 3       | 900   |
+      | 17000 | 12      | 900   |
--- a/tests/features/steps/size_steps.py
+++ b/tests/features/steps/size_steps.py
@@ -16,7 +16,9 @@
 
 from peridotsill_jobs import _applied_ends
 from peridotsill_jobs import _clock
+from peridotsill_jobs import _handed_over_waits
 from peridotsill_jobs import _job_store
+from peridotsill_jobs import _lease
 from peridotsill_jobs import _logs
 from peridotsill_jobs import _records
 import peridotsill_platform
@@ -461,3 +463,49 @@
         isinstance(each, peridotsill_platform.exceptions.CommitRejected)
         for each in failures
     ), failures
+
+
+_LONGEST_LEASE_SECONDS = 3.9
+
+
+@given("waits for {count:d} runners of up to {seconds:d} s")
+def _waits(context, count, seconds):
+    draw = random.Random(count + seconds)
+    context.waits = {
+        f"i-{number:010x}": draw.uniform(0.0, seconds)
+        for number in range(count)
+    }
+
+
+@when("they are handed over in a row of {size:d} bytes")
+def _hand_over_waits(context, size):
+    context.row_bytes = size
+    context.fitting = _handed_over_waits.fit_waits(
+        context.waits,
+        max_bytes=size,
+        longest_lease_seconds=_LONGEST_LEASE_SECONDS,
+    )
+
+
+def _wait_for(waits, runner):
+    other = waits.get(_lease.OTHER_RUNNERS, _LONGEST_LEASE_SECONDS)
+    return waits.get(runner, other)
+
+
+@then("the row fits, and the next holder waits no shorter for any runner")
+def _row_fits(context):
+    row = {"holder": "n" * 200, "waits": context.fitting}
+    assert len(peridotsill.encode(row)) <= context.row_bytes
+    for runner in (*context.waits, "i-without-entry"):
+        before = _wait_for(context.waits, runner)
+        assert _wait_for(context.fitting, runner) >= before, runner
+
+
+@then("it waits no longer for {count:d} runners at least")
+def _waits_kept(context, count):
+    kept = [
+        runner
+        for runner, seconds in context.waits.items()
+        if _wait_for(context.fitting, runner) == seconds
+    ]
+    assert len(kept) >= count, len(kept)
