Don't take ports for the stand-in that others may take meanwhile

Trace: the third node of its cluster has logged nothing, not even that it had started, and still its address answered the check of its readiness. The ports of a cluster are probed and bound later, by another process; they came from the range of outgoing connections, and features that run side by side probe the same range.

Ports now come from below that range, in turn, and each process begins at another one. That this was the cause is inferred from the log; the failure was seen once and was not seen again.

--- a/tests/emulator/wire.py
+++ b/tests/emulator/wire.py
@@ -2,7 +2,9 @@
 
 import contextlib
 import errno
+import itertools
 import json
+import random
 import socket
 import threading
 import time
@@ -131,13 +133,28 @@
         """Discard errors; connections are closed deliberately here."""
 
 
+# Below the ports that systems give to outgoing connections.
+_PORTS = range(10_000, 32_000)
+_candidates = itertools.cycle(_PORTS)
+# Processes that run side by side begin at different ports.
+for _ in range(random.SystemRandom().randrange(len(_PORTS))):
+    next(_candidates)
+_candidates_lock = threading.Lock()
+
+
 def free_ports(count):
-    """Return different ports that are free on all local addresses."""
-    with contextlib.ExitStack() as stack:
-        probes = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for probe in probes:
-            probe.bind(("0.0.0.0", 0))
-        return [probe.getsockname()[1] for probe in probes]
+    """Return different ports that are free on all local addresses.
+
+    None is returned twice soon, as it may be used some time later only.
+    """
+    ports = []
+    with _candidates_lock:
+        while len(ports) < count:
+            port = next(_candidates)
+            with socket.socket() as probe, contextlib.suppress(OSError):
+                probe.bind(("0.0.0.0", port))
+                ports.append(port)
+    return ports
 
 
 class _RunnerListener:
