Keep the last eight crashes of a task

A long-lived task that is held back may crash runners for as long as its job lasts, and each crash is in its row. The row would grow without end; this is the class of the job's row that outgrew the store's limit.

Evidence: "The crashes of a long-lived task that are kept are few": eight after 30 crashes, and the pause stays at its longest.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_suspects.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_suspects.py
@@ -129,7 +129,7 @@
         if peridotsill_scheduler.counts_as_suspect(
             task, crash, age_is_known=placed.is_age_known
         ):
-            task.crashes = (*task.crashes, crash)
+            task.crashes = peridotsill_scheduler.add_crash(task.crashes, crash)
             self._pause(task, crashed_at)
             self._job_store.mark_dirty(placed.job)
 
--- a/packages/peridotsill_scheduler/src/peridotsill_scheduler/__init__.py
+++ b/packages/peridotsill_scheduler/src/peridotsill_scheduler/__init__.py
@@ -1,6 +1,7 @@
 """Scheduling decisions, computed without network, clock or threads."""
 
 from peridotsill_scheduler._availability import may_evict
+from peridotsill_scheduler._crashes import add_crash
 from peridotsill_scheduler._crashes import counts_as_suspect
 from peridotsill_scheduler._crashes import Crash
 from peridotsill_scheduler._crashes import find_culprits
@@ -96,6 +97,7 @@
     "VmView",
     "WaveTerms",
     "WaveVm",
+    "add_crash",
     "advisor_answer_for",
     "after_moves",
     "counts_as_suspect",
--- a/packages/peridotsill_scheduler/src/peridotsill_scheduler/_crashes.py
+++ b/packages/peridotsill_scheduler/src/peridotsill_scheduler/_crashes.py
@@ -39,13 +39,15 @@
 # The same for a long-lived task, which is at work only while it runs.
 _MAX_LONG_LIVED_WAIT_SECONDS = 2.0
 # From this number of crashes on a long-lived task pauses before it is started
-# again. The first pause and the wait for a VM of its own are shorter together
-# than it may be away; with the next ones, a task that crashes each of its
-# runners crashes a few of them and not one each second.
+# again. The first pause and the wait for a VM of its own together stay below
+# the time for which such a task may be away. The next pauses limit how many
+# runners a task at fault crashes.
 _PAUSE_FROM_CRASHES = 3
 _FIRST_PAUSE_SECONDS = 3.0
 _PAUSE_FACTOR = 5.0
 _MAX_PAUSE_SECONDS = 600.0
+# More than all numbers of crashes that are told apart.
+_MAX_KEPT_CRASHES = 8
 # A suspect has outlived its crashes at this multiple of the longest time that
 # it ran before one, and never before the minimum.
 _OUTLIVED_FACTOR = 2.0
@@ -77,11 +79,11 @@
 
 
 def suspicion_group(job_id: str, task: "_progress.Task") -> str:
-    """Name the tasks that are told apart from others, but not from another.
+    """Name the tasks among which the cause of a crash is not looked for.
 
-    These are all tasks of a job, as the job fails with any of them, or a
-    single long-lived task, as the others of its job run on without it. The
-    members of a gang stay together.
+    These are all tasks of a job, as the job fails with any of them. A
+    long-lived task is told apart from the others of its job, as they run on
+    without it, unless they are members of one gang.
     """
     if task.step.long_lived and not task.step.gang:
         return f"{job_id}.{task.key}"
@@ -123,12 +125,19 @@
     excess = len(task.crashes) - _PAUSE_FROM_CRASHES
     if not task.step.long_lived or excess < 0:
         return 0.0
-    # The exponent is bounded, as the history of crashes is not.
-    exponent = min(excess, 10)
-    pause_seconds = _FIRST_PAUSE_SECONDS * _PAUSE_FACTOR**exponent
+    pause_seconds = _FIRST_PAUSE_SECONDS * _PAUSE_FACTOR**excess
     return min(pause_seconds, _MAX_PAUSE_SECONDS)
 
 
+def add_crash(crashes: tuple[Crash, ...], crash: Crash) -> tuple[Crash, ...]:
+    """Return a task's crashes with another one.
+
+    A few of the last ones are kept, as they are written with each change of
+    the task and a long-lived one may crash runners for as long as it lasts.
+    """
+    return (*crashes, crash)[-_MAX_KEPT_CRASHES:]
+
+
 def has_outlived_crashes(task: "_progress.Task", now: float) -> bool:
     """Tell whether a run has lasted longer than those that crashed."""
     if not task.started_at:
@@ -181,15 +190,10 @@
         host_is_suspect: Whether the VM has had other crashes without a
             known cause.
     """
-    alone = (
-        len(
-            {
-                (job.key, suspicion_group(job.spec.id, task))
-                for job, task in hits
-            }
-        )
-        == 1
-    )
+    groups = {
+        (job.key, suspicion_group(job.spec.id, task)) for job, task in hits
+    }
+    alone = len(groups) == 1
     return [
         (job, task)
         for job, task in hits
--- a/tests/features/steps/suspect_steps.py
+++ b/tests/features/steps/suspect_steps.py
@@ -603,3 +603,15 @@
 def _says_nothing(context, name):
     job = context.jobs[name]
     assert not job.final and not job.failure_reason, job.failure_reason
+
+
+@when("it crashes {count:d} runners")
+def _crash_many(context, count):
+    context.pauses = [_crash_alone(context, number) for number in range(count)]
+
+
+@then("{count:d} crashes are kept, and its pause is {seconds:g} s")
+def _few_kept(context, count, seconds):
+    task = context.jobs[context.name].tasks[0]
+    assert len(task.crashes) == count, len(task.crashes)
+    assert context.pauses[-1] == seconds, context.pauses
--- a/tests/features/suspects.feature
+++ b/tests/features/suspects.feature
@@ -130,6 +130,12 @@
     And job "bad" is not final, and says that 5 runners crashed under its task
     And a new scheduler that reads the rows pauses for 75 s, too
 
+  # Guards against LOST: the row of a job that goes on would grow without end.
+  Scenario: The crashes of a long-lived task that are kept are few
+    Given a long-lived task of job "bad" that runs alone and crashes its runners
+    When it crashes 30 runners
+    Then 8 crashes are kept, and its pause is 600 s
+
   Scenario: A long-lived task that was held back is cleared once it runs
     Given a long-lived task of job "bad" that runs alone and crashes its runners
     Then it is started again 0, 0 and 3 s after its first 3 crashes
