Count a node as ready only once it accepts callers

Callers' connections were refused just after a node's start, though the load balancer had been told that it was ready.

Cause: readiness checks are answered before the node listens for callers; in between it may take the lease and begin to schedule. It was ready as soon as it had its configuration.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_node.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_node.py
@@ -45,6 +45,7 @@
         self._ports = _settings.make_ports(settings)
         self._counters = peridotsill.Counters()
         self._stopping = threading.Event()
+        self._accepts_callers = threading.Event()
         self._catalog = _catalog.Catalog(
             table=self._ports.table,
             keys=self._ports.keys,
@@ -103,6 +104,8 @@
         """Return why the node is not ready, or an empty string if it is."""
         if self._stopping.is_set():
             return "leaving"
+        if not self._accepts_callers.is_set():
+            return "starting"
         if self._catalog.config is None:
             return "no configuration yet"
         if not self._catalog.reachable:
@@ -137,6 +140,7 @@
             name="scheduler",
         ).start()
         self._caller_listener.start()
+        self._accepts_callers.set()
         _logs.log("node:started", node=self._settings.current.node)
 
     def apply(self, settings: _settings.JobNodeSettings) -> None:
