Let the stand-in of the scripts listen on loopback addresses only

The project's stand-in listens on all addresses, as nodes call it by one each; the scripts need one.

--- a/review/standin-2/common.py
+++ b/review/standin-2/common.py
@@ -22,6 +22,7 @@
 
 from emulator import nodes  # noqa: E402
 from emulator import rules  # noqa: E402
+from emulator import wire  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
@@ -38,6 +39,21 @@
 MAX_LEASE_MS = 10000.0
 
 
+class _LoopbackServer(wire._Server):
+    """Listens on one loopback address where the stand-in takes all."""
+
+    def __init__(self, address, *arguments, **options):
+        host, port = address
+        if host == "0.0.0.0":
+            host = nodes.NodeProcess.store_host
+        super().__init__((host, port), *arguments, **options)
+
+
+# All nodes call the store and the VM service at the same address.
+nodes.NodeProcess.store_host = "127.0.0.1"
+wire._Server = _LoopbackServer
+
+
 class CouldNotRun(Exception):
     """The scenario did not get as far as the disruption."""
 
