Keep a cancelled job from running when its submission comes late

What callers saw: a job was submitted to a node that had frozen, and cancelled at another one, which answered 410. The first node woke and stored the job, which ran until somebody cancelled it again (UNASKED).

Cause: the answer "no such job" was recorded nowhere, while a submission of the same id could still be on its way: in a node that sleeps, in a commit that the table carries out late, or as a retry at a third node.

Change: a cancellation of an unknown job stores a tombstone in the job's row before it is answered. A submission requires that the row is absent; it now reads the row that it conflicts with, and replaces a tombstone by the job, as cancelled. Nodes of the earlier version find such a row malformed and schedule nothing.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_feeds.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_feeds.py
@@ -149,7 +149,7 @@
         )
 
     def _post_job_rows(self, update: _following.TableUpdate) -> None:
-        # Cancelling a job writes its row; the row is never deleted.
+        # Cancelling a job writes its row; only tombstones are deleted.
         if update.rows:
             self._post(JobRowsChanged(rows=update.rows))
 
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_job_store.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_job_store.py
@@ -15,6 +15,7 @@
 from peridotsill_jobs import _pending
 from peridotsill_jobs import _progress_rows
 from peridotsill_jobs import _records
+from peridotsill_jobs import _tombstones
 from peridotsill_jobs import _write_fence
 import peridotsill_platform
 import peridotsill_platform.exceptions
@@ -105,6 +106,7 @@
         # When to write a job again whose rows the table has rejected.
         self._retry_at: dict[_JobKey, float] = {}
         self._pending_row_remover = _pending.PendingRowRemover(table=table)
+        self._tombstones = _tombstones.TombstoneRemover(table=table)
         self._catalog = catalog
         self._lease = lease
         self._fence = _write_fence.WriteFence(table=table, lease=lease)
@@ -173,6 +175,7 @@
         for row in job_rows:
             self._restore(row, progress_by_key)
         self._pending_row_remover.start(frozenset(self._started_keys))
+        self._tombstones.start()
         return revision
 
     def _load_task_rows(
@@ -192,8 +195,9 @@
         return False
 
     def close(self) -> None:
-        """Stop the thread that removes ``pending`` rows."""
+        """Stop the threads that remove rows."""
         self._pending_row_remover.stop()
+        self._tombstones.stop()
 
     def _restore(
         self, row: peridotsill.Row, progress: dict[str, peridotsill.Row]
@@ -229,7 +233,9 @@
     def _add(
         self, row: peridotsill.Row, *, restored: bool = False
     ) -> peridotsill_scheduler.Job | None:
-        """Return a row's job, created if it is new; None if unreadable.
+        """Return a row's job, created if it is new.
+
+        None if the row is unreadable or a tombstone.
 
         Args:
             row: A row of ``jobs``.
@@ -237,6 +243,9 @@
                 Only then is its age taken from the time of day of the node
                 that accepted it, which may be seconds off this node's.
         """
+        if _records.is_tombstone(row):
+            self._tombstones.add(row)
+            return None
         try:
             submission = _records.parse_submission(row)
         except peridotsill.exceptions.InvalidResource as error:
@@ -269,7 +278,7 @@
 
         Return the job, and whether the row says that it was cancelled; the
         caller has to cancel it. The job is None if it was finished when
-        loaded, or if the row is unreadable.
+        loaded, or if the row is unreadable or a tombstone.
         """
         if row.key in self._final_row_keys:
             return None, False
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_records.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_records.py
@@ -6,6 +6,10 @@
 one after another. ``progress`` holds the state of jobs and tasks, in one
 partition that only the scheduler writes to. The tasks of a job that would not
 fit in one row are in rows of ``progress_tasks``, in the same partition.
+
+A ``jobs`` row may also be a tombstone: the job was cancelled before any
+submission of it was stored. It holds back a submission that is still on its
+way.
 """
 
 import collections.abc
@@ -102,6 +106,20 @@
     return peridotsill.from_plain(row.value, Submission, strict=False)
 
 
+def tombstone_value() -> dict[str, typing.Any]:
+    """Return the value of the ``jobs`` row of a job cancelled too early.
+
+    Versions of the program that know no tombstones find the row malformed
+    and schedule nothing. They show the job as cancelled.
+    """
+    return {"tombstone": True, "cancelled": True}
+
+
+def is_tombstone(row: peridotsill.Row) -> bool:
+    """Tell whether a ``jobs`` row only records an early cancellation."""
+    return row.value.get("tombstone") is True
+
+
 def progress_value(
     job: peridotsill_scheduler.Job, epoch: int
 ) -> dict[str, typing.Any]:
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_submissions.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_submissions.py
@@ -87,82 +87,82 @@
         spec: peridotsill_scheduler.JobSpec,
         seconds: float,
     ) -> JobReply:
-        """Store a job within ``seconds``; submitting an id is idempotent."""
+        """Store a job within ``seconds``; submitting an id is idempotent.
+
+        A job that was cancelled before is stored as cancelled.
+        """
         submission = _records.Submission(
             spec=spec, queue=queue, arrived_ms=_clock.unix_ms()
         )
-        value = _records.submission_value(submission)
-        size = len(peridotsill.encode(value))
+        size = len(peridotsill.encode(_records.submission_value(submission)))
         if size > self._limits.value_bytes:
             return JobReply(
                 outcome=Outcome.REJECTED,
                 reason=f"its record would have {size} bytes",
             )
-        key = _records.row_key(_records.JOBS, spec.queue, spec.id)
-        pending_key = _records.row_key(_records.PENDING, spec.queue, spec.id)
-        transaction = peridotsill_platform.Transaction(
-            checks=(peridotsill_platform.Check(key=key, version=0),),
-            writes=(
-                peridotsill_platform.Write(key=key, value=value),
-                peridotsill_platform.Write(key=pending_key, value={}),
-            ),
-        )
-        return self._commit(key, transaction, seconds * _TABLE_TIME_FRACTION)
+        return self._commit(submission, seconds * _TABLE_TIME_FRACTION)
 
     def _commit(
-        self,
-        key: str,
-        transaction: peridotsill_platform.Transaction,
-        seconds: float,
+        self, submission: _records.Submission, seconds: float
     ) -> JobReply:
+        spec = submission.spec
+        key = _records.row_key(_records.JOBS, spec.queue, spec.id)
         deadline = time.monotonic() + seconds
-        may_be_committed = False
+        transaction = _first_transaction(submission)
+        may_be_stored = False
         is_rejected = False
         reason = ""
-        while True:
-            remaining = deadline - time.monotonic()
-            if remaining <= 0:
-                break
+        while (remaining := deadline - time.monotonic()) > 0:
             match self._committer.commit(transaction, remaining):
                 case result.Success():
                     return JobReply(outcome=Outcome.DONE)
                 case result.Failure(
-                    peridotsill_platform.exceptions.Conflict()
+                    peridotsill_platform.exceptions.Conflict() as error
                 ):
-                    # The row exists: the job was accepted earlier.
-                    return JobReply(outcome=Outcome.DONE, reason="repeated")
+                    # Another row is there: the job, or a tombstone.
+                    may_be_stored, reason = True, str(error)
                 case result.Failure(
                     peridotsill_platform.exceptions.OutcomeUnknown() as error
                 ):
-                    may_be_committed, reason = True, str(error)
+                    may_be_stored, reason = True, str(error)
                 case result.Failure(
                     peridotsill_platform.exceptions.CommitRejected() as error
                 ):
                     is_rejected, reason = True, str(error)
                 case result.Failure(error):
                     reason = str(error)
-            if time.monotonic() < deadline and self._is_stored(key):
-                return JobReply(outcome=Outcome.DONE, reason="found stored")
+            if time.monotonic() < deadline:
+                match self._read_submission_row(key):
+                    case result.Success(row) if row is None:
+                        transaction = _first_transaction(submission)
+                    case result.Success(row) if _records.is_tombstone(row):
+                        transaction = _tombstone_replacement(submission, row)
+                    case result.Success(_):
+                        return JobReply(outcome=Outcome.DONE, reason="stored")
             if is_rejected:
                 return JobReply(outcome=Outcome.REJECTED, reason=reason)
-            if not may_be_committed:
+            if not may_be_stored:
                 return JobReply(outcome=Outcome.NOT_DONE, reason=reason)
             time.sleep(_RETRY_DELAY_SECONDS)
         return JobReply(outcome=Outcome.UNKNOWN, reason=reason)
 
-    def _is_stored(self, key: str) -> bool:
-        """Return whether a submission's row is known to exist.
+    def _read_submission_row(
+        self, key: str
+    ) -> result.Result[
+        peridotsill.Row | None,
+        peridotsill_platform.exceptions.TableUnavailable,
+    ]:
+        """Return a submission's row; None if there is none.
 
         An earlier attempt, here or at another node, may have been
         committed. A table that is too busy to commit can still answer
-        reads. False if the read fails.
+        reads.
         """
-        match self._short_timeout_table.read((key,)):
-            case result.Success(rows):
-                return bool(rows)
+        found = self._short_timeout_table.read((key,))
+        match found:
             case result.Failure(error):
                 _logs.log("job:unreadable", key=key, reason=str(error))
-        return False
+        return found.map(lambda rows: rows[0] if rows else None)
 
     def show(self, queue: str, job_id: str) -> JobReply:
         """Return a job's state as stored in the table."""
@@ -188,7 +188,7 @@
         key = _records.row_key(_records.JOBS, queue, job_id)
         match self._table.read((key,)):
             case result.Success(rows):
-                if not rows:
+                if not rows or _records.is_tombstone(rows[0]):
                     return JobReply(outcome=Outcome.ABSENT)
                 cancelled = bool(rows[0].value.get("cancelled"))
                 state = _State.CANCELLED if cancelled else _State.QUEUED
@@ -198,25 +198,33 @@
         raise AssertionError("result is neither Success nor Failure")
 
     def cancel(self, queue: str, job_id: str, seconds: float) -> JobReply:
-        """Mark a job as cancelled within ``seconds``."""
+        """Mark a job as cancelled within ``seconds``.
+
+        If there is no such job, a tombstone is stored before the caller is
+        told so. A submission that is still on its way finds it and stores
+        the job as cancelled, and a commit of it that the table carries out
+        late fails.
+        """
         key = _records.row_key(_records.JOBS, queue, job_id)
         deadline = time.monotonic() + seconds * _TABLE_TIME_FRACTION
         reply = JobReply(outcome=Outcome.UNKNOWN)
-        while time.monotonic() < deadline:
-            reply = self._try_cancel(key, queue, job_id)
+        while (remaining := deadline - time.monotonic()) > 0:
+            reply = self._try_cancel(key, queue, job_id, remaining)
             if reply.outcome is not Outcome.UNKNOWN:
                 return reply
             time.sleep(_RETRY_DELAY_SECONDS)
         return reply
 
-    def _try_cancel(self, key: str, queue: str, job_id: str) -> JobReply:
+    def _try_cancel(
+        self, key: str, queue: str, job_id: str, seconds: float
+    ) -> JobReply:
         match self._table.read((key,)):
             case result.Success(rows):
-                if not rows:
-                    return JobReply(outcome=Outcome.ABSENT)
-                row = rows[0]
+                row = rows[0] if rows else None
             case result.Failure(error):
                 return JobReply(outcome=Outcome.UNKNOWN, reason=str(error))
+        if row is None or _records.is_tombstone(row):
+            return self._write_tombstone(key, row, seconds)
         if row.value.get("cancelled"):
             return JobReply(outcome=Outcome.DONE, reason="repeated")
         pending_key = _records.row_key(_records.PENDING, queue, job_id)
@@ -240,6 +248,26 @@
                 return JobReply(outcome=Outcome.UNKNOWN, reason=str(error))
         raise AssertionError("result is neither Success nor Failure")
 
+    def _write_tombstone(
+        self, key: str, tombstone: peridotsill.Row | None, seconds: float
+    ) -> JobReply:
+        """Write a tombstone, or write it again to prolong its lifetime."""
+        version = tombstone.version if tombstone else 0
+        transaction = peridotsill_platform.Transaction(
+            checks=(peridotsill_platform.Check(key=key, version=version),),
+            writes=(
+                peridotsill_platform.Write(
+                    key=key, value=_records.tombstone_value()
+                ),
+            ),
+        )
+        match self._committer.commit(transaction, seconds):
+            case result.Success():
+                return JobReply(outcome=Outcome.ABSENT)
+            case result.Failure(error):
+                return JobReply(outcome=Outcome.UNKNOWN, reason=str(error))
+        raise AssertionError("result is neither Success nor Failure")
+
     def count(self, queue: str) -> PendingCount:
         """Return how many of a queue's jobs have not started."""
         now = time.monotonic()
@@ -259,3 +287,40 @@
         with self._lock:
             self._counts[queue] = pending_count
         return pending_count
+
+
+def _first_transaction(
+    submission: _records.Submission,
+) -> peridotsill_platform.Transaction:
+    """Store a job that no row is known of."""
+    spec = submission.spec
+    key = _records.row_key(_records.JOBS, spec.queue, spec.id)
+    pending_key = _records.row_key(_records.PENDING, spec.queue, spec.id)
+    return peridotsill_platform.Transaction(
+        checks=(peridotsill_platform.Check(key=key, version=0),),
+        writes=(
+            peridotsill_platform.Write(
+                key=key, value=_records.submission_value(submission)
+            ),
+            peridotsill_platform.Write(key=pending_key, value={}),
+        ),
+    )
+
+
+def _tombstone_replacement(
+    submission: _records.Submission, tombstone: peridotsill.Row
+) -> peridotsill_platform.Transaction:
+    """Store a job as cancelled in place of its tombstone."""
+    cancelled = attrs.evolve(submission, cancelled=True)
+    return peridotsill_platform.Transaction(
+        checks=(
+            peridotsill_platform.Check(
+                key=tombstone.key, version=tombstone.version
+            ),
+        ),
+        writes=(
+            peridotsill_platform.Write(
+                key=tombstone.key, value=_records.submission_value(cancelled)
+            ),
+        ),
+    )
--- a/tests/emulator/stubs.py
+++ b/tests/emulator/stubs.py
@@ -65,8 +65,8 @@
     """A table in memory with optimistic concurrency control.
 
     A commit fails with a conflict if a checked row has another version than
-    the transaction expects. ``committed`` holds the keys that each commit
-    wrote.
+    the transaction expects; a deleted row has version 0. ``committed``
+    holds the keys that each commit wrote.
     """
 
     def __init__(self):
@@ -76,7 +76,8 @@
 
     def commit(self, transaction):
         for check in transaction.checks:
-            if self.rows.get(check.key, (None, 0))[1] != check.version:
+            value, version = self.rows.get(check.key, (None, 0))
+            if (0 if value is None else version) != check.version:
                 return result.Failure(
                     peridotsill_platform.exceptions.Conflict((check.key,))
                 )
