Count the occurrences of a job in one way

What callers saw: after a takeover, tasks of jobs with several occurrences that had ended done were started again (TWICE), if the job had no period, one below a millisecond or one that is not whole.

Cause: the number of occurrences that a job's row knows is stored, and was not used: the next scheduler worked out a due time from it, and from that the number again, with other roundings and another shortest period than the scheduler that had written the row. The tasks of the occurrences that were lost in between had no place to be restored to.

Change: the tasks of as many occurrences as the row says are restored. What is due by a time and when the next one is due both follow from one function, so that the margin for roundings is no longer needed. Without a period all occurrences are due at once, as the interface says; before, they were due 1 ms after each other.

Evidence: without the change all nine scenarios of occurrences.feature fail; with it they pass. controller, gangs, sizes, scheduler, plumbing and rounds: 114 passed, 0 failed, with them.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_controller.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_controller.py
@@ -52,9 +52,6 @@
 _MAX_BATCH_SECONDS = 0.1
 # A round starts after this long without events, for what is due by time.
 _MAX_ROUND_INTERVAL_SECONDS = 0.2
-# Jobs whose next occurrence is due later than this aren't looked at further.
-# More than the rounding of floats.
-_DUE_MARGIN_MS = 1.0
 # Pause before the job rows are read again after a failure.
 _LOAD_RETRY_DELAY_SECONDS = 0.2
 
@@ -479,9 +476,8 @@
     def _open_due_occurrences(self) -> None:
         unix_ms = _clock.unix_ms()
         for job in self._job_store.open_jobs:
-            if job.next_due_ms > unix_ms + _DUE_MARGIN_MS:
-                continue
-            if peridotsill_scheduler.open_occurrences(job, unix_ms):
+            if job.next_due_ms <= unix_ms:
+                peridotsill_scheduler.open_occurrences(job, unix_ms)
                 self._job_store.mark_dirty(job)
 
     def _jobs_by_pool(self) -> dict[str, list[peridotsill_scheduler.Job]]:
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_records.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_records.py
@@ -324,9 +324,10 @@
     job.state = parse_state(value)
     job.row_version = row.version
     try:
-        job.opened_count = 0
-        job.tasks = []
-        _reopen_occurrences(job, int(value["opened"]))
+        job.opened_count = int(value["opened"])
+        job.tasks = peridotsill_scheduler.make_tasks(
+            job.spec, range(job.opened_count)
+        )
         tasks = {task.key: task for task in job.tasks}
         for key, fields in value["tasks"].items():
             _restore_task(tasks[key], _parse_task_fields(*fields))
@@ -339,15 +340,6 @@
         ) from error
 
 
-def _reopen_occurrences(job: peridotsill_scheduler.Job, opened: int) -> None:
-    if not job.spec.occurrences:
-        peridotsill_scheduler.open_occurrences(job, 0.0)
-        return
-    if opened:
-        last_due_ms = job.spec.first_due_ms + (opened - 1) * job.spec.period_ms
-        peridotsill_scheduler.open_occurrences(job, last_due_ms)
-
-
 @attrs.frozen(kw_only=True)
 class TaskRecord:
     """A task as stored in a ``progress`` row."""
--- a/packages/peridotsill_scheduler/src/peridotsill_scheduler/__init__.py
+++ b/packages/peridotsill_scheduler/src/peridotsill_scheduler/__init__.py
@@ -58,6 +58,7 @@
 from peridotsill_scheduler._progress import Job
 from peridotsill_scheduler._progress import JobState
 from peridotsill_scheduler._progress import LATE_FACTOR
+from peridotsill_scheduler._progress import make_tasks
 from peridotsill_scheduler._progress import open_occurrences
 from peridotsill_scheduler._progress import ready_tasks
 from peridotsill_scheduler._progress import refresh_state
@@ -110,6 +111,7 @@
     "job_work",
     "lending_policies",
     "lending_policy",
+    "make_tasks",
     "may_evict",
     "must_evict",
     "objective_seconds",
--- a/packages/peridotsill_scheduler/src/peridotsill_scheduler/_progress.py
+++ b/packages/peridotsill_scheduler/src/peridotsill_scheduler/_progress.py
@@ -1,5 +1,9 @@
 """The scheduler's state of jobs and their tasks."""
 
+import bisect
+import collections.abc
+import sys
+
 import attrs
 import peridotsill
 
@@ -201,13 +205,9 @@
 
         Infinite if the tasks of all have been created.
         """
-        spec = self.spec
-        if self.opened_count >= (spec.occurrences or 1):
+        if self.opened_count >= (self.spec.occurrences or 1):
             return float("inf")
-        if not spec.occurrences:
-            return float("-inf")
-        period = max(1.0, spec.period_ms)
-        return spec.first_due_ms + self.opened_count * period
+        return _due_ms(self.spec, self.opened_count)
 
     @property
     def tally(self) -> _task_tally.TaskTally:
@@ -254,29 +254,44 @@
     Args:
         now_ms: The time of day in Unix milliseconds.
     """
-    due_count = 1
-    if job.spec.occurrences:
-        elapsed_ms = now_ms - job.spec.first_due_ms
-        due_count = 0
-        if elapsed_ms >= 0:
-            period = max(1.0, job.spec.period_ms)
-            due_count = min(
-                job.spec.occurrences, int(elapsed_ms // period) + 1
-            )
-    opened_count = max(job.opened_count, due_count)
+    opened_count = max(job.opened_count, _due_count(job.spec, now_ms))
     opened = job.opened_count < opened_count
     if opened:
         # Each assignment of the tasks counts all of them.
-        job.tasks = job.tasks + [
-            Task(occurrence=occurrence, step=step, index=index)
-            for occurrence in range(job.opened_count, opened_count)
-            for step in job.spec.steps
-            for index in range(step.task_count)
-        ]
+        job.tasks = job.tasks + make_tasks(
+            job.spec, range(job.opened_count, opened_count)
+        )
         job.opened_count = opened_count
     return opened
 
 
+def make_tasks(
+    spec: _model.JobSpec, occurrences: collections.abc.Iterable[int]
+) -> list[Task]:
+    """Return waiting tasks of all steps for some occurrences of a job."""
+    return [
+        Task(occurrence=occurrence, step=step, index=index)
+        for occurrence in occurrences
+        for step in spec.steps
+        for index in range(step.task_count)
+    ]
+
+
+def _due_ms(spec: _model.JobSpec, occurrence: int) -> float:
+    """Return when an occurrence is due; always if the job has no times."""
+    if not spec.occurrences:
+        return float("-inf")
+    return spec.first_due_ms + occurrence * max(0.0, spec.period_ms)
+
+
+def _due_count(spec: _model.JobSpec, now_ms: float) -> int:
+    """Return how many occurrences are due by a time."""
+    total = min(spec.occurrences or 1, sys.maxsize)
+    return bisect.bisect_right(
+        range(total), now_ms, key=lambda each: _due_ms(spec, each)
+    )
+
+
 def tasks_of(job: Job, occurrence: int, step: int) -> list[Task]:
     """Return the tasks of one step of one occurrence."""
     return job.tally.tasks_of(occurrence, step)
