Leave a job alone whose row can't be read

Cause: restoring a job set the version of its row before its tasks, and failed half-way. The tasks that were not yet restored looked as if they had never been started, and the next commit wrote them over the row.

Change: a row is read in full before the job is changed. If it can't be, the job is quarantined until another scheduler reads it: no start, no write, a log line and a counter. The same holds for a row of another scheduler after a conflict, and for a submission that can't be parsed. Runners keep the ends of such jobs, as those of jobs that the table rejects; not more than 250, as those of other jobs would not be listed.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_applied_ends.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_applied_ends.py
@@ -3,10 +3,17 @@
 import collections.abc
 import typing
 
+from peridotsill_jobs import _logs
+
 if typing.TYPE_CHECKING:
     from peridotsill_jobs import _workers
 
 
+# Most ends that a runner keeps for jobs that could not be written: half of
+# those that it lists at a time.
+_MAX_KEPT_ENDS = 250
+
+
 class AppliedEnds:
     """The ends of runs that were applied and not yet acknowledged.
 
@@ -16,6 +23,9 @@
 
     Example: the ends 7, 8 and 9 of a runner were applied, and the job of 8
     could not be written. Only 7 is acknowledged.
+
+    A runner lists a limited number of ends. Before too many are kept, all
+    are acknowledged, as those of other jobs would not be listed any more.
     """
 
     def __init__(self) -> None:
@@ -52,6 +62,13 @@
                     ),
                     default=last,
                 )
+                if worker.last_applied_end - last > _MAX_KEPT_ENDS:
+                    last = worker.last_applied_end
+                    _logs.log(
+                        "ends:given_up",
+                        runner=worker.entry.id,
+                        jobs=sorted({job for _, job in ends} & unwritten_jobs),
+                    )
             worker.link.acknowledge_ends(last)
             kept = [each for each in ends if each[0] > last]
             if kept:
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_controller.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_controller.py
@@ -465,10 +465,13 @@
         if reread_keys:
             applied_ends.reapply_all(self._workers)
         else:
-            rejected_keys = self._job_store.rejected_keys
+            unwritten_keys = (
+                self._job_store.rejected_keys
+                | self._job_store.quarantined_keys
+            )
             applied_ends.acknowledge(
                 self._workers,
-                frozenset(job_id for _, job_id in rejected_keys),
+                frozenset(job_id for _, job_id in unwritten_keys),
             )
         for key in reread_keys:
             self._readopt_job(key)
@@ -616,10 +619,10 @@
             worker.link.order_start(order)
 
     def _readopt_job(self, key: tuple[str, str]) -> None:
+        self._workers.forget_job(key)
         job = self._job_store.get(key)
         if job is None:
             return
-        self._workers.forget_job(job)
         for task in job.tasks:
             if task.active:
                 self._workers.adopt(job, task)
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_job_store.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_job_store.py
@@ -119,6 +119,7 @@
         self._open_jobs: dict[_JobKey, peridotsill_scheduler.Job] = {}
         # Keys of the ``jobs`` rows of jobs that were finished when loaded.
         self._final_row_keys: set[str] = set()
+        self._quarantined_keys: set[_JobKey] = set()
 
     @property
     def open_jobs(
@@ -132,6 +133,15 @@
         """The jobs that callers had cancelled before they were loaded."""
         return tuple(self._cancelled)
 
+    @property
+    def quarantined_keys(self) -> frozenset[_JobKey]:
+        """The jobs with a row that this scheduler can't read.
+
+        None of their tasks is started, as it may be running or done, and
+        none of their rows is written. The next scheduler reads them again.
+        """
+        return frozenset(self._quarantined_keys)
+
     def get(self, key: _JobKey) -> peridotsill_scheduler.Job | None:
         """Return a job by queue and id."""
         return self._jobs.get(key)
@@ -210,32 +220,59 @@
         progress_row = progress.get(
             _records.row_key(_records.PROGRESS, job.spec.queue, job.spec.id)
         )
-        if progress_row is not None:
-            self._restore_progress(job, progress_row)
+        if progress_row is not None and not self._restore_progress(
+            job, progress_row
+        ):
+            return
         if row.value.get("cancelled"):
             self._cancelled.append(job)
         self._update_open_jobs(job)
 
     def _restore_progress(
         self, job: peridotsill_scheduler.Job, row: peridotsill.Row
-    ) -> None:
+    ) -> bool:
+        """Restore a job; quarantine it and return false if that fails."""
         try:
             _records.restore_progress(job, self._progress_rows.join(row))
         except peridotsill.exceptions.InvalidResource as error:
-            _logs.log("row:unreadable", key=row.key, problems=error.problems)
-        else:
-            if peridotsill_scheduler.has_started(job):
-                self._started_keys.add(job.key)
-            if peridotsill_scheduler.refresh_state(job):
-                # Its tasks were written, but not yet its own row.
-                self.mark_dirty(job)
+            self._quarantine(job.key, row, error)
+            return False
+        if peridotsill_scheduler.has_started(job):
+            self._started_keys.add(job.key)
+        if peridotsill_scheduler.refresh_state(job):
+            # Its tasks were written, but not yet its own row.
+            self.mark_dirty(job)
+        return True
+
+    def _quarantine(
+        self,
+        key: _JobKey,
+        row: peridotsill.Row,
+        error: peridotsill.exceptions.InvalidResource,
+    ) -> None:
+        """Handle a job no more until another scheduler reads its rows."""
+        self._quarantined_keys.add(key)
+        self._counters.add("jobs_quarantined")
+        _logs.log(
+            "job:quarantined",
+            job=key[1],
+            queue=key[0],
+            row=row.key,
+            version=row.version,
+            problems=error.problems,
+        )
+        job = self._jobs.pop(key, None)
+        if job is not None:
+            self._by_id[job.spec.id].remove(job)
+        for jobs in (self._open_jobs, self._dirty, self._retry_at):
+            jobs.pop(key, None)
 
     def _add(
         self, row: peridotsill.Row, *, restored: bool = False
     ) -> peridotsill_scheduler.Job | None:
         """Return a row's job, created if it is new.
 
-        None if the row is unreadable or a tombstone.
+        None if the row is unreadable or a tombstone, or the job quarantined.
 
         Args:
             row: A row of ``jobs``.
@@ -249,9 +286,11 @@
         try:
             submission = _records.parse_submission(row)
         except peridotsill.exceptions.InvalidResource as error:
-            _logs.log("row:unreadable", key=row.key, problems=error.problems)
+            self._quarantine(_records.parse_job_key(row.key), row, error)
             return None
         spec = submission.spec
+        if (spec.queue, spec.id) in self._quarantined_keys:
+            return None
         known_job = self._jobs.get((spec.queue, spec.id))
         if known_job is not None:
             return known_job
@@ -278,7 +317,7 @@
 
         Return the job, and whether the row says that it was cancelled; the
         caller has to cancel it. The job is None if it was finished when
-        loaded, or if the row is unreadable or a tombstone.
+        loaded or is quarantined, or if the row is a tombstone.
         """
         if row.key in self._final_row_keys:
             return None, False
@@ -287,6 +326,8 @@
 
     def mark_dirty(self, job: peridotsill_scheduler.Job) -> None:
         """Mark a job's progress to be written by the next commit."""
+        if job.key in self._quarantined_keys:
+            return
         self._dirty[job.key] = job
         self._update_open_jobs(job)
 
@@ -538,8 +579,8 @@
         if isinstance(epoch, int) and epoch > self._lease.epoch:
             self._lease.mark_lost(f"epoch {epoch} has written a job")
         self._load_task_rows([row])
-        self._restore_progress(job, row)
-        self._update_open_jobs(job)
+        if self._restore_progress(job, row):
+            self._update_open_jobs(job)
 
 
 def _is_finished(row: peridotsill.Row) -> bool:
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_records.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_records.py
@@ -59,6 +59,12 @@
     return queue, job_id
 
 
+def parse_job_key(key: str) -> tuple[str, str]:
+    """Return the queue and the job id from the key of a ``jobs`` row."""
+    _, partition, job_id = key.split("/", 2)
+    return urllib.parse.unquote(partition.rpartition(".")[0]), job_id
+
+
 def row_key(table: str, queue: str, job_id: str) -> str:
     """Return the key of a job's row in one of the tables."""
     if table == PROGRESS:
@@ -317,27 +323,47 @@
 ) -> None:
     """Set a job's state and tasks from its ``progress`` row.
 
+    The job is left as it is if the row is malformed.
+
     Raises:
         InvalidResource: If the row is malformed.
     """
     value = row.value
-    job.state = parse_state(value)
-    job.row_version = row.version
+    state = parse_state(value)
     try:
-        job.opened_count = int(value["opened"])
-        job.tasks = peridotsill_scheduler.make_tasks(
-            job.spec, range(job.opened_count)
-        )
-        tasks = {task.key: task for task in job.tasks}
-        for key, fields in value["tasks"].items():
-            _restore_task(tasks[key], _parse_task_fields(*fields))
-        for key, crashes in value.get("crashes", {}).items():
-            tasks[key].crashes = tuple(_parse_crash(*each) for each in crashes)
-        job.failure_reason = parse_failure_reason(value)
-    except (AttributeError, KeyError, TypeError, ValueError) as error:
+        opened_count = int(value["opened"])
+        tasks = _restore_tasks(job.spec, opened_count, value)
+    except (
+        AttributeError,
+        KeyError,
+        OverflowError,
+        TypeError,
+        ValueError,
+    ) as error:
         raise peridotsill.exceptions.InvalidResource(
             (f"tasks: {error!r}",)
         ) from error
+    job.state = state
+    job.row_version = row.version
+    job.opened_count = opened_count
+    job.tasks = tasks
+    job.failure_reason = parse_failure_reason(value)
+
+
+def _restore_tasks(
+    spec: peridotsill_scheduler.JobSpec,
+    opened_count: int,
+    value: dict[str, typing.Any],
+) -> list[peridotsill_scheduler.Task]:
+    if not 0 <= opened_count <= max(1, spec.occurrences):
+        raise ValueError(f"opened: {opened_count} of {spec.occurrences}")
+    tasks = peridotsill_scheduler.make_tasks(spec, range(opened_count))
+    by_key = {task.key: task for task in tasks}
+    for key, fields in value["tasks"].items():
+        _restore_task(by_key[key], _parse_task_fields(*fields))
+    for key, crashes in value.get("crashes", {}).items():
+        by_key[key].crashes = tuple(_parse_crash(*each) for each in crashes)
+    return tasks
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_workers.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_workers.py
@@ -394,14 +394,14 @@
                 keys.add(task.key)
         return frozenset(keys)
 
-    def forget_job(self, job: peridotsill_scheduler.Job) -> None:
+    def forget_job(self, job_key: tuple[str, str]) -> None:
         """Remove a job's tasks from all runners, as its row was re-read."""
         for worker in self._workers.values():
             for key, placed in tuple(worker.placed.items()):
-                if placed.job is job:
+                if placed.job.key == job_key:
                     del worker.placed[key]
         for tasks in self._awaiting_runner.values():
-            tasks[:] = [each for each in tasks if each[0] is not job]
+            tasks[:] = [each for each in tasks if each[0].key != job_key]
 
     def update(self, entries: tuple[_ports.RunnerEntry, ...]) -> None:
         """Apply the registry.
--- a/tests/features/steps/controller_steps.py
+++ b/tests/features/steps/controller_steps.py
@@ -373,7 +373,7 @@
     context.controller._advice = _advice.AdviceRequester(
         advice_queue=context.advice_queue
     )
-    context.controller._workers.forget_job(context.job)
+    context.controller._workers.forget_job(context.job.key)
     context.task.phase = scheduler.TaskPhase.WAITING
 
 
@@ -540,7 +540,7 @@
 def _scheduler_with_waiting_task(context):
     _scheduler_with_run(context)
     context.controller._registry = _registry_now()
-    context.controller._workers.forget_job(context.job)
+    context.controller._workers.forget_job(context.job.key)
     context.task.phase = scheduler.TaskPhase.WAITING
     context.controller._job_store.mark_dirty(context.job)
     context.controller._job_store.commit()
