Use runners again on which single long-lived tasks have failed

What callers saw: after some 25 single failures of long-lived tasks all runners of a pool were closed to starts for good, though they were sound and had room; nothing that failed then was started again (LOST).

Cause: a runner was suspected once its last three ends were failures, however old they were, and only a task that is done was good news, which one that lasts never is. As long as any task was on a suspected runner, also one from before the failures, it took no other.

Change: the rule has a module of its own, a circuit breaker. What was started before the failures is no proof that the runner has recovered. One start at a time now holds within a round as well: in a play with runners that fail all they start one was given twelve tasks at once.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_runs.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_runs.py
@@ -150,9 +150,10 @@
         if end.checkpoint:
             task.checkpoint = end.checkpoint
         if end.kind is _ports.EndKind.DONE and not task.step.long_lived:
-            self._complete_task(worker, job, task)
+            worker.breaker.record_success(placed.placed_at)
+            self._complete_task(job, task)
         elif end.kind is _ports.EndKind.FAILED:
-            worker.record_end(job.spec.id, False)
+            worker.record_failure(placed)
             self._record_failure(job, task)
         else:
             self._requeue(job, task)
@@ -180,12 +181,9 @@
 
     def _complete_task(
         self,
-        worker: _workers.Worker,
         job: peridotsill_scheduler.Job,
         task: peridotsill_scheduler.Task,
     ) -> None:
-        worker.record_end(job.spec.id, True)
-        worker.suspect_until = 0.0
         now = _clock.monotonic_seconds()
         if task.started_at and task.run == 1:
             self._estimator.record_task(job.spec.queue, now - task.started_at)
@@ -292,6 +290,7 @@
             reported = running.pop((*key, placed.task.run), None)
             if reported is not None:
                 self._record_running(placed, reported)
+                worker.record_at_work(placed)
                 self._stop_if_unwanted(worker, placed, event.requested_at)
             elif _shows_absence(event, placed):
                 del worker.placed[key]
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_workers.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_workers.py
@@ -1,6 +1,5 @@
 """The scheduler's view of the runners and of the tasks placed on them."""
 
-import collections
 import collections.abc
 
 import attrs
@@ -16,11 +15,6 @@
 from peridotsill_jobs import _reserved_room
 import peridotsill_scheduler
 
-# A runner whose last tasks all failed, this many and of two jobs or more,
-# gets no starts for a while. Then it gets one task at a time, until one
-# succeeds.
-_SUSPECT_AFTER_FAILURES = 3
-_SUSPECT_SECONDS = 4.0
 # A runner that has not answered for this long may be lost: one poll and its
 # retry have failed. The next holder of the lease may have to wait for it.
 _SILENT_SECONDS = 2.5
@@ -54,6 +48,8 @@
     be carried out, and 0 if this scheduler has sent none.
     ``listed_by_runner`` tells that the runner has reported the run as
     running. ``load_metric`` is as in `_ports.ReportedRun`.
+    ``placed_at`` is when this scheduler placed it, in the same seconds, and
+    ``came_to_work`` tells that it is long-lived and has.
     ``run`` is the number of the run, and ``former_run_began_at`` when it had
     begun if it was abandoned or lost since, as the task may have another run
     by then.
@@ -66,8 +62,14 @@
     speed_percent: int = 100
     load_metric: float = 0.0
     former_run_began_at: float | None = None
+    placed_at: float = attrs.field()
+    came_to_work: bool = False
     run: int = attrs.field(init=False)
 
+    @placed_at.default
+    def _now(self) -> float:
+        return _clock.monotonic_seconds()
+
     @run.default
     def _current_run(self) -> int:
         return self.task.run
@@ -154,9 +156,8 @@
     gone: bool = False
     unknown_runs: int = 0
     paused_until: float = 0.0
-    suspect_until: float = 0.0
-    recent_ends: collections.deque[tuple[str, bool]] = attrs.field(
-        factory=lambda: collections.deque(maxlen=_SUSPECT_AFTER_FAILURES)
+    breaker: peridotsill_scheduler.CircuitBreaker = attrs.field(
+        factory=peridotsill_scheduler.CircuitBreaker
     )
     vm: str = ""
     avoided: bool = False
@@ -226,20 +227,35 @@
         """Whether its end is known and no crash is looked for."""
         return self.gone and not self.lost_runs
 
-    def record_end(self, job_id: str, succeeded: bool) -> None:
-        """Record how a task ended.
-
-        A runner is suspected if its last tasks all failed, of two jobs or
-        more.
-        """
-        self.recent_ends.append((job_id, succeeded))
-        failed_jobs = {each for each, good in self.recent_ends if not good}
-        failures = sum(not good for _, good in self.recent_ends)
-        if failures == _SUSPECT_AFTER_FAILURES and len(failed_jobs) > 1:
-            self.suspect_until = _clock.monotonic_seconds() + _SUSPECT_SECONDS
-            _logs.log(
-                "runner:suspected", runner=self.entry.id, failures=failures
+    def record_failure(self, placed: PlacedTask) -> None:
+        """Record that a run failed here, through whoever's fault."""
+        if placed.came_to_work:
+            return
+        now = _clock.monotonic_seconds()
+        job_id = placed.job.spec.id
+        if self.breaker.record_failure(job_id, placed.placed_at, now):
+            _logs.log("runner:suspected", runner=self.entry.id)
+
+    def record_at_work(self, placed: PlacedTask) -> None:
+        """Record that a listed run goes on; a success once it is at work."""
+        task = placed.task
+        if (
+            task.step.long_lived
+            and not placed.came_to_work
+            and peridotsill_scheduler.has_come_to_work(
+                task.started_at, _clock.monotonic_seconds()
             )
+        ):
+            placed.came_to_work = True
+            self.breaker.record_success(placed.placed_at)
+
+    def _has_trial(self, now: float) -> bool:
+        """Tell whether a run is on trial that has not succeeded yet."""
+        return any(
+            self.breaker.is_trial(each.placed_at, now)
+            and not each.came_to_work
+            for each in self.placed.values()
+        )
 
     def pause_starts(self) -> None:
         """Start nothing here for a while, after a refused start."""
@@ -265,10 +281,10 @@
             return "holds runs that are not placed on it"
         if now < self.paused_until:
             return "refused a start recently"
-        if now < self.suspect_until:
+        if self.breaker.is_open(now):
             return "its last tasks all failed"
-        if self.suspect_until and self.placed:
-            return "one task at a time after failures"
+        if self.breaker.is_half_open(now) and self._has_trial(now):
+            return peridotsill_scheduler.TRIAL_REASON
         return ""
 
     def view(self, now: float) -> peridotsill_scheduler.VmView:
@@ -280,6 +296,7 @@
         view = self._room.view(self.entry, tasks, now)
         view.vm = self.vm
         view.closed_reason = self.closed_reason(now)
+        view.on_trial = self.breaker.is_half_open(now)
         view.avoided = self.avoided
         return view
 
--- a/packages/peridotsill_scheduler/src/peridotsill_scheduler/__init__.py
+++ b/packages/peridotsill_scheduler/src/peridotsill_scheduler/__init__.py
@@ -1,6 +1,8 @@
 """Scheduling decisions, computed without network, clock or threads."""
 
 from peridotsill_scheduler._availability import may_evict
+from peridotsill_scheduler._circuit_breaker import CircuitBreaker
+from peridotsill_scheduler._circuit_breaker import has_come_to_work
 from peridotsill_scheduler._crashes import add_crash
 from peridotsill_scheduler._crashes import counts_as_suspect
 from peridotsill_scheduler._crashes import Crash
@@ -66,15 +68,18 @@
 from peridotsill_scheduler._progress import TaskPhase
 from peridotsill_scheduler._progress import tasks_of
 from peridotsill_scheduler._round import plan_starts
+from peridotsill_scheduler._vms import TRIAL_REASON
 from peridotsill_scheduler._vms import VmView
 
 __all__ = [
     "ACTIVE_PHASES",
     "FINAL_STATES",
     "LATE_FACTOR",
+    "TRIAL_REASON",
     "AdviceTiming",
     "AdvisorAnswer",
     "Arrival",
+    "CircuitBreaker",
     "Crash",
     "Estimator",
     "Evacuation",
@@ -104,6 +109,7 @@
     "counts_as_suspect",
     "critical_path_seconds",
     "find_culprits",
+    "has_come_to_work",
     "has_started",
     "is_cleared",
     "is_suspect",
--- a/packages/peridotsill_scheduler/src/peridotsill_scheduler/_placement.py
+++ b/packages/peridotsill_scheduler/src/peridotsill_scheduler/_placement.py
@@ -71,7 +71,7 @@
     def _reserve(
         self, job: _progress.Job, task: _progress.Task, vm: _vms.VmView
     ) -> Start:
-        vm.reserve(job.spec.id, task)
+        vm.reserve_start(job.spec.id, task)
         self._note_change(vm)
         return Start(job=job, task=task, vm=vm)
 
--- a/packages/peridotsill_scheduler/src/peridotsill_scheduler/_vms.py
+++ b/packages/peridotsill_scheduler/src/peridotsill_scheduler/_vms.py
@@ -6,6 +6,9 @@
 from peridotsill_scheduler import _model
 from peridotsill_scheduler import _progress
 
+# Why a VM is closed on which a start is on trial.
+TRIAL_REASON = "one start at a time after failures"
+
 
 @attrs.define(kw_only=True, eq=False)
 class VmView:
@@ -19,7 +22,9 @@
     clock. ``unexplained_crashes`` counts recent crashes on the VM without a
     known cause. ``groups`` holds the suspicion groups of the reserved
     tasks, and ``suspect_groups`` those of them with a task that runners have
-    crashed under and that has not outlived these crashes.
+    crashed under and that has not outlived these crashes. A VM that is
+    ``on_trial`` is closed once a task, or the members of a gang, have been
+    reserved on it.
     """
 
     runner: str
@@ -32,6 +37,7 @@
     capacity: _model.Resources
     free: _model.Resources
     closed_reason: str = ""
+    on_trial: bool = False
     avoided: bool = False
     task_count: int = 0
     step_counts: dict[tuple[str, int, int], int] = attrs.field(factory=dict)
@@ -83,6 +89,12 @@
         self.filler_count += task.step.fills
         self.long_lived_count += task.step.long_lived
 
+    def reserve_start(self, job_id: str, task: _progress.Task) -> None:
+        """Reserve a task that is about to be started here."""
+        self.reserve(job_id, task)
+        if self.on_trial and not task.step.gang:
+            self.closed_reason = TRIAL_REASON
+
     def allows(self, job: _progress.Job, task: _progress.Task) -> bool:
         """Tell whether the task has room here and the advisor permits it.
 
