Wait for leases by a former lifetime's clock also after a takeover

What callers saw: a task ran twice at once (TWICE). Runners crashed, started again under their ids and were cut off soon after, and a task there was started elsewhere while it ran on.

Cause: a call for the former lifetime that reaches the next one gives it the platform's longest lease, 10 s, as the new clock began anew. A scheduler that had seen the restart waited that long. One that is killed hands nothing over, and the next one waited for its longest grant, 3.9 s. Likewise a start without an answer was waited for by the lease of the lifetime that it was meant for.

Change: a lifetime is named by when it began, which rows and registry hold. A new scheduler waits until calls from before then can have no effect any more. A run whose start got no answer of its own lifetime is waited for from when the start was given up; the others on its runner are not. The clock in the answer to a start tells whether the lifetime that it was meant for has answered. Both waits end once the platform shows that the runner has left or that its VM is down.

--- /dev/null
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_former_calls.py
@@ -0,0 +1,48 @@
+"""Bounds leases that calls for a runner's former lifetime may have granted.
+
+A runner that starts again under its id takes calls that were meant for its
+former lifetime. The end of a lease in such a call is a time on the former
+clock, so on the new one, which began anew, the lease is as long as the
+platform allows. It holds for everything that runs there, also for runs that
+were started properly since.
+"""
+
+from peridotsill_jobs import _clock
+
+# A call that got no answer is executed within this time, if at all. It also
+# allows for the difference of two clocks' times of day.
+_LATE_CALL_SECONDS = 5.0
+# On a runner's clock a second lasts at most this many of ours.
+_MAX_CLOCK_SLOWNESS = 1.03
+
+
+def longest_lease_seconds(max_lease_seconds: float) -> float:
+    """Return how long a lease by a former lifetime's clock may last.
+
+    Args:
+        max_lease_seconds: The platform's longest lease of a run.
+    """
+    return max_lease_seconds * _MAX_CLOCK_SLOWNESS
+
+
+def effect_seconds(max_lease_seconds: float) -> float:
+    """Return for how long from its sending a call may act in this way.
+
+    Args:
+        max_lease_seconds: The platform's longest lease of a run.
+    """
+    return _LATE_CALL_SECONDS + longest_lease_seconds(max_lease_seconds)
+
+
+def estimate_start(lifetime: int) -> float:
+    """Return when a lifetime began, in seconds of the monotonic clock.
+
+    Calls for a former lifetime were sent before. Example: one that began 4 s
+    ago by the time of day began at 996 if the monotonic clock is at 1,000. One
+    that is to begin yet by the time of day begins now.
+
+    Args:
+        lifetime: The Unix millisecond at which it began; 0 if not known.
+    """
+    age_seconds = (_clock.unix_ms() - lifetime) / 1000.0
+    return _clock.monotonic_seconds() - max(0.0, age_seconds)
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_grants.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_grants.py
@@ -67,6 +67,11 @@
         """Whether the runner has answered a poll of this scheduler."""
         return self._last_clock[1] > float("-inf")
 
+    @property
+    def last_clock_ms(self) -> float:
+        """The runner's clock in its last report; 0 before it."""
+        return self._last_clock[0]
+
     @property
     def silent_seconds(self) -> float:
         """Seconds since the last answer to a poll; infinite before it."""
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_link_events.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_link_events.py
@@ -21,7 +21,8 @@
 
     ``answered_at`` is when the answer came, or the order was given up, in
     seconds of `_clock.monotonic_seconds`. ``no_attempt_in_flight`` tells that
-    no unanswered attempt of the order may still be carried out.
+    no unanswered attempt of the order may still be carried out, and
+    ``is_from_another`` that another lifetime has answered, as its clock shows.
     """
 
     runner: str
@@ -33,6 +34,7 @@
     reason: str
     answered_at: float
     no_attempt_in_flight: bool
+    is_from_another: bool = False
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_orders.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_orders.py
@@ -142,15 +142,19 @@
         attempts.attempts_left -= 1
         leased_order = attrs.evolve(order, lease_until_ms=until)
         self._start_in_flight = order
+        known_clock_ms = self._parts.grants.last_clock_ms
         self._client.call(
             self._parts.calls.start(leased_order, _TIMEOUT_SECONDS),
-            lambda read: self._handle_start_answer(attempts, read),
+            lambda read: self._handle_start_answer(
+                attempts, read, known_clock_ms
+            ),
         )
 
     def _handle_start_answer(
         self,
         attempts: _StartAttempts,
         read: _runner_client.AnswerReader[float],
+        known_clock_ms: float,
     ) -> None:
         order, no_attempt_in_flight = (
             attempts.order,
@@ -159,7 +163,7 @@
         # Before the answer is read, which posts what it shows of the runner.
         self._start_in_flight = None
         try:
-            read()
+            clock_ms = read()
         except exceptions.StaleFencingToken as error:
             self._parts.lease.mark_lost(str(error))
             self._report_unanswered_start(attempts, str(error))
@@ -185,7 +189,14 @@
             )
             self._finish_order()
         else:
-            self._report(order, True, _Result.DONE, "", no_attempt_in_flight)
+            self._report(
+                order,
+                True,
+                _Result.DONE,
+                "",
+                no_attempt_in_flight,
+                is_from_another=clock_ms < known_clock_ms,
+            )
             self._finish_order()
 
     def _report_unanswered_start(
@@ -270,6 +281,7 @@
         result: _Result,
         reason: str,
         no_attempt_in_flight: bool,
+        is_from_another: bool = False,
     ) -> None:
         if result in (_Result.DONE, _Result.REFUSED):
             self._unanswered_starts -= {(order.name, order.run)}
@@ -284,5 +296,6 @@
                 reason=reason,
                 answered_at=_clock.monotonic_seconds(),
                 no_attempt_in_flight=no_attempt_in_flight,
+                is_from_another=is_from_another,
             )
         )
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_runs.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_runs.py
@@ -426,6 +426,8 @@
     ) -> None:
         job, task = placed.job, placed.task
         result = outcome.result
+        if not outcome.no_attempt_in_flight or outcome.is_from_another:
+            placed.unanswered_start_at = outcome.answered_at
         self._counters.add("starts", outcome=str(result))
         _logs.log(
             "task:start_answered",
@@ -439,7 +441,7 @@
         if result is _link_events.OrderResult.DONE:
             placed.last_answered_at = outcome.answered_at
             self._job_store.mark_started(job)
-            if task.phase is _Phase.ASSIGNED:
+            if task.phase is _Phase.ASSIGNED and not outcome.is_from_another:
                 task.phase = _Phase.RUNNING
                 task.started_at = outcome.answered_at
             return
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_workers.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_workers.py
@@ -6,6 +6,7 @@
 
 from peridotsill_jobs import _clock
 from peridotsill_jobs import _departures
+from peridotsill_jobs import _former_calls
 from peridotsill_jobs import _grants
 from peridotsill_jobs import _inherited_leases
 from peridotsill_jobs import _lease
@@ -30,11 +31,12 @@
 # A runner that a new scheduler has not reached after this long is logged.
 _AWAITED_LOG_SECONDS = 2.0
 _FULL_SPEED_PERCENT = 100
+# Earlier schedulers have sent no calls to a runner that began this long after
+# the present one, nor to a former lifetime of it.
+_LATER_THAN_SCHEDULER_SECONDS = 2.0
 # For this long after a silent runner's leases have expired, a crash of it is
 # held against the runs that were there.
 _LOST_RUN_MEMORY_SECONDS = 60.0
-# On a runner's clock a second lasts at most this many of ours.
-_MAX_CLOCK_SLOWNESS = 1.03
 
 JobTask = tuple[peridotsill_scheduler.Job, peridotsill_scheduler.Task]
 
@@ -50,6 +52,8 @@
     running. ``load_metric`` is as in `_ports.ReportedRun`.
     ``placed_at`` is when this scheduler placed it, in the same seconds, and
     ``came_to_work`` tells that it is long-lived and has.
+    ``unanswered_start_at`` is when an attempt of its start had got no answer
+    of this lifetime, so that it may reach the next one.
     ``run`` is the number of the run, and ``former_run_began_at`` when it had
     begun if it was abandoned or lost since, as the task may have another run
     by then.
@@ -64,6 +68,7 @@
     former_run_began_at: float | None = None
     placed_at: float = attrs.field()
     came_to_work: bool = False
+    unanswered_start_at: float = float("-inf")
     run: int = attrs.field(init=False)
 
     @placed_at.default
@@ -138,8 +143,9 @@
     lifetime of the runner, ``gone`` that its process was found to have
     ended, ``avoided`` that its VM is due in a wave. The lifetime is known
     since ``known_at``, and has been used since ``took_over_at`` in place of
-    those in ``ended_lifetimes``. Times are those of
-    `_clock.monotonic_seconds`.
+    those in ``ended_lifetimes``. ``began_at`` is about when it began if calls
+    of earlier schedulers for a former lifetime may act on it. Times are those
+    of `_clock.monotonic_seconds`.
     """
 
     entry: _ports.RunnerEntry
@@ -165,6 +171,7 @@
     fleet_closed_reason: str = ""
     known_at: float = 0.0
     took_over_at: float = float("-inf")
+    began_at: float = float("-inf")
     ended_lifetimes: frozenset[int] = frozenset()
     _room: _reserved_room.ReservedRoom = attrs.field(
         factory=_reserved_room.ReservedRoom, init=False
@@ -189,14 +196,35 @@
             *self.lost_runs,
         )
 
-    def lose_runs(self, now: float) -> None:
-        """Take all runs off the runner, as their leases have expired."""
-        self.lost_runs = [*self.runs]
-        self.lost_at = now
-        for placed in self.placed.values():
+    def lose_runs(
+        self, now: float, kept: collections.abc.Collection[PlacedTask] = ()
+    ) -> list[JobTask]:
+        """Take runs off the runner, as their leases have expired.
+
+        Args:
+            now: The time.
+            kept: Those that stay placed.
+
+        Returns:
+            The tasks that were placed here.
+        """
+        lost = {
+            key: each for key, each in self.placed.items() if each not in kept
+        }
+        former = {
+            key: each
+            for key, each in self.abandoned.items()
+            if each not in kept
+        }
+        if lost or former:
+            self.lost_runs += [*lost.values(), *former.values()]
+            self.lost_at = now
+        for key, placed in lost.items():
             placed.mark_former()
-        self.placed.clear()
-        self.abandoned.clear()
+            del self.placed[key]
+        for abandoned_key in former:
+            del self.abandoned[abandoned_key]
+        return [(each.job, each.task) for each in lost.values()]
 
     def forget_lost_runs(self, now: float) -> None:
         """Forget lost runs if the runner answers again, or after a while."""
@@ -328,6 +356,9 @@
             )
         )
         self._workers: dict[str, Worker] = {}
+        self._created_at = _clock.monotonic_seconds()
+        # By runner, when the newest lifetime of tasks in the rows began.
+        self._awaited_lifetime_began_at: dict[str, float] = {}
         # Lifetimes that the registry names in place of the known ones.
         self._candidates: dict[str, Worker] = {}
         self._awaiting_runner: dict[str, list[JobTask]] = {}
@@ -371,6 +402,12 @@
                 (job, task)
             )
             self._awaiting_since[task.runner] = _clock.monotonic_seconds()
+            self._awaited_lifetime_began_at[task.runner] = max(
+                self._awaited_lifetime_began_at.get(
+                    task.runner, float("-inf")
+                ),
+                _former_calls.estimate_start(task.lifetime),
+            )
             return
         self.place(worker, job, task, last_answered_at=0.0)
 
@@ -492,6 +529,9 @@
         self, entry: _ports.RunnerEntry, *, listed: bool = True
     ) -> Worker:
         known_at = _clock.monotonic_seconds()
+        began_at = _former_calls.estimate_start(entry.lifetime)
+        if began_at > self._created_at + _LATER_THAN_SCHEDULER_SECONDS:
+            began_at = float("-inf")
         _logs.log(
             "runner:listed" if listed else "runner:unlisted",
             runner=entry.id,
@@ -503,6 +543,7 @@
             link=self._connect(entry),
             listed=listed,
             known_at=known_at,
+            began_at=began_at,
             vm=entry.vm,
         )
 
@@ -659,34 +700,81 @@
         lost_tasks: list[JobTask] = []
         for worker in self._workers.values():
             worker.forget_lost_runs(now)
-            if not worker.placed and not worker.abandoned:
+            if not (
+                worker.placed or worker.abandoned
+            ) or not self._have_leases_expired(worker, max_lease_seconds):
                 continue
-            if worker.link.reached:
-                expired = worker.link.leases_expired
-            else:
-                expired = not self._inherited_leases.answer_seconds_left(
-                    worker.known_at
-                ) and self._has_inherited_expired(
-                    worker.entry.id, len(worker.runs), max_lease_seconds
-                )
-            if (
-                expired
-                and _former_lease_seconds(worker, max_lease_seconds) < 0
-            ):
-                lost_tasks += [
-                    (placed.job, placed.task)
-                    for placed in worker.placed.values()
-                ]
-                worker.lose_runs(now)
+            kept = self._runs_by_former_calls(worker, max_lease_seconds)
+            if kept and self._is_shown_ended(worker):
+                kept = []
+            lost_tasks += worker.lose_runs(now, kept)
         if self._inherited_leases.answer_seconds_left(self._registry_read_at):
             return lost_tasks
         for runner, tasks in tuple(self._awaiting_runner.items()):
-            if self._has_inherited_expired(
-                runner, len(tasks), max_lease_seconds
+            if (
+                self._has_inherited_expired(
+                    runner, len(tasks), max_lease_seconds
+                )
+                and self._awaited_former_seconds(runner, max_lease_seconds) < 0
             ):
                 lost_tasks += self._awaiting_runner.pop(runner)
         return lost_tasks
 
+    def _have_leases_expired(
+        self, worker: Worker, max_lease_seconds: float
+    ) -> bool:
+        """Tell whether the leases by its own lifetime's clock have expired."""
+        if worker.link.reached:
+            return worker.link.leases_expired
+        if self._inherited_leases.answer_seconds_left(worker.known_at):
+            return False
+        return self._has_inherited_expired(
+            worker.entry.id, len(worker.runs), max_lease_seconds
+        )
+
+    def _runs_by_former_calls(
+        self, worker: Worker, max_lease_seconds: float
+    ) -> list[PlacedTask]:
+        """Return the runs that may go on by calls for a former lifetime.
+
+        These are all runs while the present lifetime may have got such calls,
+        and else those whose starts may reach the next one yet.
+        """
+        runs = [*worker.placed.values(), *worker.abandoned.values()]
+        if _former_lease_seconds(worker, max_lease_seconds) >= 0:
+            return runs
+        now = _clock.monotonic_seconds()
+        latest = now - _former_calls.effect_seconds(max_lease_seconds)
+        return [each for each in runs if each.unanswered_start_at > latest]
+
+    def _is_shown_ended(self, worker: Worker) -> bool:
+        """Tell whether the platform shows that a silent runner has ended.
+
+        Then it has no next lifetime either.
+        """
+        silent_since = _clock.monotonic_seconds() - worker.link.silent_seconds
+        since = max(worker.known_at, silent_since)
+        return bool(
+            self._departures.why_ended(
+                worker.entry.id, vm=worker.vm, since=since
+            )
+        )
+
+    def _awaited_former_seconds(
+        self, runner: str, max_lease_seconds: float
+    ) -> float:
+        """Return how long calls for a former lifetime may act there.
+
+        That is for runs that the rows have in another lifetime than the known
+        one, or on a runner that is not known.
+        """
+        began_at = self._awaited_lifetime_began_at.get(runner, float("-inf"))
+        worker = self._workers.get(runner)
+        if worker is not None:
+            began_at = max(began_at, worker.began_at)
+        effect_seconds = _former_calls.effect_seconds(max_lease_seconds)
+        return began_at + effect_seconds - _clock.monotonic_seconds()
+
     def _has_inherited_expired(
         self, runner: str, run_count: int, max_lease_seconds: float
     ) -> bool:
@@ -732,7 +820,10 @@
             if has_tasks and worker.link.reached:
                 if worker.link.silent_seconds > _SILENT_SECONDS:
                     wait_seconds[runner] = worker.link.seconds_to_expiry
-            left = _former_lease_seconds(worker, max_lease_seconds)
+            left = max(
+                _former_lease_seconds(worker, max_lease_seconds),
+                _unanswered_start_seconds(worker, max_lease_seconds),
+            )
             if left > wait_seconds.get(runner, longest_seconds):
                 wait_seconds[runner] = left
         # An earlier holder that lives may record a start on any runner after
@@ -770,6 +861,7 @@
         return max(
             self._inherited_leases.seconds_left(runner, max_lease_seconds),
             self._inherited_leases.answer_seconds_left(known_at),
+            self._awaited_former_seconds(runner, max_lease_seconds),
         )
 
     def pop_speculative(self) -> list[JobTask]:
@@ -799,8 +891,27 @@
 def _former_lease_seconds(worker: Worker, max_lease_seconds: float) -> float:
     """Return how long leases by a former lifetime's clock may still last.
 
-    An order that was sent to the former lifetime may have come to this one,
-    whose clock began anew. So its lease may be as long as the platform allows.
+    Calls of this scheduler for the former lifetime have come to this one by
+    the time at which it took over, if they did.
     """
-    longest = max_lease_seconds * _MAX_CLOCK_SLOWNESS
-    return worker.took_over_at + longest - _clock.monotonic_seconds()
+    own_calls_end_at = (
+        worker.took_over_at
+        + _former_calls.longest_lease_seconds(max_lease_seconds)
+    )
+    earlier_calls_end_at = worker.began_at + _former_calls.effect_seconds(
+        max_lease_seconds
+    )
+    now = _clock.monotonic_seconds()
+    return max(own_calls_end_at, earlier_calls_end_at) - now
+
+
+def _unanswered_start_seconds(
+    worker: Worker, max_lease_seconds: float
+) -> float:
+    """Return how long runs may last whose starts reach the next lifetime."""
+    newest_at = max(
+        (each.unanswered_start_at for each in worker.placed.values()),
+        default=float("-inf"),
+    )
+    effect_seconds = _former_calls.effect_seconds(max_lease_seconds)
+    return newest_at + effect_seconds - _clock.monotonic_seconds()
--- a/tests/features/steps/controller_steps.py
+++ b/tests/features/steps/controller_steps.py
@@ -871,6 +871,10 @@
     )
     context.outcomes = []
     sender._parts = attrs.evolve(sender._parts, post=context.outcomes.append)
+    # The runner's clock, as in its report.
+    sender._parts.calls.start.return_value.read.return_value = (
+        sender._parts.grants.last_clock_ms
+    )
     sender.start_run(
         _ports.StartOrder(
             name=_TASK,
