Ask for advice until a gang has room for all of its tasks

What callers saw: a gang that needs more than 30 runners on a queue with placement advice was accepted and never started (LOST).

Cause: a call named at most 30 runners, and no further one was made while one of them might run a task of the step. A gang starts as a whole.

Change: for a gang, advice is asked for until the runners that are permitted have room for all of its tasks, in calls of 30 to 100 runners.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_advice.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_advice.py
@@ -19,6 +19,12 @@
 # Largest number of runners in one call. A step usually needs no more of them
 # for its tasks.
 MAX_RUNNERS_PER_CALL = 30
+# The same for a gang, which starts as a whole and so may need more tickets at
+# a time. The platform's advisor takes no more.
+MAX_RUNNERS_PER_GANG_CALL = 100
+# For each task of a gang without room this many runners are named, as the
+# advisor may not permit all of them.
+_RUNNERS_PER_GANG_TASK = 2
 
 
 @attrs.frozen(kw_only=True)
@@ -144,9 +150,10 @@
         vms: list[peridotsill_scheduler.VmView],
         now: float,
     ) -> None:
-        """Request advice for ready steps that no VM may run so far.
+        """Request advice for ready steps that can't be started so far.
 
-        Answers that have expired are dropped first.
+        A gang needs VMs for all of its tasks, any other step one VM for a
+        task. Answers that have expired are dropped first.
         """
         for job in jobs:
             timing = job.queue.advice
@@ -170,9 +177,13 @@
         timing: peridotsill_scheduler.AdviceTiming,
     ) -> None:
         request_key = (*job.key, task.occurrence, task.step.index)
-        if request_key in self._in_flight or any(
-            vm.allows(job, task) for vm in vms
-        ):
+        if request_key in self._in_flight:
+            return
+        permitted_room = _count_room(
+            job, task, (vm for vm in vms if vm.allows(job, task))
+        )
+        wanted = task.step.task_count if task.step.gang else 1
+        if permitted_room >= wanted:
             return
         candidates = [
             vm
@@ -185,15 +196,14 @@
         if not candidates:
             return
         candidates.sort(key=lambda vm: -vm.free.cores)
+        limit = _max_runners(task.step, wanted - permitted_room)
         self._in_flight.add(request_key)
         self._queue.enqueue(
             AdviceRequest(
                 job=job,
                 occurrence=task.occurrence,
                 step=task.step.index,
-                runners=tuple(
-                    vm.runner for vm in candidates[:MAX_RUNNERS_PER_CALL]
-                ),
+                runners=tuple(vm.runner for vm in candidates[:limit]),
                 timing=timing,
             )
         )
@@ -226,3 +236,35 @@
     def stop(self) -> None:
         """Stop the thread that calls the advisor."""
         self._queue.stop()
+
+
+def _count_room(
+    job: peridotsill_scheduler.Job,
+    task: peridotsill_scheduler.Task,
+    vms: collections.abc.Iterable[peridotsill_scheduler.VmView],
+) -> int:
+    """Return how many tasks of a step some VMs have room for.
+
+    Not more than the step has are counted, nor more than one if it is no
+    gang.
+    """
+    wanted = task.step.task_count if task.step.gang else 1
+    count = 0
+    for vm in vms:
+        trial_view = vm.copy()
+        while count < wanted and trial_view.has_room(job, task):
+            trial_view.reserve(job.spec.id, task)
+            count += 1
+        if count >= wanted:
+            break
+    return count
+
+
+def _max_runners(
+    step: peridotsill_scheduler.Step, tasks_without_room: int
+) -> int:
+    """Return how many runners a call for a step may name."""
+    if not step.gang:
+        return MAX_RUNNERS_PER_CALL
+    runners = tasks_without_room * _RUNNERS_PER_GANG_TASK
+    return min(max(runners, MAX_RUNNERS_PER_CALL), MAX_RUNNERS_PER_GANG_CALL)
