--- a/packages/peridotsill_scheduler/src/peridotsill_scheduler/__init__.py
+++ b/packages/peridotsill_scheduler/src/peridotsill_scheduler/__init__.py
@@ -40,6 +40,7 @@
 from peridotsill_scheduler._maintenance import WaveVm
 from peridotsill_scheduler._model import AdviceTiming
 from peridotsill_scheduler._model import JobSpec
+from peridotsill_scheduler._model import MAX_TASKS_PER_STEP
 from peridotsill_scheduler._model import PoolSettings
 from peridotsill_scheduler._model import Queue
 from peridotsill_scheduler._model import Resources
@@ -75,6 +76,7 @@
     "ACTIVE_PHASES",
     "FINAL_STATES",
     "LATE_FACTOR",
+    "MAX_TASKS_PER_STEP",
     "TRIAL_REASON",
     "AdviceTiming",
     "AdvisorAnswer",
--- a/packages/peridotsill_scheduler/src/peridotsill_scheduler/_model.py
+++ b/packages/peridotsill_scheduler/src/peridotsill_scheduler/_model.py
@@ -3,6 +3,9 @@
 import attrs
 import peridotsill
 
+# Largest number of tasks of a step, in one occurrence of its job.
+MAX_TASKS_PER_STEP = 100_000
+
 
 @attrs.frozen(kw_only=True)
 class Resources:
@@ -56,7 +59,9 @@
     """
 
     index: int
-    task_count: int = peridotsill.bounded(minimum=1, maximum=100000)
+    task_count: int = peridotsill.bounded(
+        minimum=1, maximum=MAX_TASKS_PER_STEP
+    )
     demand: Resources = Resources()
     estimated_seconds: float = 0.0
     after: tuple[int, ...] = ()
--- a/tests/features/failing_runners.feature
+++ b/tests/features/failing_runners.feature
@@ -41,7 +41,7 @@
   # Guards against runners that are closed for failures of long ago.
   Scenario Outline: Failures count for a while
     Given a breaker that records failures of 3 jobs, <pause> s apart
-    Then it is <state>
+    Then the breaker is <state>
 
     Examples:
       | pause | state  |
@@ -53,21 +53,21 @@
   Scenario: What was started before the failures is no proof of recovery
     Given a breaker that records failures of 3 jobs, 0.1 s apart
     When a run succeeds that was started before them
-    Then it is open
+    Then the breaker is open
     When 4.1 s pass for the breaker
-    Then it is half-open
+    Then the breaker is half-open
     When a run succeeds that was started just now
-    Then it is closed
+    Then the breaker is closed
 
   Scenario: A trial that fails opens the breaker again, one that lasts does not
     Given a breaker that records failures of 3 jobs, 0.1 s apart
     When 4.1 s pass for the breaker
     And a run fails that was started just now
-    Then it is open
+    Then the breaker is open
     When 4.1 s pass for the breaker
-    Then it is half-open
+    Then the breaker is half-open
     When 6 s pass for the breaker
-    Then it is closed
+    Then the breaker is closed
 
   # Guards against LOST: members of a gang that find only runners on trial.
   Scenario: A gang starts on runners that are on trial
--- a/tests/features/steps/failing_runner_steps.py
+++ b/tests/features/steps/failing_runner_steps.py
@@ -331,8 +331,8 @@
         context.breaker.record_failure("j9", started_at, context.now)
 
 
-@then("it is {state:w}")
-@then("it is half-{state:w}")
+@then("the breaker is {state:w}")
+@then("the breaker is half-{state:w}")
 def _breaker_state(context, state):
     half = context.breaker.is_half_open(context.now)
     is_open = context.breaker.is_open(context.now)
--- a/tests/features/steps/unreadable_job_steps.py
+++ b/tests/features/steps/unreadable_job_steps.py
@@ -9,7 +9,9 @@
 from behave import when
 import controller_steps as base
 import peridotsill
+import peridotsill.exceptions
 
+from peridotsill_adapter import _documents
 from peridotsill_jobs import _applied_ends
 from peridotsill_jobs import _feeds
 from peridotsill_jobs import _job_store
@@ -261,3 +263,36 @@
 @then("no runner has the task any more")
 def _on_no_runner(context):
     assert not any(each.placed for each in context.controller._workers)
+
+
+@when("a job with a step of {count:d} tasks is submitted")
+def _submit_wide(context, count):
+    body = peridotsill.encode({"spec": "", "steps": [{"count": count}]})
+    documents = _documents.PlatformDocuments(
+        unreadable_rows=unittest.mock.Mock()
+    )
+    try:
+        context.spec = documents.job("q", _FIRST, body)
+    except peridotsill.exceptions.InvalidResource as error:
+        context.spec, context.problems = None, error.problems
+
+
+@then("the submission is refused")
+def _refused(context):
+    assert context.spec is None and context.problems
+
+
+@then("the submission is accepted and readable")
+def _readable(context):
+    submission = _records.Submission(
+        spec=context.spec, queue=base._QUEUE, arrived_ms=1.0
+    )
+    value = peridotsill.decode_plain(
+        peridotsill.encode(_records.submission_value(submission))
+    )
+    row = peridotsill.Row(
+        key=_records.row_key(_records.JOBS, "q", _FIRST),
+        value=value,
+        version=1,
+    )
+    assert _records.parse_submission(row) == submission
--- a/tests/features/unreadable_jobs.feature
+++ b/tests/features/unreadable_jobs.feature
@@ -47,3 +47,15 @@
     Then the other scheduler's row stands
     And no runner has the task any more
     And one job is counted and logged as quarantined
+
+  # Guards against LOST: a job was accepted whose row no scheduler could read.
+  Scenario Outline: A job is accepted only if its row can be read
+    When a job with a step of <count> tasks is submitted
+    Then the submission is <verdict>
+
+    Examples:
+      | count  | verdict               |
+      | 0      | refused               |
+      | 1      | accepted and readable |
+      | 100000 | accepted and readable |
+      | 100001 | refused               |
