--- a/tests/features/failing_runners.feature
+++ b/tests/features/failing_runners.feature
@@ -14,6 +14,14 @@
       | 3     | 2    |
       | 9     | 3    |
 
+  # Guards against LOST: tasks that had been at work for long, and failed at one
+  # time, closed their runner.
+  Scenario: Long-lived tasks that fail together were at work before
+    Given 2 jobs of 3 long-lived tasks on 1 runners
+    And all tasks have come to work
+    When 4 of them fail at once, and 3 s pass
+    Then no task has waited for longer than 1 s
+
   # Guards against LOST: a runner was closed as long as any task was there that
   # had been there before the failures.
   Scenario: A runner that failed starts takes more beside tasks that go on
--- a/tests/features/steps/cancelling_early_steps.py
+++ b/tests/features/steps/cancelling_early_steps.py
@@ -224,14 +224,18 @@
 def _load(context):
     if "store" not in context:
         context.now = _clock.monotonic_seconds()
+        context.shown = {}
         context.store = _make_store(context)
         assert context.store.load() is not None
 
 
 def _pass_time(context, seconds):
-    """Show a scheduler the table, and let time pass since it was loaded."""
+    """Tell a scheduler once of each changed row, and let time pass then."""
     _load(context)
     for row in context.memory.scan((f"{_records.JOBS}/",)).unwrap().rows:
+        if context.shown.get(row.key) == row.version:
+            continue
+        context.shown[row.key] = row.version
         with _clock_at(context.now):
             context.store.apply_row(row)
     context.now += seconds
--- a/tests/features/steps/failing_runner_steps.py
+++ b/tests/features/steps/failing_runner_steps.py
@@ -251,6 +251,13 @@
     assert len(context.site.running()) == len(context.site.tasks)
 
 
+@when("{count:d} of them fail at once, and {seconds:g} s pass")
+def _fail_at_once(context, count, seconds):
+    for entry in context.site.running()[:count]:
+        context.site.fail(entry)
+    context.site.pass_time(seconds)
+
+
 @given("the runner fails all starts")
 def _failing(context):
     (runner,) = context.site.runners.values()
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -576,10 +576,12 @@
         package="peridotsill_jobs",
         module="_submissions.py",
         old=(
-            "                    return JobReply(outcome=Outcome.DONE, "
-            'reason="repeated")'
+            "                        return JobReply(outcome=Outcome.DONE, "
+            'reason="stored")'
+        ),
+        new=(
+            "                        return JobReply(outcome=Outcome.NOT_DONE)"
         ),
-        new="                    return JobReply(outcome=Outcome.NOT_DONE)",
         feature="platform_jobs",
         scenario="A job is one job",
     ),
@@ -1467,6 +1469,97 @@
         feature="plumbing",
         scenario="No callback is left in the queue",
     ),
+    Mutant(
+        promise="cancelled early: an unknown job's cancellation is recorded",
+        package="peridotsill_jobs",
+        module="_submissions.py",
+        old="            return self._write_tombstone(key, row, seconds)",
+        new="            return JobReply(outcome=Outcome.ABSENT)",
+        feature="cancelling_early",
+        scenario="A submission that arrives after its cancellation",
+    ),
+    Mutant(
+        promise="cancelled early: a tombstone that was renewed is kept",
+        package="peridotsill_jobs",
+        module="_tombstones.py",
+        old="known.version != row.version",
+        new="False",
+        feature="cancelling_early",
+        scenario="Repeating a cancellation starts",
+    ),
+    Mutant(
+        promise="rows: one that can't be read is not overwritten",
+        package="peridotsill_jobs",
+        module="_job_store.py",
+        old="            self._quarantine(job.key, row, error)\n",
+        new="            job.row_version = row.version\n",
+        feature="unreadable_jobs",
+        scenario="A new scheduler leaves a job alone",
+    ),
+    Mutant(
+        promise="rows: ends of a job that can't be read are kept",
+        package="peridotsill_jobs",
+        module="_controller.py",
+        old="                | self._job_store.quarantined_keys\n",
+        new="",
+        feature="unreadable_jobs",
+        scenario="A runner keeps the ends of a job",
+    ),
+    Mutant(
+        promise="breaker: a long-lived task that is at work is good news",
+        package="peridotsill_jobs",
+        module="_workers.py",
+        old="        if placed.came_to_work:\n            return\n",
+        new="",
+        feature="failing_runners",
+        scenario="Long-lived tasks that fail together",
+    ),
+    Mutant(
+        promise="breaker: one start at a time holds within a round",
+        package="peridotsill_scheduler",
+        module="_vms.py",
+        old="        if self.on_trial and not task.step.gang:",
+        new="        if False:",
+        feature="failing_runners",
+        scenario="A runner that fails everything at once",
+    ),
+    Mutant(
+        promise="former calls: a new scheduler waits for a young lifetime",
+        package="peridotsill_jobs",
+        module="_workers.py",
+        old="            began_at=began_at,\n",
+        new="",
+        feature="former_calls",
+        scenario="A young runner is silent after a takeover",
+    ),
+    Mutant(
+        promise="former calls: a start without an answer is waited for",
+        package="peridotsill_jobs",
+        module="_runs.py",
+        old="            placed.unanswered_start_at = outcome.answered_at\n",
+        new="            pass\n",
+        feature="former_calls",
+        scenario="A start gets no answer and its runner falls silent",
+    ),
+    Mutant(
+        promise="former calls: a runner that has left is not waited for",
+        package="peridotsill_jobs",
+        module="_workers.py",
+        old="            if kept and self._is_shown_ended(worker):",
+        new="            if False:",
+        feature="former_calls",
+        scenario="A start gets no answer as its runner leaves",
+    ),
+    Mutant(
+        promise="advice: a gang asks until all of its tasks have room",
+        package="peridotsill_jobs",
+        module="_advice.py",
+        old="        wanted = task.step.task_count if task.step.gang else 1\n"
+        "        if permitted",
+        new="        wanted = 1\n        if permitted",
+        feature="advised_gangs",
+        scenario="A gang gets tickets",
+    ),
 )
 
 
