Move the bounds of former calls together, and log when they are waited for

A line tells when a silent runner is waited for beyond its usual leases; without one this could not be told from any other wait.

A job that is known goes on if the row of its submission can't be read any more: it was quarantined as well, which is for jobs of which nothing is known. A scenario guards it.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_advice.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_advice.py
@@ -179,10 +179,10 @@
         request_key = (*job.key, task.occurrence, task.step.index)
         if request_key in self._in_flight:
             return
+        wanted = task.step.task_count if task.step.gang else 1
         permitted_room = _count_room(
-            job, task, (vm for vm in vms if vm.allows(job, task))
+            job, task, (vm for vm in vms if vm.allows(job, task)), wanted
         )
-        wanted = task.step.task_count if task.step.gang else 1
         if permitted_room >= wanted:
             return
         candidates = [
@@ -242,13 +242,16 @@
     job: peridotsill_scheduler.Job,
     task: peridotsill_scheduler.Task,
     vms: collections.abc.Iterable[peridotsill_scheduler.VmView],
+    wanted: int,
 ) -> int:
-    """Return how many tasks of a step some VMs have room for.
+    """Return how many tasks like one some VMs have room for, up to a number.
 
-    Not more than the step has are counted, nor more than one if it is no
-    gang.
+    Args:
+        job: The job.
+        task: The task.
+        vms: The VMs.
+        wanted: Where to stop counting.
     """
-    wanted = task.step.task_count if task.step.gang else 1
     count = 0
     for vm in vms:
         trial_view = vm.copy()
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_former_calls.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_former_calls.py
@@ -7,10 +7,15 @@
 were started properly since.
 """
 
+import typing
+
 from peridotsill_jobs import _clock
 
-# A call that got no answer is executed within this time, if at all. It also
-# allows for the difference of two clocks' times of day.
+if typing.TYPE_CHECKING:
+    from peridotsill_jobs import _workers
+
+# A call that got no answer is taken to be executed within this time, if at
+# all. It also allows for the difference of two clocks' times of day.
 _LATE_CALL_SECONDS = 5.0
 # On a runner's clock a second lasts at most this many of ours.
 _MAX_CLOCK_SLOWNESS = 1.03
@@ -46,3 +51,66 @@
     """
     age_seconds = (_clock.unix_ms() - lifetime) / 1000.0
     return _clock.monotonic_seconds() - max(0.0, age_seconds)
+
+
+def lease_seconds(
+    worker: "_workers.Worker", max_lease_seconds: float
+) -> float:
+    """Return how long leases by a former lifetime's clock may still last.
+
+    Calls of this scheduler for the former lifetime have come to the present
+    one by the time at which it took over, if they did.
+
+    Args:
+        worker: The runner.
+        max_lease_seconds: The platform's longest lease of a run.
+
+    Returns:
+        The seconds, negative if there is no such lease any more.
+    """
+    own_calls_end_at = worker.took_over_at + longest_lease_seconds(
+        max_lease_seconds
+    )
+    earlier_calls_end_at = worker.began_at + effect_seconds(max_lease_seconds)
+    now = _clock.monotonic_seconds()
+    return max(own_calls_end_at, earlier_calls_end_at) - now
+
+
+def start_seconds(
+    worker: "_workers.Worker", max_lease_seconds: float
+) -> float:
+    """Return how long runs may last whose starts reach the next lifetime.
+
+    Args:
+        worker: The runner.
+        max_lease_seconds: The platform's longest lease of a run.
+
+    Returns:
+        The seconds, negative if all starts were answered, or long ago.
+    """
+    newest_at = max(
+        (each.unanswered_start_at for each in worker.placed.values()),
+        default=float("-inf"),
+    )
+    ends_at = newest_at + effect_seconds(max_lease_seconds)
+    return ends_at - _clock.monotonic_seconds()
+
+
+def affected_runs(
+    worker: "_workers.Worker", max_lease_seconds: float
+) -> list["_workers.PlacedTask"]:
+    """Return the runs that may go on by calls for a former lifetime.
+
+    These are all runs while the present lifetime may have got such calls,
+    and else those whose starts may reach the next one yet.
+
+    Args:
+        worker: The runner.
+        max_lease_seconds: The platform's longest lease of a run.
+    """
+    runs = [*worker.placed.values(), *worker.abandoned.values()]
+    if lease_seconds(worker, max_lease_seconds) >= 0:
+        return runs
+    now = _clock.monotonic_seconds()
+    latest = now - effect_seconds(max_lease_seconds)
+    return [each for each in runs if each.unanswered_start_at > latest]
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_job_store.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_job_store.py
@@ -244,6 +244,18 @@
             self.mark_dirty(job)
         return True
 
+    def _handle_unreadable(
+        self,
+        row: peridotsill.Row,
+        error: peridotsill.exceptions.InvalidResource,
+    ) -> None:
+        """Quarantine the job of a ``jobs`` row; a known job goes on."""
+        key = _records.parse_job_key(row.key)
+        if key in self._jobs:
+            _logs.log("row:unreadable", key=row.key, problems=error.problems)
+        elif key not in self._quarantined_keys:
+            self._quarantine(key, row, error)
+
     def _quarantine(
         self,
         key: _JobKey,
@@ -286,7 +298,7 @@
         try:
             submission = _records.parse_submission(row)
         except peridotsill.exceptions.InvalidResource as error:
-            self._quarantine(_records.parse_job_key(row.key), row, error)
+            self._handle_unreadable(row, error)
             return None
         spec = submission.spec
         if (spec.queue, spec.id) in self._quarantined_keys:
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_records.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_records.py
@@ -113,7 +113,7 @@
 
 
 def tombstone_value() -> dict[str, typing.Any]:
-    """Return the value of the ``jobs`` row of a job cancelled too early.
+    """Return the row's value for a job that was cancelled but not submitted.
 
     Versions of the program that know no tombstones find the row malformed
     and schedule nothing. They show the job as cancelled.
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_workers.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_workers.py
@@ -368,6 +368,8 @@
         self._departed: dict[str, frozenset[int]] = {}
         # Runners that were logged as waited for.
         self._logged_awaited: set[str] = set()
+        # Lifetimes that were logged as waited for by calls for a former one.
+        self._logged_former_calls: set[tuple[str, int]] = set()
         # When the registry was first read.
         self._registry_read_at = float("inf")
 
@@ -704,9 +706,11 @@
                 worker.placed or worker.abandoned
             ) or not self._have_leases_expired(worker, max_lease_seconds):
                 continue
-            kept = self._runs_by_former_calls(worker, max_lease_seconds)
+            kept = _former_calls.affected_runs(worker, max_lease_seconds)
             if kept and self._is_shown_ended(worker):
                 kept = []
+            if kept:
+                self._log_former_calls(worker, len(kept))
             lost_tasks += worker.lose_runs(now, kept)
         if self._inherited_leases.answer_seconds_left(self._registry_read_at):
             return lost_tasks
@@ -732,20 +736,17 @@
             worker.entry.id, len(worker.runs), max_lease_seconds
         )
 
-    def _runs_by_former_calls(
-        self, worker: Worker, max_lease_seconds: float
-    ) -> list[PlacedTask]:
-        """Return the runs that may go on by calls for a former lifetime.
-
-        These are all runs while the present lifetime may have got such calls,
-        and else those whose starts may reach the next one yet.
-        """
-        runs = [*worker.placed.values(), *worker.abandoned.values()]
-        if _former_lease_seconds(worker, max_lease_seconds) >= 0:
-            return runs
-        now = _clock.monotonic_seconds()
-        latest = now - _former_calls.effect_seconds(max_lease_seconds)
-        return [each for each in runs if each.unanswered_start_at > latest]
+    def _log_former_calls(self, worker: Worker, run_count: int) -> None:
+        """Log once for each lifetime that its runs are waited for longer."""
+        lifetime = (worker.entry.id, worker.lifetime)
+        if lifetime not in self._logged_former_calls:
+            self._logged_former_calls.add(lifetime)
+            _logs.log(
+                "runner:may_run_on",
+                runner=worker.entry.id,
+                lifetime=worker.lifetime,
+                run_count=run_count,
+            )
 
     def _is_shown_ended(self, worker: Worker) -> bool:
         """Tell whether the platform shows that a silent runner has ended.
@@ -821,8 +822,8 @@
                 if worker.link.silent_seconds > _SILENT_SECONDS:
                     wait_seconds[runner] = worker.link.seconds_to_expiry
             left = max(
-                _former_lease_seconds(worker, max_lease_seconds),
-                _unanswered_start_seconds(worker, max_lease_seconds),
+                _former_calls.lease_seconds(worker, max_lease_seconds),
+                _former_calls.start_seconds(worker, max_lease_seconds),
             )
             if left > wait_seconds.get(runner, longest_seconds):
                 wait_seconds[runner] = left
@@ -886,32 +887,3 @@
         """Stop all links."""
         for worker in (*self._workers.values(), *self._candidates.values()):
             worker.link.stop()
-
-
-def _former_lease_seconds(worker: Worker, max_lease_seconds: float) -> float:
-    """Return how long leases by a former lifetime's clock may still last.
-
-    Calls of this scheduler for the former lifetime have come to this one by
-    the time at which it took over, if they did.
-    """
-    own_calls_end_at = (
-        worker.took_over_at
-        + _former_calls.longest_lease_seconds(max_lease_seconds)
-    )
-    earlier_calls_end_at = worker.began_at + _former_calls.effect_seconds(
-        max_lease_seconds
-    )
-    now = _clock.monotonic_seconds()
-    return max(own_calls_end_at, earlier_calls_end_at) - now
-
-
-def _unanswered_start_seconds(
-    worker: Worker, max_lease_seconds: float
-) -> float:
-    """Return how long runs may last whose starts reach the next lifetime."""
-    newest_at = max(
-        (each.unanswered_start_at for each in worker.placed.values()),
-        default=float("-inf"),
-    )
-    effect_seconds = _former_calls.effect_seconds(max_lease_seconds)
-    return newest_at + effect_seconds - _clock.monotonic_seconds()
--- a/tests/features/steps/unreadable_job_steps.py
+++ b/tests/features/steps/unreadable_job_steps.py
@@ -296,3 +296,10 @@
         version=1,
     )
     assert _records.parse_submission(row) == submission
+
+
+@when("the feed shows the job's submission in a way that can't be read")
+def _show_unreadable_submission(context):
+    key = _records.row_key(_records.JOBS, *context.job.key)
+    row = peridotsill.Row(key=key, value={"spec": "none"}, version=99)
+    context.controller._handle_event(_feeds.JobRowsChanged(rows=(row,)))
--- a/tests/features/unreadable_jobs.feature
+++ b/tests/features/unreadable_jobs.feature
@@ -48,6 +48,14 @@
     And no runner has the task any more
     And one job is counted and logged as quarantined
 
+  # Guards against LOST: a job that goes on was dropped for a change of its
+  # submission's row, which had been read before.
+  Scenario: The submission of a job that is known can't be read any more
+    Given a scheduler with a task of run 1 on runner "i-1"
+    When the feed shows the job's submission in a way that can't be read
+    And runner "i-1" lists run 1 as done
+    Then the task is done and the job completed
+
   # Guards against LOST: a job was accepted whose row no scheduler could read.
   Scenario Outline: A job is accepted only if its row can be read
     When a job with a step of <count> tasks is submitted
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -1554,9 +1554,8 @@
         promise="advice: a gang asks until all of its tasks have room",
         package="peridotsill_jobs",
         module="_advice.py",
-        old="        wanted = task.step.task_count if task.step.gang else 1\n"
-        "        if permitted",
-        new="        wanted = 1\n        if permitted",
+        old="        if permitted_room >= wanted:",
+        new="        if permitted_room:",
         feature="advised_gangs",
         scenario="A gang gets tickets",
     ),
