Don't start a task again while a late start of its run may come

What callers saw: two runs of a task at once, both by the same scheduler. A runner started again under its id, its tasks were started elsewhere, and a start of the former run was executed by the next lifetime after that.

Cause: the end of a lifetime was taken for the end of its starts. But an attempt that got no answer may be executed seconds later, by a next lifetime as well, which knows of no earlier run and no fence number. Only starts whose last attempt was unanswered were stopped there first; not those of which an earlier attempt was, nor those on a runner whose VM was listed as down, nor runs that had ended before, nor after a second restart.

Unanswered attempts are now remembered for each runner, in whichever lifetime (`_late_starts.py`). A lifetime that follows is told to stop those runs before their tasks are started elsewhere, which makes it refuse late starts; a VM that is down ends what runs there, but keeps runs whose start may come until it has another runner, or for 5 s. A crash is held against a task once, also if the task is requeued later.

What was replaced is `PlacedTask.unanswered_start_at`, which was lost as a run was placed on the next lifetime; its scenarios pass.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_former_calls.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_former_calls.py
@@ -16,7 +16,7 @@
 
 # A call that got no answer is taken to be executed within this time, if at
 # all. It also allows for the difference of two clocks' times of day.
-_LATE_CALL_SECONDS = 5.0
+LATE_CALL_SECONDS = 5.0
 # On a runner's clock a second lasts at most this many of ours.
 _MAX_CLOCK_SLOWNESS = 1.03
 
@@ -36,7 +36,7 @@
     Args:
         max_lease_seconds: The platform's longest lease of a run.
     """
-    return _LATE_CALL_SECONDS + longest_lease_seconds(max_lease_seconds)
+    return LATE_CALL_SECONDS + longest_lease_seconds(max_lease_seconds)
 
 
 def estimate_start(lifetime: int) -> float:
@@ -58,8 +58,8 @@
 ) -> float:
     """Return how long leases by a former lifetime's clock may still last.
 
-    Calls of this scheduler for the former lifetime have come to the present
-    one by the time at which it took over, if they did.
+    Calls of this scheduler for the former lifetime had come to the present
+    one when it took over, if at all, but for those without an answer.
 
     Args:
         worker: The runner.
@@ -68,12 +68,16 @@
     Returns:
         The seconds, negative if there is no such lease any more.
     """
-    own_calls_end_at = worker.took_over_at + longest_lease_seconds(
+    answered_calls_end_at = worker.took_over_at + longest_lease_seconds(
         max_lease_seconds
     )
-    earlier_calls_end_at = worker.began_at + effect_seconds(max_lease_seconds)
+    latest_call_at = max(
+        worker.began_at,
+        worker.late_starts.newest_until(worker.took_over_at),
+    )
+    late_calls_end_at = latest_call_at + effect_seconds(max_lease_seconds)
     now = _clock.monotonic_seconds()
-    return max(own_calls_end_at, earlier_calls_end_at) - now
+    return max(answered_calls_end_at, late_calls_end_at) - now
 
 
 def start_seconds(
@@ -89,7 +93,10 @@
         The seconds, negative if all starts were answered, or long ago.
     """
     newest_at = max(
-        (each.unanswered_start_at for each in worker.placed.values()),
+        (
+            worker.late_starts.unanswered_at(each.id)
+            for each in tuple(worker.placed.values())
+        ),
         default=float("-inf"),
     )
     ends_at = newest_at + effect_seconds(max_lease_seconds)
@@ -113,4 +120,8 @@
         return runs
     now = _clock.monotonic_seconds()
     latest = now - effect_seconds(max_lease_seconds)
-    return [each for each in runs if each.unanswered_start_at > latest]
+    return [
+        each
+        for each in runs
+        if worker.late_starts.unanswered_at(each.id) > latest
+    ]
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_gone_runners.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_gone_runners.py
@@ -6,6 +6,7 @@
 
 from peridotsill_jobs import _clock
 from peridotsill_jobs import _fleet
+from peridotsill_jobs import _late_starts
 from peridotsill_jobs import _link_events
 from peridotsill_jobs import _logs
 from peridotsill_jobs import _suspects
@@ -51,17 +52,17 @@
         worker = self._workers.get(event.runner, event.lifetime)
         if worker is None or worker.is_settled:
             return
-        self._requeue_tasks(worker, event.evidence, event.ended_at)
-        self._workers.replace_link(worker)
+        self._handle_end(worker, event.evidence, event.ended_at)
 
     def handle_restart(self, worker: _workers.Worker) -> None:
         """Requeue the tasks of a runner that was removed as it restarted."""
         # A runner that was found gone before has tasks only if their row was
-        # read again since.
+        # read again since, or if it was to start them yet.
         if not worker.is_settled or worker.placed:
-            self._requeue_tasks(
+            reason = self._record_end(
                 worker, "another lifetime answers", _last_answer_at(worker)
             )
+            self._requeue_lost(worker.remove_placed(), reason)
 
     def handle_refusal(self, event: _link_events.RunnerRefuses) -> None:
         """Look whether a runner that refuses connections has ended."""
@@ -81,31 +82,54 @@
     def handle_vm_list(self) -> None:
         """Record unreachable runners as ended that the list shows ended."""
         for worker in self._workers:
-            if worker.is_settled or not worker.runs:
-                continue
-            if not _is_out_of_reach(worker):
+            if not worker.runs or not _is_out_of_reach(worker):
                 continue
             evidence = self._fleet.why_ended(worker)
-            if evidence:
-                self._requeue_tasks(worker, evidence, _last_answer_at(worker))
-                self._workers.replace_link(worker)
+            if evidence and worker.is_settled:
+                self._requeue_kept(worker, evidence)
+            elif evidence:
+                self._handle_end(worker, evidence, _last_answer_at(worker))
             elif worker.link.refused and not self._fleet.has_listed_since(
                 worker
             ):
                 self._request_vm_list()
 
-    def _requeue_tasks(
+    def _handle_end(
         self, worker: _workers.Worker, evidence: str, ended_at: float
     ) -> None:
+        """Requeue an ended runner's tasks but those that it may start yet."""
+        reason = self._record_end(worker, evidence, ended_at)
+        worker.record_dropped_starts()
+        kept = _late_starts.runs_to_keep(
+            worker, evidence, worker.placed.values()
+        )
+        self._requeue_lost(worker.remove_placed(kept), reason)
+        self._workers.replace_link(worker)
+
+    def _requeue_kept(self, worker: _workers.Worker, evidence: str) -> None:
+        """Requeue kept tasks once the runner can't start them any more."""
+        kept = _late_starts.runs_to_keep(
+            worker, evidence, worker.placed.values()
+        )
+        self._requeue_lost(worker.remove_placed(kept), evidence)
+
+    def _record_end(
+        self, worker: _workers.Worker, evidence: str, ended_at: float
+    ) -> str:
+        """Log a runner's end and hold a crash against its tasks, once.
+
+        Returns:
+            The reason for which its tasks are lost.
+        """
         reason = self._why_gone(worker)
         self._counters.add(
             "runners_gone", pool=worker.entry.pool, reason=reason
         )
         _log_gone(worker, reason, evidence, ended_at)
-        if reason == _CRASHED:
+        if reason == _CRASHED and not worker.crash_recorded:
+            worker.crash_recorded = True
             self._suspects.record_crash(worker, ended_at)
-        tasks = [(each.job, each.task) for each in worker.placed.values()]
-        self._requeue_lost(tasks, reason)
+        return reason
 
     def _why_gone(self, worker: _workers.Worker) -> str:
         if self._fleet.may_have_ended(worker):
--- /dev/null
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_late_starts.py
@@ -0,0 +1,84 @@
+"""Remembers the starts of a runner that may be executed late.
+
+An attempt of a start that got no answer may be executed some seconds later,
+also by the runner's next lifetime. That one knows of no earlier run, so it
+refuses the start only once it was told to stop the run.
+"""
+
+import collections.abc
+import typing
+
+from peridotsill_jobs import _clock
+from peridotsill_jobs import _departures
+from peridotsill_jobs import _former_calls
+
+if typing.TYPE_CHECKING:
+    from peridotsill_jobs import _workers
+
+# Job id, task key and run.
+RunId = tuple[str, str, int]
+
+# By then no start of this age is executed, and no run that one began lasts.
+_MEMORY_SECONDS = 60.0
+
+
+class LateStarts:
+    """A runner's unanswered starts, in whichever of its lifetimes.
+
+    Example: an attempt to start run 1 got no answer by 100, the next one was
+    answered. Until 105 ``may_come`` tells that the run may begin, or begin
+    again in a next lifetime. Times are those of `_clock.monotonic_seconds`.
+    """
+
+    def __init__(self) -> None:
+        self._unanswered_at: dict[RunId, float] = {}
+
+    @property
+    def pending(self) -> list[RunId]:
+        """The runs that may still begin."""
+        return [each for each in self._unanswered_at if self.may_come(each)]
+
+    def record(self, run: RunId, unanswered_at: float) -> None:
+        """Record when an attempt to start a run was found unanswered."""
+        oldest = _clock.monotonic_seconds() - _MEMORY_SECONDS
+        recent = {
+            each: at for each, at in self._unanswered_at.items() if at > oldest
+        }
+        # Replaced as a whole, as the lease's thread reads it, too.
+        self._unanswered_at = {**recent, run: unanswered_at}
+
+    def unanswered_at(self, run: RunId) -> float:
+        """Return when an attempt to start a run was; minus infinity if not."""
+        return self._unanswered_at.get(run, float("-inf"))
+
+    def newest_until(self, until: float) -> float:
+        """Return when the newest attempt up to a time was unanswered."""
+        return max(
+            (at for at in self._unanswered_at.values() if at <= until),
+            default=float("-inf"),
+        )
+
+    def may_come(self, run: RunId) -> bool:
+        """Tell whether a start of the run may still be executed."""
+        age_seconds = _clock.monotonic_seconds() - self.unanswered_at(run)
+        return age_seconds < _former_calls.LATE_CALL_SECONDS
+
+
+def runs_to_keep(
+    worker: "_workers.Worker",
+    evidence: str,
+    runs: collections.abc.Iterable["_workers.PlacedTask"],
+) -> list["_workers.PlacedTask"]:
+    """Return the runs that may begin though the runner has ended.
+
+    Its VM may come back with a next lifetime of the runner, unless it has
+    another runner already.
+
+    Args:
+        worker: The runner.
+        evidence: What shows that it has ended.
+        runs: Its runs.
+    """
+    if evidence != _departures.VM_IS_DOWN:
+        return []
+    return [each for each in runs if worker.late_starts.may_come(each.id)]
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_lifetimes.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_lifetimes.py
@@ -80,17 +80,29 @@
         moved: list[_workers.PlacedTask] = []
         late: list[_workers.PlacedTask] = []
         for key, placed in tuple(ended.placed.items()):
-            if reported.may_include((*key, placed.run)):
+            if reported.may_include(placed.id):
                 moved.append(ended.placed.pop(key))
             elif placed.last_answered_at >= event.requested_at:
                 late.append(ended.placed.pop(key))
+            elif ended.late_starts.may_come(placed.id):
+                late.append(ended.placed.pop(key))
         # Those that came late may have caused the end by an earlier attempt.
-        ended.lost_runs += late
+        if not ended.gone:
+            ended.lost_runs += late
         self._gone_runners.handle_restart(ended)
         for placed in moved:
             self._place(successor, placed.job, placed.task)
         for placed in late:
             self._stop_late(successor, placed)
+        self._refuse_late_starts(successor)
+
+    def _refuse_late_starts(self, successor: _workers.Worker) -> None:
+        """Let a lifetime refuse late starts of runs that it doesn't have."""
+        placed = {each.id for each in successor.placed.values()}
+        for job_id, task_key, run in successor.late_starts.pending:
+            if (job_id, task_key, run) not in placed:
+                name = _ports.TaskName(job=job_id, task=task_key)
+                successor.link.order_stop(name, run)
 
     def _stop_late(
         self, successor: _workers.Worker, placed: _workers.PlacedTask
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_link_events.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_link_events.py
@@ -36,6 +36,11 @@
     no_attempt_in_flight: bool
     is_from_another: bool = False
 
+    @property
+    def may_come_late(self) -> bool:
+        """Whether an attempt that the lifetime didn't answer may be done."""
+        return not self.no_attempt_in_flight or self.is_from_another
+
 
 @attrs.frozen(kw_only=True)
 class ReportReceived:
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_runs.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_runs.py
@@ -392,6 +392,8 @@
         if worker is None:
             return
         key = (outcome.name.job, outcome.name.task)
+        if outcome.is_start and outcome.may_come_late:
+            worker.late_starts.record((*key, outcome.run), outcome.answered_at)
         abandoned_run = worker.abandoned.get((*key, outcome.run))
         if abandoned_run is not None:
             # Its task was started again elsewhere: this run is only stopped.
@@ -426,8 +428,6 @@
     ) -> None:
         job, task = placed.job, placed.task
         result = outcome.result
-        if not outcome.no_attempt_in_flight or outcome.is_from_another:
-            placed.unanswered_start_at = outcome.answered_at
         self._counters.add("starts", outcome=str(result))
         _logs.log(
             "task:start_answered",
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_workers.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_workers.py
@@ -9,6 +9,7 @@
 from peridotsill_jobs import _former_calls
 from peridotsill_jobs import _grants
 from peridotsill_jobs import _inherited_leases
+from peridotsill_jobs import _late_starts
 from peridotsill_jobs import _lease
 from peridotsill_jobs import _links
 from peridotsill_jobs import _logs
@@ -52,8 +53,6 @@
     running. ``load_metric`` is as in `_ports.ReportedRun`.
     ``placed_at`` is when this scheduler placed it, in the same seconds, and
     ``came_to_work`` tells that it is long-lived and has.
-    ``unanswered_start_at`` is when an attempt of its start had got no answer
-    of this lifetime, so that it may reach the next one.
     ``run`` is the number of the run, and ``former_run_began_at`` when it had
     begun if it was abandoned or lost since, as the task may have another run
     by then.
@@ -68,7 +67,6 @@
     former_run_began_at: float | None = None
     placed_at: float = attrs.field()
     came_to_work: bool = False
-    unanswered_start_at: float = float("-inf")
     run: int = attrs.field(init=False)
 
     @placed_at.default
@@ -112,6 +110,11 @@
         )
         return self.last_answered_at > 0 or is_unconfirmed
 
+    @property
+    def id(self) -> _late_starts.RunId:
+        """The run's job, task and number."""
+        return (self.job.spec.id, self.task.key, self.run)
+
     @property
     def name(self) -> _ports.TaskName:
         """The task's name, unique across jobs."""
@@ -144,8 +147,10 @@
     ended, ``avoided`` that its VM is due in a wave. The lifetime is known
     since ``known_at``, and has been used since ``took_over_at`` in place of
     those in ``ended_lifetimes``. ``began_at`` is about when it began if calls
-    of earlier schedulers for a former lifetime may act on it. Times are those
-    of `_clock.monotonic_seconds`.
+    of earlier schedulers for a former lifetime may act on it.
+    ``late_starts`` go on from one lifetime to the next. ``crash_recorded``
+    tells that its end was held against its tasks. Times are those of
+    `_clock.monotonic_seconds`.
     """
 
     entry: _ports.RunnerEntry
@@ -172,6 +177,10 @@
     known_at: float = 0.0
     took_over_at: float = float("-inf")
     began_at: float = float("-inf")
+    late_starts: _late_starts.LateStarts = attrs.field(
+        factory=_late_starts.LateStarts
+    )
+    crash_recorded: bool = False
     ended_lifetimes: frozenset[int] = frozenset()
     _room: _reserved_room.ReservedRoom = attrs.field(
         factory=_reserved_room.ReservedRoom, init=False
@@ -226,6 +235,25 @@
             del self.abandoned[abandoned_key]
         return [(each.job, each.task) for each in lost.values()]
 
+    def remove_placed(
+        self, kept: collections.abc.Collection[PlacedTask] = ()
+    ) -> list[JobTask]:
+        """Remove and return the tasks that are placed here but some."""
+        removed = {
+            key: each for key, each in self.placed.items() if each not in kept
+        }
+        for key in removed:
+            del self.placed[key]
+        return [(each.job, each.task) for each in removed.values()]
+
+    def record_dropped_starts(self) -> None:
+        """Record starts as unanswered whose outcome the link won't post."""
+        now = _clock.monotonic_seconds()
+        for placed in self.placed.values():
+            is_sent = self.link.may_have_begun(placed.name, placed.run)
+            if is_sent and not placed.is_known_to_run:
+                self.late_starts.record(placed.id, now)
+
     def forget_lost_runs(self, now: float) -> None:
         """Forget lost runs if the runner answers again, or after a while."""
         answers = self.link.reached and self.link.may_grant
@@ -576,9 +604,11 @@
             successor = self._make_worker(entry, listed=False)
         self._candidates.pop(entry.id, None)
         _logs.log("runner:restarted", runner=entry.id, lifetime=entry.lifetime)
+        ended.record_dropped_starts()
         ended.link.stop()
         successor.ended_lifetimes = ended.ended_lifetimes | {ended.lifetime}
         successor.took_over_at = _clock.monotonic_seconds()
+        successor.late_starts = ended.late_starts
         self._workers[entry.id] = successor
         return successor
 
@@ -602,7 +632,6 @@
         Nothing is started on the runner unless it answers again.
         """
         self._connect_anew(worker)
-        worker.placed.clear()
         worker.abandoned.clear()
         worker.lost_runs.clear()
 
@@ -614,6 +643,7 @@
     def mark_alive(self, worker: Worker) -> None:
         """Record that a runner answers that was held to have ended."""
         worker.gone = False
+        worker.crash_recorded = False
         self._departed.pop(worker.entry.id, None)
 
     def pop_ended(self) -> list[EndedRunner]:
@@ -634,9 +664,17 @@
         return [
             EndedRunner(tasks=self._pop_ended(runner, why), evidence=why)
             for runner, why in sorted(evidences.items())
-            if why
+            if why and self._has_runs_to_lose(runner, why)
         ]
 
+    def _has_runs_to_lose(self, runner: str, evidence: str) -> bool:
+        if self._awaiting_runner.get(runner):
+            return True
+        worker = self._workers[runner]
+        runs = [*worker.placed.values(), *worker.abandoned.values()]
+        kept = _late_starts.runs_to_keep(worker, evidence, runs)
+        return len(kept) < len(runs)
+
     def _why_ended(self, runner: str) -> str:
         """Return how the platform shows that an unreached runner has ended.
 
@@ -683,9 +721,11 @@
             run_count=run_count,
         )
         if worker is not None:
-            placed = worker.placed.values()
-            tasks += [(each.job, each.task) for each in placed]
-            worker.lose_runs(_clock.monotonic_seconds())
+            worker.record_dropped_starts()
+            kept = _late_starts.runs_to_keep(
+                worker, evidence, worker.placed.values()
+            )
+            tasks += worker.lose_runs(_clock.monotonic_seconds(), kept)
             if evidence != _departures.VM_IS_DOWN:
                 worker.lost_runs.clear()
             self._connect_anew(worker)
@@ -707,8 +747,9 @@
             ) or not self._have_leases_expired(worker, max_lease_seconds):
                 continue
             kept = _former_calls.affected_runs(worker, max_lease_seconds)
-            if kept and self._is_shown_ended(worker):
-                kept = []
+            evidence = self._why_silent(worker) if kept else ""
+            if evidence:
+                kept = _late_starts.runs_to_keep(worker, evidence, kept)
             if kept:
                 self._log_former_calls(worker, len(kept))
             lost_tasks += worker.lose_runs(now, kept)
@@ -748,17 +789,12 @@
                 run_count=run_count,
             )
 
-    def _is_shown_ended(self, worker: Worker) -> bool:
-        """Tell whether the platform shows that a silent runner has ended.
-
-        Then it has no next lifetime either.
-        """
+    def _why_silent(self, worker: Worker) -> str:
+        """Return how the platform shows that a silent runner has ended."""
         silent_since = _clock.monotonic_seconds() - worker.link.silent_seconds
         since = max(worker.known_at, silent_since)
-        return bool(
-            self._departures.why_ended(
-                worker.entry.id, vm=worker.vm, since=since
-            )
+        return self._departures.why_ended(
+            worker.entry.id, vm=worker.vm, since=since
         )
 
     def _awaited_former_seconds(
--- a/tests/emulator/restarts.py
+++ b/tests/emulator/restarts.py
@@ -40,8 +40,8 @@
     """What a runner and a node go through, in seconds.
 
     The runner is the one with the most runs, or the n-th, at ``at``. For
-    ``late_seconds`` before it ends its orders, and polls if
-    ``late_polls``, are executed that much later. It is down for
+    ``late_seconds`` before it ends each ``late_every``-th of its orders, and
+    polls if ``late_polls``, is executed that much later. It is down for
     ``down_seconds``; its address is silent or refuses connections meanwhile.
     The calls that it left are executed ``kept_seconds`` after its start. It
     is cut off ``heard_seconds`` after that, for ``cut_seconds``.
@@ -56,6 +56,7 @@
     task_seconds: float
     late_seconds: float
     late_polls: bool
+    late_every: int
     is_silent: bool
     down_seconds: float
     kept_seconds: float
@@ -71,6 +72,8 @@
 def draw_series(seed, node_count):
     """Return the restarts that a seed stands for, by their beginning."""
     draw = random.Random(seed)
+    # Apart, so that seeds stand for what else they stood for before.
+    late_draw = random.Random(f"late {seed}")
     at = 0.0
     series = []
     for number in range(_RESTARTS):
@@ -83,6 +86,7 @@
                 runner=draw.choice((0, 0, 0, *range(1, _VMS))),
                 late_seconds=draw.choice((0.0, 0.0, 1.0, 3.0)),
                 late_polls=draw.random() < 0.5,
+                late_every=late_draw.choice((1, 2, 2, 3)),
                 is_silent=draw.random() < 0.7,
                 down_seconds=draw.choice((0.0, 0.1, 0.3, 0.6, 1.5)),
                 kept_seconds=draw.choice((0.0, 0.0, 0.4, 1.5, 4.0)),
@@ -196,6 +200,7 @@
         runner = self._runner(restart.runner)
         runner.faults.late_seconds = restart.late_seconds
         runner.faults.late_polls = restart.late_polls
+        runner.faults.late_every = restart.late_every
         time.sleep(restart.late_seconds)
         if not runner.up:
             return
--- a/tests/emulator/runners.py
+++ b/tests/emulator/runners.py
@@ -51,7 +51,8 @@
 
     A ``silent`` runner answers no request. With ``fail_all`` each finished
     run counts as failed. With ``late_seconds`` the runner does not answer
-    requests to start or stop a run, and executes them that much later; if
+    requests to start or stop a run, and executes them that much later, or
+    only each ``late_every``-th of them; if
     ``answer_500`` is set too, it answers them with status 500 at once. With
     ``unhealthy_stops`` it answers a stop with status 503 and does nothing.
     It takes ``hold_seconds`` more to answer a poll. An ``unregistered`` one
@@ -66,6 +67,7 @@
     silent: bool = False
     fail_all: bool = False
     late_seconds: float = 0.0
+    late_every: int = 1
     answer_500: bool = False
     unhealthy_stops: bool = False
     hold_seconds: float = 0.0
@@ -106,6 +108,7 @@
         self.highest_runs = {}
         self.ended = []
         self.end_numbers = itertools.count(1)
+        self._order_numbers = itertools.count()
         self.fence = 0
         self.lease_until = 0.0
         self.lease_lapsed_at = float("-inf")
@@ -138,6 +141,8 @@
         """
         if not self.faults.late_seconds:
             return
+        if next(self._order_numbers) % self.faults.late_every:
+            return
 
         timer = threading.Timer(
             self.faults.late_seconds,
--- /dev/null
+++ b/tests/features/late_starts.feature
@@ -0,0 +1,81 @@
+Feature: Starts without an answer that reach a runner's next lifetime
+
+  # Guards against TWICE: a report of the next lifetime without the run was
+  # taken for the run's end. But an earlier attempt of its start, which had got
+  # no answer, began the run there later.
+  Scenario: A start was answered at its second attempt, and its runner restarts
+    Given a scheduler with run 1 on "i-1" of lifetime 5
+    And the first attempt of its start got no answer 1 s ago
+    When lifetime 6 answers the link to lifetime 5 with nothing
+    Then run 1 of the task is not lost
+    And "i-1" is ordered to stop run 1 in lifetime 6
+    When that stop is answered
+    And lifetime 6 answers the link to it with nothing
+    And lifetime 6 answers the link to it with nothing
+    Then run 1 of the task is lost
+
+  # Guards against TWICE: the refusal of a late start ends with the lifetime
+  # that was told to refuse it.
+  Scenario: The runner restarts twice
+    Given a scheduler with run 1 on "i-1" of lifetime 5
+    And the first attempt of its start got no answer 1 s ago
+    When lifetime 6 answers the link to lifetime 5 with nothing
+    And that stop is answered
+    And lifetime 7 answers the link to lifetime 6 with nothing
+    Then run 1 of the task is not lost
+    And "i-1" is ordered to stop run 1 in lifetime 7
+
+  # Guards against TWICE: the runner listed the run, which came late to it, and
+  # started again; its start may come once more.
+  Scenario: The next lifetime has the run, and ends as well
+    Given a scheduler with run 1 on "i-1" of lifetime 5
+    And the first attempt of its start got no answer 1 s ago
+    When lifetime 6 answers the link to lifetime 5 with run 1
+    And lifetime 6 answers the link to it with run 1
+    And lifetime 7 answers the link to lifetime 6 with nothing
+    Then run 1 of the task is not lost
+    And "i-1" is ordered to stop run 1 in lifetime 7
+
+  # Guards against LOST: a start that is too old to come late was waited for.
+  Scenario: The attempt without an answer was sent long ago
+    Given a scheduler with run 1 on "i-1" of lifetime 5
+    And the first attempt of its start got no answer 30 s ago
+    When lifetime 6 answers the link to lifetime 5 with nothing
+    Then run 1 of the task is lost
+
+  # Guards against TWICE: a run whose task was done or started elsewhere began
+  # once more in the next lifetime, which knew of no earlier run.
+  Scenario: The run has ended, and its runner restarts
+    Given a scheduler with run 1 on "i-1" of lifetime 5
+    And the first attempt of its start got no answer 1 s ago
+    When lifetime 5 reports the end of run 1 as done
+    And lifetime 6 answers the link to lifetime 5 with nothing
+    Then "i-1" is ordered to stop run 1 in lifetime 6
+
+  # Guards against TWICE: a VM that is down has lost what ran there, but its
+  # runner may start again under its id, and a late start reaches that one.
+  Scenario Outline: The VM of a runner with an unanswered start is <state>
+    Given a scheduler with run 1 on "i-1" of lifetime 5
+    And the first attempt of its start got no answer 1 s ago
+    When the VM of "i-1" is shown to be <state>
+    Then run 1 of the task is <lost>
+
+    Examples:
+      | state               | lost     |
+      | down                | not lost |
+      | up with another one | lost     |
+
+  Scenario: The runner of a VM that was down starts again
+    Given a scheduler with run 1 on "i-1" of lifetime 5
+    And the first attempt of its start got no answer 1 s ago
+    When the VM of "i-1" is shown to be down
+    And lifetime 6 answers the link to lifetime 5 with nothing
+    Then run 1 of the task is not lost
+    And "i-1" is ordered to stop run 1 in lifetime 6
+
+  Scenario: The runner of a VM that was down never starts again
+    Given a scheduler with run 1 on "i-1" of lifetime 5
+    And the first attempt of its start got no answer 1 s ago
+    When the VM of "i-1" is shown to be down
+    And nothing is heard of it for 60 s
+    Then run 1 of the task is lost
--- a/tests/features/soak.feature
+++ b/tests/features/soak.feature
@@ -9,6 +9,11 @@
   # Guards against TWICE: a runner that started again under its id took calls
   # for its former lifetime and was cut off, and the next scheduler started its
   # tasks elsewhere. `python -m emulator.restarts` plays more.
-  Scenario: Nothing runs twice on runners that start again and are cut off
-    When the series of restarts of seeds 2 and 3 are played
+  Scenario Outline: Nothing runs twice on runners that start again and are cut off
+    When the series of restarts of seeds <first> and <second> are played
     Then all jobs were completed and no rule was broken
+
+    Examples:
+      | first | second |
+      | 2     | 3      |
+      | 200   | 221    |
--- a/tests/features/steps/controller_steps.py
+++ b/tests/features/steps/controller_steps.py
@@ -63,6 +63,9 @@
         self.paces = []
         self.starts = []
 
+    def may_have_begun(self, name, run):
+        return False
+
     def order_stop(self, name, run):
         self.stops.append((name, run))
 
--- /dev/null
+++ b/tests/features/steps/late_start_steps.py
@@ -0,0 +1,94 @@
+"""Steps on calls without an answer that a runner's next lifetime executes."""
+
+import time
+import unittest.mock
+
+from behave import given
+from behave import when
+import controller_steps as base
+import lifetime_steps
+
+from peridotsill_jobs import _clock
+from peridotsill_jobs import _feeds
+from peridotsill_jobs import _link_events
+from peridotsill_jobs import _ports
+import peridotsill_scheduler as scheduler
+
+_RUNNER = lifetime_steps._RUNNER
+
+
+@given("the first attempt of its start got no answer {seconds:d} s ago")
+def _unanswered_attempt(context, seconds):
+    context.controller._handle_event(
+        _link_events.OrderOutcome(
+            runner=_RUNNER,
+            lifetime=context.task.lifetime,
+            name=base._TASK,
+            run=1,
+            is_start=True,
+            result=_link_events.OrderResult.DONE,
+            reason="",
+            answered_at=time.monotonic() - seconds,
+            no_attempt_in_flight=False,
+        )
+    )
+
+
+@when("lifetime {lifetime:d} reports the end of run 1 as done")
+def _reports_end(context, lifetime):
+    end = _ports.ReportedEnd(
+        number=1, name=base._TASK, run=1, kind=_ports.EndKind.DONE
+    )
+    context.controller._handle_event(
+        _link_events.ReportReceived(
+            runner=_RUNNER,
+            lifetime=lifetime,
+            requested_at=time.monotonic(),
+            report=_ports.RunnerReport(
+                lifetime=lifetime, clock_ms=1000.0, running=(), ended=(end,)
+            ),
+        )
+    )
+
+
+_STATES = {
+    "down": {"state": _ports.VmState.DOWN, "runner": ""},
+    "up with another one": {"state": _ports.VmState.UP, "runner": "i-7"},
+}
+
+
+def _list_vms(context, state):
+    """List the runner's VM as the registry and the VM service do."""
+    worker = context.controller._workers.find(_RUNNER)
+    worker.vm = "v1"
+    vm = _ports.VmRecord(
+        name="v1",
+        pool="p",
+        domain="z",
+        rack="r",
+        labels=frozenset(),
+        capacity=scheduler.Resources(cores=32),
+        **_STATES[state],
+    )
+    context.controller._handle_event(
+        _feeds.VmListSnapshot(
+            vms=(vm,), requested_at=_clock.monotonic_seconds() + 1.0
+        )
+    )
+
+
+@when('the VM of "i-1" is shown to be {state}')
+def _show_vm(context, state):
+    (link,) = context.made_links
+    link.refused = True
+    link.failing_since = time.monotonic()
+    _list_vms(context, state)
+
+
+@when("nothing is heard of it for {seconds:d} s")
+def _nothing_heard(context, seconds):
+    later = time.monotonic() + seconds
+    with unittest.mock.patch.object(
+        _clock, "monotonic_seconds", lambda: later
+    ):
+        context.controller._run_round()
