Wait for leases that late polls for a former lifetime may extend

What callers saw: two runs of a task at once. A runner started again under its id, its tasks were started there once more, it was cut off, and its runs went on for longer than the scheduler waited.

Cause: a poll that got no answer may be executed seconds later. If the next lifetime does that, the lease that it names ends by the former clock, and so lasts for the platform's longest lease from that moment. The scheduler counted this time from when it knew of the next lifetime, as if its calls for the former one had all come by then.

A link now tells when a poll that extends leases was last found unanswered, or is on its way, and the leases of the next lifetime are waited for by the latest such call: a poll, or a start. Without one the wait is as it was.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_former_calls.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_former_calls.py
@@ -73,6 +73,7 @@
     )
     latest_call_at = max(
         worker.began_at,
+        worker.former_poll_at,
         worker.late_starts.newest_until(worker.took_over_at),
     )
     late_calls_end_at = latest_call_at + effect_seconds(max_lease_seconds)
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_links.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_links.py
@@ -57,6 +57,14 @@
         """Seconds that the leases granted so far may last yet."""
         return self._parts.grants.seconds_left
 
+    @property
+    def unanswered_poll_at(self) -> float:
+        """When a poll that extends leases was last found unanswered.
+
+        That is now while one is in flight, and minus infinity without any.
+        """
+        return self._poller.unanswered_poll_at
+
     def may_have_begun(self, name: _ports.TaskName, run: int) -> bool:
         """Tell whether a start that got no answer may have been executed."""
         return self._orders.may_have_begun(name, run)
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_runner_polling.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_runner_polling.py
@@ -48,6 +48,21 @@
         # lifetime that is polled, and not a later one.
         self._lifetime_confirmed = False
         self._last_reported_end = 0
+        # The last poll that extends leases and got no answer, and whether the
+        # one in flight does. The loop's thread sets them and the scheduler's
+        # reads them.
+        self._unanswered_poll_at = float("-inf")
+        self._extending_poll_in_flight = False
+
+    @property
+    def unanswered_poll_at(self) -> float:
+        """When a poll that extends leases was last found unanswered.
+
+        That is now while one is in flight, and minus infinity without any.
+        """
+        if self._extending_poll_in_flight:
+            return _clock.monotonic_seconds()
+        return self._unanswered_poll_at
 
     @property
     def last_acknowledged_end(self) -> int:
@@ -133,6 +148,7 @@
             self._last_acknowledged_end if self._lifetime_confirmed else 0
         )
         self._polling = True
+        self._extending_poll_in_flight = until is not None
         self._timeout_at = requested_at + timeout_seconds
         self._client.call(
             self._parts.calls.poll(
@@ -150,12 +166,16 @@
         read: _runner_client.AnswerReader[_ports.RunnerReport],
         requested_at: float,
     ) -> None:
+        extends_leases = self._extending_poll_in_flight
+        self._extending_poll_in_flight = False
         try:
             report = read()
         except exceptions.StaleFencingToken as error:
             self._parts.lease.mark_lost(str(error))
             self._poll_later()
         except exceptions.RunnerError as error:
+            if extends_leases and _may_be_executed(error):
+                self._unanswered_poll_at = _clock.monotonic_seconds()
             self._lifetime_confirmed = False
             self._log_failure(error)
             if self._may_repeat_at_once(error):
@@ -216,3 +236,8 @@
                 silent_seconds=round(silent_seconds, 2),
                 reason=str(error),
             )
+
+
+def _may_be_executed(error: exceptions.RunnerError) -> bool:
+    """Tell whether a call that failed may be executed yet."""
+    return isinstance(error, exceptions.RunnerUnavailable) and error.sent
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_workers.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_workers.py
@@ -147,7 +147,8 @@
     ended, ``avoided`` that its VM is due in a wave. The lifetime is known
     since ``known_at``, and has been used since ``took_over_at`` in place of
     those in ``ended_lifetimes``. ``began_at`` is about when it began if calls
-    of earlier schedulers for a former lifetime may act on it.
+    of earlier schedulers for a former lifetime may act on it, and
+    ``former_poll_at`` when a poll for the last one was found unanswered.
     ``late_starts`` go on from one lifetime to the next. ``crash_recorded``
     tells that its end was held against its tasks. Times are those of
     `_clock.monotonic_seconds`.
@@ -177,6 +178,7 @@
     known_at: float = 0.0
     took_over_at: float = float("-inf")
     began_at: float = float("-inf")
+    former_poll_at: float = float("-inf")
     late_starts: _late_starts.LateStarts = attrs.field(
         factory=_late_starts.LateStarts
     )
@@ -608,6 +610,7 @@
         ended.link.stop()
         successor.ended_lifetimes = ended.ended_lifetimes | {ended.lifetime}
         successor.took_over_at = _clock.monotonic_seconds()
+        successor.former_poll_at = ended.link.unanswered_poll_at
         successor.late_starts = ended.late_starts
         self._workers[entry.id] = successor
         return successor
--- a/tests/features/late_starts.feature
+++ b/tests/features/late_starts.feature
@@ -79,3 +79,30 @@
     When the VM of "i-1" is shown to be down
     And nothing is heard of it for 60 s
     Then run 1 of the task is lost
+
+  # Guards against TWICE: a poll for the former lifetime came late, after the
+  # next one had answered, and extended all leases there by the longest one.
+  Scenario Outline: A poll for the former lifetime got no answer
+    Given a scheduler with run 1 on "i-1" of lifetime 5
+    When a poll that extends leases there <outcome>
+    And lifetime 6 answers the link to lifetime 5 with run 1
+    And lifetime 6 is silent from then on
+    Then run 1 of the task is not lost before <kept> s
+    And run 1 of the task is lost by <lost> s
+
+    Examples:
+      | outcome        | kept | lost |
+      | is answered    | 10.2 | 10.4 |
+      | gets no answer | 15.2 | 15.5 |
+
+  Scenario Outline: A link tells when a poll that extends leases may come late
+    Given a link to a runner that answers its first poll with a run
+    When its next poll <ends>
+    Then the link tells of <polls> that may come late
+
+    Examples:
+      | ends                      | polls   |
+      | is answered               | no poll |
+      | is on its way             | a poll  |
+      | gets no answer            | a poll  |
+      | gets a refused connection | no poll |
--- a/tests/features/steps/controller_steps.py
+++ b/tests/features/steps/controller_steps.py
@@ -55,6 +55,7 @@
     may_grant = True
     silent_seconds = 0.0
     leases_expired = False
+    unanswered_poll_at = float("-inf")
     last_acknowledged_end = 0
 
     def __init__(self):
--- a/tests/features/steps/late_start_steps.py
+++ b/tests/features/steps/late_start_steps.py
@@ -4,6 +4,7 @@
 import unittest.mock
 
 from behave import given
+from behave import then
 from behave import when
 import controller_steps as base
 import lifetime_steps
@@ -12,6 +13,7 @@
 from peridotsill_jobs import _feeds
 from peridotsill_jobs import _link_events
 from peridotsill_jobs import _ports
+from peridotsill_jobs import exceptions
 import peridotsill_scheduler as scheduler
 
 _RUNNER = lifetime_steps._RUNNER
@@ -92,3 +94,53 @@
         _clock, "monotonic_seconds", lambda: later
     ):
         context.controller._run_round()
+
+
+@when("a poll that extends leases there {outcome}")
+def _poll_ends(context, outcome):
+    (link,) = context.made_links
+    if outcome == "gets no answer":
+        link.unanswered_poll_at = time.monotonic()
+
+
+@when("lifetime {lifetime:d} is silent from then on")
+def _silent_from_then(context, lifetime):
+    lifetime_steps._fall_silent(context, "is silent")
+
+
+@then("run 1 of the task is not lost before {seconds:g} s")
+def _not_lost_before(context, seconds):
+    lifetime_steps._make_round_later(context, seconds)
+    lifetime_steps._not_lost(context)
+
+
+@then("run 1 of the task is lost by {seconds:g} s")
+def _lost_by(context, seconds):
+    lifetime_steps._make_round_later(context, seconds)
+    lifetime_steps._lost(context)
+
+
+_POLL_ERRORS = {
+    "is answered": None,
+    "gets no answer": exceptions.RunnerUnavailable("", sent=True),
+    "gets a refused connection": exceptions.ConnectionRefused(""),
+}
+
+
+@when("its next poll {ends}")
+def _next_poll(context, ends):
+    poller = context.link._poller
+    poll = context.link._parts.calls.poll.return_value
+    poll.read.side_effect = _POLL_ERRORS.get(ends)
+    connection = poller._client._connection
+    if ends == "is on its way":
+        connection.call.side_effect = None
+    poller.set_paused(False)
+    poller._polling = False
+    poller._poll()
+
+
+@then("the link tells of {polls} that may come late")
+def _tells_of_polls(context, polls):
+    is_told = context.link.unanswered_poll_at > float("-inf")
+    assert is_told is (polls == "a poll"), context.link.unanswered_poll_at
