Take a call without an answer to be executed within 12 s, not 5

What callers would see: two runs of a task at once, where a start or a poll that got no answer is executed by a runner's next lifetime more than 5 s after it was sent.

Starts that may come late, and the leases of a lifetime that may have got calls for a former one, are now waited for by 12 s, and the time of day of a runner may differ from ours by as much. Only runners that are silent, or whose VM is down, are waited for; the others answer.

Not shown with real nodes: the series of restarts have calls that come up to 4 s late.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_former_calls.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_former_calls.py
@@ -16,7 +16,7 @@
 
 # A call that got no answer is taken to be executed within this time, if at
 # all. It also allows for the difference of two clocks' times of day.
-LATE_CALL_SECONDS = 5.0
+LATE_CALL_SECONDS = 12.0
 # On a runner's clock a second lasts at most this many of ours.
 _MAX_CLOCK_SLOWNESS = 1.03
 
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_late_starts.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_late_starts.py
@@ -26,7 +26,7 @@
     """A runner's unanswered starts, in whichever of its lifetimes.
 
     Example: an attempt to start run 1 got no answer by 100, the next one was
-    answered. Until 105 ``may_come`` tells that the run may begin, or begin
+    answered. Until 112 ``may_come`` tells that the run may begin, or begin
     again in a next lifetime. Times are those of `_clock.monotonic_seconds`.
     """
 
