Log which late starts are refused or waited for

Cause: a task that is not started again at once, as a start of its run may still be executed, was not told of anywhere. `runner:late_starts` names the runs, and whether the next lifetime refuses them or they are waited for.

Behaviour is as before; the two reasons to stop a run first are one condition.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_gone_runners.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_gone_runners.py
@@ -103,6 +103,9 @@
         kept = _late_starts.runs_to_keep(
             worker, evidence, worker.placed.values()
         )
+        if kept:
+            runs = [each.id for each in kept]
+            _late_starts.log_runs(worker, runs, "waited for")
         self._requeue_lost(worker.remove_placed(kept), reason)
         self._workers.replace_link(worker)
 
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_late_starts.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_late_starts.py
@@ -11,6 +11,7 @@
 from peridotsill_jobs import _clock
 from peridotsill_jobs import _departures
 from peridotsill_jobs import _former_calls
+from peridotsill_jobs import _logs
 
 if typing.TYPE_CHECKING:
     from peridotsill_jobs import _workers
@@ -20,6 +21,8 @@
 
 # By then no start of this age is executed, and no run that one began lasts.
 _MEMORY_SECONDS = 60.0
+# Most runs in a log line.
+_MAX_LOGGED_RUNS = 12
 
 
 class LateStarts:
@@ -82,3 +85,25 @@
     if evidence != _departures.VM_IS_DOWN:
         return []
     return [each for each in runs if worker.late_starts.may_come(each.id)]
+
+
+def log_runs(
+    worker: "_workers.Worker", runs: list[RunId], handling: str
+) -> None:
+    """Log how runs are handled whose starts may still be executed.
+
+    Args:
+        worker: The runner.
+        runs: The runs, of which there is one at least.
+        handling: What is done about them.
+    """
+    _logs.log(
+        "runner:late_starts",
+        runner=worker.entry.id,
+        lifetime=worker.lifetime,
+        handling=handling,
+        run_count=len(runs),
+        runs=[
+            f"{job}.{task}#{run}" for job, task, run in runs[:_MAX_LOGGED_RUNS]
+        ],
+    )
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_lifetimes.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_lifetimes.py
@@ -10,6 +10,7 @@
 
 from peridotsill_jobs import _gone_runners
 from peridotsill_jobs import _job_store
+from peridotsill_jobs import _late_starts
 from peridotsill_jobs import _link_events
 from peridotsill_jobs import _ports
 from peridotsill_jobs import _runs
@@ -82,9 +83,10 @@
         for key, placed in tuple(ended.placed.items()):
             if reported.may_include(placed.id):
                 moved.append(ended.placed.pop(key))
-            elif placed.last_answered_at >= event.requested_at:
-                late.append(ended.placed.pop(key))
-            elif ended.late_starts.may_come(placed.id):
+            elif (
+                placed.last_answered_at >= event.requested_at
+                or ended.late_starts.may_come(placed.id)
+            ):
                 late.append(ended.placed.pop(key))
         # Those that came late may have caused the end by an earlier attempt.
         if not ended.gone:
@@ -99,10 +101,16 @@
     def _refuse_late_starts(self, successor: _workers.Worker) -> None:
         """Let a lifetime refuse late starts of runs that it doesn't have."""
         placed = {each.id for each in successor.placed.values()}
-        for job_id, task_key, run in successor.late_starts.pending:
-            if (job_id, task_key, run) not in placed:
-                name = _ports.TaskName(job=job_id, task=task_key)
-                successor.link.order_stop(name, run)
+        late = [
+            each
+            for each in successor.late_starts.pending
+            if each not in placed
+        ]
+        for job_id, task_key, run in late:
+            name = _ports.TaskName(job=job_id, task=task_key)
+            successor.link.order_stop(name, run)
+        if late:
+            _late_starts.log_runs(successor, late, "refused from now on")
 
     def _stop_late(
         self, successor: _workers.Worker, placed: _workers.PlacedTask
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_workers.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_workers.py
@@ -750,7 +750,7 @@
             ) or not self._have_leases_expired(worker, max_lease_seconds):
                 continue
             kept = _former_calls.affected_runs(worker, max_lease_seconds)
-            evidence = self._why_silent(worker) if kept else ""
+            evidence = self._why_silent_ended(worker) if kept else ""
             if evidence:
                 kept = _late_starts.runs_to_keep(worker, evidence, kept)
             if kept:
@@ -792,7 +792,7 @@
                 run_count=run_count,
             )
 
-    def _why_silent(self, worker: Worker) -> str:
+    def _why_silent_ended(self, worker: Worker) -> str:
         """Return how the platform shows that a silent runner has ended."""
         silent_since = _clock.monotonic_seconds() - worker.link.silent_seconds
         since = max(worker.known_at, silent_since)
