Play seeded series from one command line

`emulator.soak` and `emulator.restarts` had the same options and report; both are in `emulator.seeds` now, which prints up to 40 problems of a series, and says why one could not be played.

--- a/tests/emulator/restarts.py
+++ b/tests/emulator/restarts.py
@@ -292,23 +292,9 @@
         return _Series(cluster, seed).play()
 
 
-def _report(seed, node_count):
-    try:
-        problems = play(seed, node_count)
-    except (AssertionError, OSError) as error:
-        problems = [f"it could not be played: {error}"]
-    print(f"{seed}: {'WRONG' if problems else 'good'}", flush=True)
-    for line in problems[:40]:
-        print(f"  {line}", flush=True)
-    return not problems
-
-
 def main():
     """Play new series; return 1 if any had a problem."""
-    parser = seeds.add_options(__doc__, count=50)
-    parser.add_argument("--nodes", type=int, default=4)
-    options = parser.parse_args()
-    return seeds.play_all(options, lambda seed: _report(seed, options.nodes))
+    return seeds.play_series(play, description=__doc__, nodes=4)
 
 
 if __name__ == "__main__":
--- a/tests/emulator/soak.py
+++ b/tests/emulator/soak.py
@@ -6,7 +6,6 @@
 """
 
 import concurrent.futures
-import contextlib
 import random
 import signal
 import sys
@@ -210,22 +209,9 @@
         return _Soak(cluster, seed).play()
 
 
-def _report(seed, node_count):
-    problems = ["it failed by an exception"]
-    with contextlib.suppress(AssertionError):
-        problems = play(seed, node_count)
-    print(f"{seed}: {'WRONG' if problems else 'good'}", flush=True)
-    for line in problems[:8]:
-        print(f"  {line}", flush=True)
-    return not problems
-
-
 def main():
     """Play new series; return 1 if any had a problem."""
-    parser = seeds.add_options(__doc__, count=50)
-    parser.add_argument("--nodes", type=int, default=5)
-    options = parser.parse_args()
-    return seeds.play_all(options, lambda seed: _report(seed, options.nodes))
+    return seeds.play_series(play, description=__doc__, nodes=5)
 
 
 if __name__ == "__main__":
--- a/tests/features/steps/late_start_steps.py
+++ b/tests/features/steps/late_start_steps.py
@@ -1,7 +1,6 @@
 """Steps on calls without an answer that a runner's next lifetime executes."""
 
 import time
-import unittest.mock
 
 from behave import given
 from behave import then
@@ -89,11 +88,7 @@
 
 @when("nothing is heard of it for {seconds:d} s")
 def _nothing_heard(context, seconds):
-    later = time.monotonic() + seconds
-    with unittest.mock.patch.object(
-        _clock, "monotonic_seconds", lambda: later
-    ):
-        context.controller._run_round()
+    lifetime_steps._make_round_later(context, seconds)
 
 
 @when("a poll that extends leases there {outcome}")
