--- a/tests/emulator/runners.py
+++ b/tests/emulator/runners.py
@@ -51,14 +51,14 @@
 
     A ``silent`` runner answers no request. With ``fail_all`` each finished
     run counts as failed. With ``late_seconds`` the runner does not answer
-    requests to start or stop a run, and executes them that much later, or
-    only each ``late_every``-th of them; if
-    ``answer_500`` is set too, it answers them with status 500 at once. With
-    ``unhealthy_stops`` it answers a stop with status 503 and does nothing.
+    requests to start or stop a run, or each ``late_every``-th of them, and
+    executes them that much later; if ``answer_500`` is set too, it answers
+    them with status 500 at once. With ``late_polls`` polls are late as well.
+    With ``unhealthy_stops`` it answers a stop with 503 and does nothing.
     It takes ``hold_seconds`` more to answer a poll. An ``unregistered`` one
     does not reach the store, so that its entry in the registry lapses.
-    With ``late_polls`` polls are late like orders. A silent one that
-    ``keeps_calls`` leaves them in ``World.kept_calls`` for its next lifetime.
+    A silent one that ``keeps_calls`` leaves them in ``World.kept_calls`` for
+    its next lifetime.
     Requests under ``unheard_epoch`` get no answer, nor do those under
     another epoch than ``only_epoch`` if that is set: a partition between
     the runner and some schedulers.
