Stop a kept run again if its runner turns out to live

What callers would see: a task that is never done. A start was on its way as the VM of its runner was listed as down, so its run is kept for a next lifetime. But the list was wrong, and the known lifetime answers: the order's outcome was dropped with the former link, so that no report could show the run's absence.

Cause: runs are kept since; before, a runner that was found gone had none, and what its link dropped didn't matter.

When such a runner answers, runs whose last order was dropped are stopped once more, as those are that a next lifetime may begin. The new scenario failed before, as no stop was ordered; found by reading the change again.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_lifetimes.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_lifetimes.py
@@ -118,10 +118,9 @@
         """Stop a run that may begin yet, so that its task can be requeued."""
         if not placed.task.active:
             return
-        placed.task.phase = peridotsill_scheduler.TaskPhase.RUNNING
         self._place(successor, placed.job, placed.task)
         key = (placed.job.spec.id, placed.task.key)
-        self._runs.stop(successor, successor.placed[key])
+        self._runs.stop_again(successor, successor.placed[key])
 
     def _settle_awaiting(
         self, worker: _workers.Worker, event: _link_events.ReportReceived
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_runs.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_runs.py
@@ -62,6 +62,7 @@
         if worker.gone:
             self._workers.mark_alive(worker)
             _logs.log("runner:answers_again", runner=event.runner)
+            self._stop_unanswered(worker)
         report = event.report
         for end in report.ended:
             if end.number > worker.last_applied_end:
@@ -371,8 +372,13 @@
                 self.stop(worker, placed)
             return
         if placed.last_answered_at < requested_at - _STOP_RETRY_SECONDS:
-            placed.task.phase = _Phase.RUNNING
-            self.stop(worker, placed)
+            self.stop_again(worker, placed)
+
+    def _stop_unanswered(self, worker: _workers.Worker) -> None:
+        """Stop runs whose last order was dropped with an earlier link."""
+        for placed in tuple(worker.placed.values()):
+            if placed.awaits_answer:
+                self.stop_again(worker, placed)
 
     def _stop_unknown_run(
         self, worker: _workers.Worker, reported: _ports.ReportedRun
@@ -486,6 +492,14 @@
             self._job_store.mark_dirty(placed.job)
         worker.link.order_stop(placed.name, placed.task.run)
 
+    def stop_again(
+        self, worker: _workers.Worker, placed: _workers.PlacedTask
+    ) -> None:
+        """Order a stop also if one was ordered before."""
+        if not placed.task.is_over:
+            placed.task.phase = _Phase.RUNNING
+        self.stop(worker, placed)
+
     def _stop_tasks(self, job: peridotsill_scheduler.Job) -> None:
         for task in job.tasks:
             if not task.active:
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_workers.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_workers.py
@@ -110,6 +110,11 @@
         )
         return self.last_answered_at > 0 or is_unconfirmed
 
+    @property
+    def awaits_answer(self) -> bool:
+        """Whether an order about it may still be carried out."""
+        return self.last_answered_at == float("inf")
+
     @property
     def id(self) -> _late_starts.RunId:
         """The run's job, task and number."""
--- a/tests/features/late_starts.feature
+++ b/tests/features/late_starts.feature
@@ -78,6 +78,20 @@
     Then run 1 of the task is not lost
     And "i-1" is ordered to stop run 1 in lifetime 6
 
+  # Guards against LOST: a run was kept whose start was dropped with the link,
+  # and no order about it was ever answered.
+  Scenario: The runner of a VM that was listed as down lives
+    Given a scheduler with an unanswered start of run 1 on "i-1" of lifetime 5
+    When the VM of "i-1" is shown to be down
+    Then run 1 of the task is not lost
+    When lifetime 5 answers the link to it with nothing
+    Then run 1 of the task is not lost
+    And "i-1" is ordered to stop run 1 in lifetime 5
+    When that stop is answered
+    And lifetime 5 answers the link to it with nothing
+    And lifetime 5 answers the link to it with nothing
+    Then run 1 of the task is lost
+
   Scenario: The runner of a VM that was down never starts again
     Given a scheduler with run 1 on "i-1" of lifetime 5
     And the first attempt of its start got no answer 1 s ago
