Share the steps and node actions that the last tests wrote again

The answer to an order stands once in the steps on lifetimes, and freezing, stopping and killing a node once in `emulator.nodes`; both soaks call it. Assertions, series and pauses are as they were.

--- a/tests/emulator/nodes.py
+++ b/tests/emulator/nodes.py
@@ -70,6 +70,25 @@
         self.process.kill()
         self.process.wait()
 
+    def freeze(self, seconds):
+        """Pause the process for a time."""
+        self.send(signal.SIGSTOP)
+        time.sleep(seconds)
+        self.send(signal.SIGCONT)
+
+    def stop_and_start(self, seconds):
+        """Stop the process by SIGTERM, and start it after a pause."""
+        self.send(signal.SIGTERM)
+        self.process.wait()
+        time.sleep(seconds)
+        self.start()
+
+    def kill_and_start(self, seconds):
+        """Kill the process, and start it after a pause."""
+        self.kill()
+        time.sleep(seconds)
+        self.start()
+
     def change_settings(self, **fields):
         """Replace the settings file atomically by one with new fields."""
         current = json.loads(self.settings.read_text())
--- a/tests/emulator/restarts.py
+++ b/tests/emulator/restarts.py
@@ -9,7 +9,6 @@
 
 import concurrent.futures
 import random
-import signal
 import sys
 import threading
 import time
@@ -33,6 +32,11 @@
 # Until all waits of a scheduler that takes over at the end have passed.
 _SETTLE_SECONDS = 60.0
 _MAX_LEASES_MS = (10_000.0, 6_000.0)
+_NODE_ACTIONS = {
+    "kill": nodes.NodeProcess.kill_and_start,
+    "stop": nodes.NodeProcess.stop_and_start,
+    "freeze": nodes.NodeProcess.freeze,
+}
 
 
 @attrs.frozen(kw_only=True)
@@ -233,28 +237,10 @@
         if not self._busy[node.number].acquire(blocking=False):
             return
         try:
-            getattr(self, f"_{restart.node_action}")(
-                node, restart.node_seconds
-            )
+            _NODE_ACTIONS[restart.node_action](node, restart.node_seconds)
         finally:
             self._busy[node.number].release()
 
-    def _kill(self, node, seconds):
-        node.kill()
-        time.sleep(seconds)
-        node.start()
-
-    def _stop(self, node, seconds):
-        node.send(signal.SIGTERM)
-        node.process.wait()
-        time.sleep(seconds)
-        node.start()
-
-    def _freeze(self, node, seconds):
-        node.send(signal.SIGSTOP)
-        time.sleep(seconds)
-        node.send(signal.SIGCONT)
-
     def _unfinished(self):
         deadline = time.monotonic() + _SETTLE_SECONDS
         for job in self._accepted:
--- a/tests/emulator/soak.py
+++ b/tests/emulator/soak.py
@@ -162,20 +162,13 @@
             )
 
     def _freeze(self, node, seconds):
-        node.send(signal.SIGSTOP)
-        time.sleep(seconds)
-        node.send(signal.SIGCONT)
+        node.freeze(seconds)
 
     def _stop(self, node, seconds):
-        node.send(signal.SIGTERM)
-        node.process.wait()
-        time.sleep(min(seconds, 1.0))
-        node.start()
+        node.stop_and_start(min(seconds, 1.0))
 
     def _kill(self, node, seconds):
-        node.kill()
-        time.sleep(min(seconds, 1.0))
-        node.start()
+        node.kill_and_start(min(seconds, 1.0))
 
     def _reload(self, node, seconds):
         node.send(signal.SIGHUP)
--- a/tests/features/steps/late_start_steps.py
+++ b/tests/features/steps/late_start_steps.py
@@ -20,18 +20,11 @@
 
 @given("the first attempt of its start got no answer {seconds:d} s ago")
 def _unanswered_attempt(context, seconds):
-    context.controller._handle_event(
-        _link_events.OrderOutcome(
-            runner=_RUNNER,
-            lifetime=context.task.lifetime,
-            name=base._TASK,
-            run=1,
-            is_start=True,
-            result=_link_events.OrderResult.DONE,
-            reason="",
-            answered_at=time.monotonic() - seconds,
-            no_attempt_in_flight=False,
-        )
+    lifetime_steps._handle_answer_to_order(
+        context,
+        is_start=True,
+        answered_at=time.monotonic() - seconds,
+        no_attempt_in_flight=False,
     )
 
 
--- a/tests/features/steps/lifetime_steps.py
+++ b/tests/features/steps/lifetime_steps.py
@@ -292,23 +292,35 @@
     assert stops == [(base._TASK, 1)], stops
 
 
-@when("that stop is answered")
-def _stop_answered(context):
+def _handle_answer_to_order(
+    context, *, is_start, answered_at, no_attempt_in_flight
+):
+    """Let an order about run 1 be answered as done."""
     context.controller._handle_event(
         _link_events.OrderOutcome(
             runner=_RUNNER,
             lifetime=context.task.lifetime,
             name=base._TASK,
             run=1,
-            is_start=False,
+            is_start=is_start,
             result=_link_events.OrderResult.DONE,
             reason="",
-            answered_at=time.monotonic(),
-            no_attempt_in_flight=True,
+            answered_at=answered_at,
+            no_attempt_in_flight=no_attempt_in_flight,
         )
     )
 
 
+@when("that stop is answered")
+def _stop_answered(context):
+    _handle_answer_to_order(
+        context,
+        is_start=False,
+        answered_at=time.monotonic(),
+        no_attempt_in_flight=True,
+    )
+
+
 @when("60 s after the scheduler began lifetime 6 {state}")
 def _fall_silent(context, state):
     inherited = context.controller._workers._inherited_leases
