Add the types of teams: their share, allowance and keys' digests

Cause: the job service knows no teams; two deployments' configurations hold them. Keys, allowances and shares are built side by side and need the same types.

Change: a `Team`, the team of a job and of its row, queues that may be called without a key, and the teams of a configuration. Nothing reads them yet, and rows without a team are written as before.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/__init__.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/__init__.py
@@ -22,6 +22,7 @@
 from peridotsill_jobs._ports import RunnerState
 from peridotsill_jobs._ports import StartOrder
 from peridotsill_jobs._ports import TaskName
+from peridotsill_jobs._ports import TeamEntry
 from peridotsill_jobs._ports import VmRecord
 from peridotsill_jobs._ports import VmService
 from peridotsill_jobs._ports import VmState
@@ -54,6 +55,7 @@
     "SettingsFile",
     "StartOrder",
     "TaskName",
+    "TeamEntry",
     "VmRecord",
     "VmService",
     "VmState",
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_job_store.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_job_store.py
@@ -315,6 +315,7 @@
             queue=queue,
             arrived_at=_clock.monotonic_seconds() - max(0.0, age),
             arrived_ms=submission.arrived_ms,
+            team=submission.team,
         )
         peridotsill_scheduler.open_occurrences(job, _clock.unix_ms())
         self._jobs[job.key] = job
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_ports.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_ports.py
@@ -90,13 +90,27 @@
     seen_at: float = float("inf")
 
 
+@attrs.frozen(kw_only=True)
+class TeamEntry:
+    """A team of the configuration, with the SHA-256 digests of its keys."""
+
+    team: peridotsill_scheduler.Team
+    key_digests: frozenset[bytes] = attrs.field(
+        default=frozenset(), repr=False
+    )
+
+
 @attrs.frozen(kw_only=True)
 class JobsConfig:
-    """The operators' configuration of queues and pools."""
+    """The operators' configuration of queues, pools and teams.
+
+    If ``teams`` is None, calls need no key.
+    """
 
     version: int
     queues: tuple[peridotsill_scheduler.Queue, ...]
     pools: tuple[peridotsill_scheduler.PoolSettings, ...]
+    teams: tuple[TeamEntry, ...] | None = None
 
 
 class EndKind(peridotsill.TextEnum):
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_records.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_records.py
@@ -89,18 +89,30 @@
     """The content of a ``jobs`` row; ``arrived_ms`` is in Unix milliseconds.
 
     ``queue`` is the queue's configuration at submission, which is used if
-    operators remove the queue.
+    operators remove the queue. ``team`` names the team whose key the caller
+    had; it is empty without one.
     """
 
     spec: peridotsill_scheduler.JobSpec
     queue: peridotsill_scheduler.Queue
     arrived_ms: float
     cancelled: bool = False
+    team: str = ""
 
 
 def submission_value(submission: Submission) -> dict[str, typing.Any]:
-    """Return the row's value for a submission."""
-    return typing.cast(dict[str, typing.Any], peridotsill.to_plain(submission))
+    """Return the row's value for a submission.
+
+    Without a team it is the one that earlier versions of the program write.
+    """
+    value = typing.cast(
+        dict[str, typing.Any], peridotsill.to_plain(submission)
+    )
+    if not submission.team:
+        del value["team"]
+    if not submission.queue.anonymous:
+        del value["queue"]["anonymous"]
+    return value
 
 
 def parse_submission(row: peridotsill.Row) -> Submission:
--- a/packages/peridotsill_scheduler/src/peridotsill_scheduler/__init__.py
+++ b/packages/peridotsill_scheduler/src/peridotsill_scheduler/__init__.py
@@ -45,6 +45,7 @@
 from peridotsill_scheduler._model import Queue
 from peridotsill_scheduler._model import Resources
 from peridotsill_scheduler._model import Step
+from peridotsill_scheduler._model import Team
 from peridotsill_scheduler._order import order_jobs
 from peridotsill_scheduler._order import order_policies
 from peridotsill_scheduler._order import order_policy
@@ -102,6 +103,7 @@
     "TailLatency",
     "Task",
     "TaskPhase",
+    "Team",
     "VmView",
     "WaveTerms",
     "WaveVm",
--- a/packages/peridotsill_scheduler/src/peridotsill_scheduler/_model.py
+++ b/packages/peridotsill_scheduler/src/peridotsill_scheduler/_model.py
@@ -123,6 +123,7 @@
 
     A job should complete within ``stretch`` times its critical path plus
     ``target_seconds``. A queue with a lower ``priority`` value goes first.
+    Calls to an ``anonymous`` queue need no key of a team.
     """
 
     name: str
@@ -135,6 +136,21 @@
     target_seconds: float = 0.0
     timeout_seconds: float = 3.0
     advice: AdviceTiming | None = None
+    anonymous: bool = False
+
+
+@attrs.frozen(kw_only=True)
+class Team:
+    """A team that submits jobs, with its share and its allowance.
+
+    ``weight`` is the team's share when its jobs compete with those of other
+    teams: as many jobs per second are within its rate. ``allowance`` limits
+    what its jobs may run at once in all pools; an amount of 0 is no limit.
+    """
+
+    name: str
+    weight: float
+    allowance: Resources = Resources()
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/peridotsill_scheduler/src/peridotsill_scheduler/_progress.py
+++ b/packages/peridotsill_scheduler/src/peridotsill_scheduler/_progress.py
@@ -157,7 +157,8 @@
 
     ``arrived_at`` is in seconds of the monotonic clock; ``arrived_ms`` is
     the Unix millisecond at which the accepting node received the
-    submission. ``row_version`` is the version of the progress row, 0 as
+    submission. ``team`` names the team that submitted it, if any.
+    ``row_version`` is the version of the progress row, 0 as
     long as there is none. ``opened_count`` counts the occurrences whose tasks
     have been created. ``advisor_answers`` is used only for queues
     with placement advice. ``failure_reason`` says why a job has failed, or
@@ -170,6 +171,7 @@
     queue: _model.Queue
     arrived_at: float
     arrived_ms: float = 0.0
+    team: str = ""
     state: JobState = JobState.QUEUED
     _tasks: list[Task] = attrs.field(factory=list, alias="tasks")
     row_version: int = 0
