Serve calls by the keys of teams

Cause: two deployments' configurations hold teams with keys; the job service knew none, so that any caller could submit, see and cancel any job.

Change: the adapter decodes teams and anonymous queues; keys are kept as digests in a table of each configuration. A call to a queue that is not anonymous needs a known key (401) before its body is read. With bounds.revocation_ms a call with a key is served only while the last read of the configuration began recently enough, measured on the clock that counts suspended time. The team is kept in the job's rows; another team's key gets 403, and a task or gang beyond the quota 422. A tombstone of another team does not cancel a job.

--- a/packages/peridotsill/src/peridotsill/_counters.py
+++ b/packages/peridotsill/src/peridotsill/_counters.py
@@ -15,6 +15,7 @@
     "platform_calls": "Calls to the table by kind and outcome.",
     "platform_microseconds": "Time spent in calls to the table, by kind.",
     "job_calls": "Callers' job calls by kind and status.",
+    "calls_refused": "Job calls refused for their key, by reason.",
     "job_call_seconds": "Time from a job call to its answer.",
     "starts": "Starts of tasks by outcome.",
     "ends": "Ends of runs by kind.",
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/__init__.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/__init__.py
@@ -32,6 +32,7 @@
 from peridotsill_jobs._settings import JobNodeSettings
 from peridotsill_jobs._settings import load_job_settings
 from peridotsill_jobs._settings import make_ports
+from peridotsill_jobs._team_keys import key_digest
 
 __all__ = [
     "AdviceTicket",
@@ -61,6 +62,7 @@
     "VmState",
     "WaveOrder",
     "job_platform",
+    "key_digest",
     "load_job_settings",
     "log",
     "logging_to_stdout",
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_following.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_following.py
@@ -7,6 +7,7 @@
 import peridotsill
 from returns import result
 
+from peridotsill_jobs import _clock
 from peridotsill_jobs import _logs
 import peridotsill_platform
 import peridotsill_platform.exceptions
@@ -22,11 +23,15 @@
     """Rows written and keys deleted since the previous update.
 
     If ``is_snapshot``, ``rows`` holds all rows with the subscription's prefix.
+    ``read_began_at`` is when the call began that found them: a change that
+    was acknowledged before is among them. It is in seconds of the clock that
+    counts suspended time.
     """
 
     rows: tuple[peridotsill.Row, ...]
     deleted: tuple[str, ...] = ()
     is_snapshot: bool = False
+    read_began_at: float = float("-inf")
 
 
 @attrs.frozen(kw_only=True)
@@ -82,10 +87,13 @@
 
 
 def _read_snapshot(subscription: Subscription) -> int:
+    began_at = _clock.boottime_seconds()
     match subscription.table.scan((subscription.prefix,)):
         case result.Success(scan):
             subscription.on_update(
-                TableUpdate(rows=scan.rows, is_snapshot=True)
+                TableUpdate(
+                    rows=scan.rows, is_snapshot=True, read_began_at=began_at
+                )
             )
             return int(scan.revision)
         case result.Failure(error):
@@ -96,10 +104,15 @@
 def _read_changes(
     subscription: Subscription, revision: int, wait_seconds: float
 ) -> int:
+    began_at = _clock.boottime_seconds()
     match subscription.table.watch(subscription.name, revision, wait_seconds):
         case result.Success(changes):
             subscription.on_update(
-                TableUpdate(rows=changes.rows, deleted=changes.deleted)
+                TableUpdate(
+                    rows=changes.rows,
+                    deleted=changes.deleted,
+                    read_began_at=began_at,
+                )
             )
             return int(changes.revision)
         case result.Failure(error):
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_node.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_node.py
@@ -9,8 +9,10 @@
 
 from peridotsill_jobs import _app
 from peridotsill_jobs import _catalog
+from peridotsill_jobs import _clock
 from peridotsill_jobs import _controller
 from peridotsill_jobs import _holder_check
+from peridotsill_jobs import _key_checks
 from peridotsill_jobs import _lease
 from peridotsill_jobs import _live_settings
 from peridotsill_jobs import _logs
@@ -50,6 +52,7 @@
             table=self._ports.table,
             keys=self._ports.keys,
             documents=self._ports.documents,
+            revocation_seconds=self._revocation_seconds(),
         )
         self._committer = peridotsill_platform.GroupCommitter(
             table=self._ports.adaptive_timeout_table(),
@@ -78,6 +81,12 @@
             ),
             counters=self._counters,
             deadline_header=self._ports.deadline_header,
+            key_check=_key_checks.KeyCheck(
+                catalog=self._catalog,
+                counters=self._counters,
+                key_header=self._ports.key_header,
+                revocation_seconds=self._revocation_seconds,
+            ),
         )
         internal_app = _app.ReadinessApp(
             why_unready=self.why_unready, metrics=self._metrics
@@ -100,6 +109,9 @@
                 )
             )
 
+    def _revocation_seconds(self) -> float:
+        return self._settings.current.bounds.revocation_ms / 1000.0
+
     def why_unready(self) -> str:
         """Return why the node is not ready, or an empty string if it is."""
         if self._stopping.is_set():
@@ -121,6 +133,10 @@
             "table_reachable": float(self._catalog.reachable),
             "calls_open": self._caller_listener.open_requests.count,
         }
+        if config is not None:
+            gauges["config_age_seconds"] = (
+                _clock.boottime_seconds() - self._catalog.read_began_at
+            )
         return self._counters.render(gauges)
 
     def start(self) -> None:
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_ports.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_ports.py
@@ -345,6 +345,9 @@
     seconds, and ``runner_calls`` returns the calls to one lifetime of a
     runner. ``deadline_header`` names the header with a caller's timeout in
     milliseconds, and ``table_limits`` are the sizes that the table accepts.
+    ``key_header`` names the header with a caller's key. If it is empty, no
+    call has a key, and of a configuration with teams only the anonymous
+    queues are served.
     """
 
     table: peridotsill_platform.WatchedTable
@@ -354,6 +357,7 @@
     runner_calls: collections.abc.Callable[[RunnerEntry], RunnerCalls]
     vms: VmService
     deadline_header: str
+    key_header: str = ""
     advisor: Advisor | None = None
     table_limits: peridotsill_platform.TableLimits = (
         peridotsill_platform.TableLimits()
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_records.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_records.py
@@ -124,13 +124,49 @@
     return peridotsill.from_plain(row.value, Submission, strict=False)
 
 
-def tombstone_value() -> dict[str, typing.Any]:
+def parse_team(value: dict[str, typing.Any]) -> str:
+    """Return the team of a ``jobs`` or ``progress`` row; empty without."""
+    return str(value.get("team", ""))
+
+
+def is_of_other_team(value: dict[str, typing.Any], team: str) -> bool:
+    """Tell whether a row's job has a team, and ``team`` is another one.
+
+    False if ``team`` is empty, as for a call without a key.
+    """
+    owner = parse_team(value)
+    return bool(owner and team) and owner != team
+
+
+def tombstone_value(
+    team: str = "", former: peridotsill.Row | None = None
+) -> dict[str, typing.Any]:
     """Return the row's value for a job that was cancelled but not submitted.
 
+    It names the teams that cancelled the job, unless a caller without a team
+    did. ``former`` is the tombstone that it replaces.
+
     Versions of the program that know no tombstones find the row malformed
     and schedule nothing. They show the job as cancelled.
     """
-    return {"tombstone": True, "cancelled": True}
+    value: dict[str, typing.Any] = {"tombstone": True, "cancelled": True}
+    teams = {team, *_tombstone_teams(former)} if former else {team}
+    if "" not in teams:
+        value["teams"] = sorted(teams)
+    return value
+
+
+def _tombstone_teams(row: peridotsill.Row) -> list[str]:
+    return [str(each) for each in row.value.get("teams", [""])]
+
+
+def tombstone_cancels(row: peridotsill.Row, team: str) -> bool:
+    """Tell whether a tombstone cancels the job that a team submits.
+
+    One of other teams does not: a team can't cancel another one's job.
+    """
+    teams = _tombstone_teams(row)
+    return not team or "" in teams or team in teams
 
 
 def is_tombstone(row: peridotsill.Row) -> bool:
@@ -146,8 +182,8 @@
     A task is a list of its phase, run, runner, lifetime, failures, last
     counted run and checkpoint; tasks that were never started are left out.
     ``epoch`` is that of the scheduler that writes the row. ``crashes`` holds,
-    by task, a list for each crash with the fields of `Crash` in order; it
-    and ``reason`` are left out if they are empty.
+    by task, a list for each crash with the fields of `Crash` in order; it,
+    ``reason`` and ``team`` are left out if they are empty.
     """
     return {**_job_value(job, epoch), **tasks_value(job.tasks)}
 
@@ -162,6 +198,8 @@
     }
     if job.failure_reason:
         value["reason"] = job.failure_reason
+    if job.team:
+        value["team"] = job.team
     return value
 
 
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_settings.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_settings.py
@@ -18,13 +18,16 @@
     ``max_lease_ms`` is the longest lease of a run; ``handover_ms`` must
     pass between the VM commands of two nodes; ``maintenance_ms`` is how
     long a VM's maintenance takes; ``exit_grace_ms`` is the time from
-    SIGTERM to SIGKILL.
+    SIGTERM to SIGKILL. ``revocation_ms`` is how long after its removal from
+    the configuration a key may be served, also at nodes that can't read the
+    configuration; 0 sets no such bound.
     """
 
     max_lease_ms: float = peridotsill.bounded(minimum=500, default=10000.0)
     handover_ms: float = peridotsill.bounded(minimum=0, default=3000.0)
     maintenance_ms: float = peridotsill.bounded(minimum=0, default=2000.0)
     exit_grace_ms: float = peridotsill.bounded(minimum=0, default=6000.0)
+    revocation_ms: float = peridotsill.bounded(minimum=0, default=0.0)
 
 
 # Link bandwidth in Mbit/s needed per core of scheduling. A takeover reads
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_submissions.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_submissions.py
@@ -3,6 +3,7 @@
 import contextlib
 import threading
 import time
+import typing
 
 import attrs
 import peridotsill
@@ -32,12 +33,16 @@
 
 
 class Outcome(peridotsill.TextEnum):
-    """Outcome of a caller's request."""
+    """Outcome of a caller's request.
+
+    FOREIGN says that the job is another team's than the caller's.
+    """
 
     DONE = "done"
     ABSENT = "absent"
     NOT_DONE = "not done"
     REJECTED = "rejected"
+    FOREIGN = "foreign"
     UNKNOWN = "unknown"
 
 
@@ -86,13 +91,15 @@
         queue: peridotsill_scheduler.Queue,
         spec: peridotsill_scheduler.JobSpec,
         seconds: float,
+        team: str = "",
     ) -> JobReply:
         """Store a job within ``seconds``; submitting an id is idempotent.
 
-        A job that was cancelled before is stored as cancelled.
+        A job that was cancelled before is stored as cancelled. ``team``
+        names the team that submits it; it is empty without one.
         """
         submission = _records.Submission(
-            spec=spec, queue=queue, arrived_ms=_clock.unix_ms()
+            spec=spec, queue=queue, arrived_ms=_clock.unix_ms(), team=team
         )
         size = len(peridotsill.encode(_records.submission_value(submission)))
         if size > self._limits.value_bytes:
@@ -137,6 +144,10 @@
                         transaction = _first_transaction(submission)
                     case result.Success(row) if _records.is_tombstone(row):
                         transaction = _tombstone_replacement(submission, row)
+                    case result.Success(row) if _records.is_of_other_team(
+                        row.value, submission.team
+                    ):
+                        return JobReply(outcome=Outcome.FOREIGN)
                     case result.Success(_):
                         return JobReply(outcome=Outcome.DONE, reason="stored")
             if is_rejected:
@@ -164,8 +175,8 @@
                 _logs.log("job:unreadable", key=key, reason=str(error))
         return found.map(lambda rows: rows[0] if rows else None)
 
-    def show(self, queue: str, job_id: str) -> JobReply:
-        """Return a job's state as stored in the table."""
+    def show(self, queue: str, job_id: str, team: str = "") -> JobReply:
+        """Return a job's state as stored in the table, to a team."""
         progress_key = _records.row_key(_records.PROGRESS, queue, job_id)
         match self._table.read((progress_key,)):
             case result.Success(rows):
@@ -173,23 +184,43 @@
                     with contextlib.suppress(
                         peridotsill.exceptions.InvalidResource
                     ):
-                        value = rows[0].value
-                        return JobReply(
-                            outcome=Outcome.DONE,
-                            state=_records.parse_state(value),
-                            reason=_records.parse_failure_reason(value),
+                        return self._show_progress(
+                            queue, job_id, team, rows[0].value
                         )
                     _logs.log("row:unreadable", key=progress_key)
             case result.Failure(error):
                 return JobReply(outcome=Outcome.UNKNOWN, reason=str(error))
-        return self._show_submitted(queue, job_id)
+        return self._show_submitted(queue, job_id, team)
+
+    def _show_progress(
+        self,
+        queue: str,
+        job_id: str,
+        team: str,
+        value: dict[str, typing.Any],
+    ) -> JobReply:
+        reply = JobReply(
+            outcome=Outcome.DONE,
+            state=_records.parse_state(value),
+            reason=_records.parse_failure_reason(value),
+        )
+        if _records.is_of_other_team(value, team):
+            return JobReply(outcome=Outcome.FOREIGN)
+        if team and not _records.parse_team(value):
+            # A scheduler of an earlier version writes no team to this row.
+            submitted = self._show_submitted(queue, job_id, team)
+            if submitted.outcome in (Outcome.FOREIGN, Outcome.UNKNOWN):
+                return submitted
+        return reply
 
-    def _show_submitted(self, queue: str, job_id: str) -> JobReply:
+    def _show_submitted(self, queue: str, job_id: str, team: str) -> JobReply:
         key = _records.row_key(_records.JOBS, queue, job_id)
         match self._table.read((key,)):
             case result.Success(rows):
                 if not rows or _records.is_tombstone(rows[0]):
                     return JobReply(outcome=Outcome.ABSENT)
+                if _records.is_of_other_team(rows[0].value, team):
+                    return JobReply(outcome=Outcome.FOREIGN)
                 cancelled = bool(rows[0].value.get("cancelled"))
                 state = _State.CANCELLED if cancelled else _State.QUEUED
                 return JobReply(outcome=Outcome.DONE, state=state)
@@ -197,37 +228,41 @@
                 return JobReply(outcome=Outcome.UNKNOWN, reason=str(error))
         raise AssertionError("result is neither Success nor Failure")
 
-    def cancel(self, queue: str, job_id: str, seconds: float) -> JobReply:
-        """Mark a job as cancelled within ``seconds``.
+    def cancel(
+        self, queue: str, job_id: str, seconds: float, team: str = ""
+    ) -> JobReply:
+        """Mark a job as cancelled within ``seconds``, for a team.
 
         If there is no such job, a tombstone is stored before the caller is
         told so. A submission that is still on its way finds it and stores
         the job as cancelled, and a commit of it that the table carries out
         late fails.
         """
-        key = _records.row_key(_records.JOBS, queue, job_id)
         deadline = time.monotonic() + seconds * _TABLE_TIME_FRACTION
         reply = JobReply(outcome=Outcome.UNKNOWN)
         while (remaining := deadline - time.monotonic()) > 0:
-            reply = self._try_cancel(key, queue, job_id, remaining)
+            reply = self._try_cancel((queue, job_id), team, remaining)
             if reply.outcome is not Outcome.UNKNOWN:
                 return reply
             time.sleep(_RETRY_DELAY_SECONDS)
         return reply
 
     def _try_cancel(
-        self, key: str, queue: str, job_id: str, seconds: float
+        self, job: tuple[str, str], team: str, seconds: float
     ) -> JobReply:
+        key = _records.row_key(_records.JOBS, *job)
         match self._table.read((key,)):
             case result.Success(rows):
                 row = rows[0] if rows else None
             case result.Failure(error):
                 return JobReply(outcome=Outcome.UNKNOWN, reason=str(error))
         if row is None or _records.is_tombstone(row):
-            return self._write_tombstone(key, row, seconds)
+            return self._write_tombstone(key, row, team, seconds)
+        if _records.is_of_other_team(row.value, team):
+            return JobReply(outcome=Outcome.FOREIGN)
         if row.value.get("cancelled"):
             return JobReply(outcome=Outcome.DONE, reason="repeated")
-        pending_key = _records.row_key(_records.PENDING, queue, job_id)
+        pending_key = _records.row_key(_records.PENDING, *job)
         commit_result = self._table.commit(
             peridotsill_platform.Transaction(
                 checks=(
@@ -249,7 +284,11 @@
         raise AssertionError("result is neither Success nor Failure")
 
     def _write_tombstone(
-        self, key: str, tombstone: peridotsill.Row | None, seconds: float
+        self,
+        key: str,
+        tombstone: peridotsill.Row | None,
+        team: str,
+        seconds: float,
     ) -> JobReply:
         """Write a tombstone, or write it again to prolong its lifetime."""
         version = tombstone.version if tombstone else 0
@@ -257,7 +296,7 @@
             checks=(peridotsill_platform.Check(key=key, version=version),),
             writes=(
                 peridotsill_platform.Write(
-                    key=key, value=_records.tombstone_value()
+                    key=key, value=_records.tombstone_value(team, tombstone)
                 ),
             ),
         )
@@ -290,14 +329,14 @@
 
 
 def _first_transaction(
-    submission: _records.Submission,
+    submission: _records.Submission, known_version: int = 0
 ) -> peridotsill_platform.Transaction:
-    """Store a job that no row is known of."""
+    """Store a job that no row is known of but one to be replaced."""
     spec = submission.spec
     key = _records.row_key(_records.JOBS, spec.queue, spec.id)
     pending_key = _records.row_key(_records.PENDING, spec.queue, spec.id)
     return peridotsill_platform.Transaction(
-        checks=(peridotsill_platform.Check(key=key, version=0),),
+        checks=(peridotsill_platform.Check(key=key, version=known_version),),
         writes=(
             peridotsill_platform.Write(
                 key=key, value=_records.submission_value(submission)
@@ -310,7 +349,9 @@
 def _tombstone_replacement(
     submission: _records.Submission, tombstone: peridotsill.Row
 ) -> peridotsill_platform.Transaction:
-    """Store a job as cancelled in place of its tombstone."""
+    """Store a job in place of a tombstone, which may cancel it."""
+    if not _records.tombstone_cancels(tombstone, submission.team):
+        return _first_transaction(submission, tombstone.version)
     cancelled = attrs.evolve(submission, cancelled=True)
     return peridotsill_platform.Transaction(
         checks=(
--- a/packages/peridotsill_scheduler/src/peridotsill_scheduler/__init__.py
+++ b/packages/peridotsill_scheduler/src/peridotsill_scheduler/__init__.py
@@ -50,6 +50,7 @@
 from peridotsill_scheduler._order import order_policies
 from peridotsill_scheduler._order import order_policy
 from peridotsill_scheduler._order import OrderContext
+from peridotsill_scheduler._oversized import oversized_reason
 from peridotsill_scheduler._pacing import plan_filler_speed
 from peridotsill_scheduler._pacing import TailLatency
 from peridotsill_scheduler._placement import Placer
@@ -129,6 +130,7 @@
     "order_jobs",
     "order_policies",
     "order_policy",
+    "oversized_reason",
     "plan_evacuation",
     "plan_fetches",
     "plan_filler_speed",
