Test keys of teams, in one process and with real nodes

Cause: keys, their removal and bad configurations were served by code that no scenario judged.

The stand-in store can withhold the operators' table from one node alone: otherwise no call succeeds there, and nothing is judged.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_catalog.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_catalog.py
@@ -124,6 +124,18 @@
                 return queue
         return None
 
+    @property
+    def subscription(self) -> _following.Subscription:
+        """What is followed, from a snapshot on."""
+        return _following.Subscription(
+            table=self._table,
+            name=self._keys.operators,
+            prefix=f"{self._keys.operators}//",
+            wait_seconds=self._watch_seconds,
+            on_update=self._apply_update,
+            on_failure=self._on_failure,
+        )
+
     def start(self) -> None:
         """Start the thread that follows the rows."""
         threading.Thread(target=self._run, daemon=True, name="catalog").start()
@@ -133,17 +145,7 @@
         self._stopped.set()
 
     def _run(self) -> None:
-        _following.follow(
-            _following.Subscription(
-                table=self._table,
-                name=self._keys.operators,
-                prefix=f"{self._keys.operators}//",
-                wait_seconds=self._watch_seconds,
-                on_update=self._apply_update,
-                on_failure=self._on_failure,
-            ),
-            self._stopped,
-        )
+        _following.follow(self.subscription, self._stopped)
 
     def _apply_update(self, update: _following.TableUpdate) -> None:
         self._on_answer()
--- a/tests/emulator/nodes.py
+++ b/tests/emulator/nodes.py
@@ -116,12 +116,14 @@
 class Cluster:
     """Nodes on a common world, and a client that calls them.
 
-    ``standby`` holds the names of the standby pools.
+    ``standby`` holds the names of the standby pools. ``key`` is the key that
+    calls send; empty for none.
     """
 
     def __init__(self, *, world, folder, count, settings, standby):
         self.world = world
         self.standby = standby
+        self.key = ""
         self._folder = folder
         self._settings = settings
         self.nodes = [self._make_node(number + 1) for number in range(count)]
@@ -204,6 +206,8 @@
             "Content-Type": "application/json",
             "Peridotsill-Deadline-Ms": str(int(seconds * 1000)),
         }
+        if self.key:
+            headers["Peridotsill-Key"] = self.key
         with contextlib.suppress(urllib3.exceptions.HTTPError):
             return self._http.request(
                 method,
--- a/tests/emulator/store.py
+++ b/tests/emulator/store.py
@@ -27,8 +27,9 @@
     """Faults that the store injects.
 
     Callers in ``refused`` get status 503 and those in ``silent`` no answer;
-    ``EVERYONE`` in such a set stands for all callers. Reads of the tables in
-    ``silent_tables`` get no answer. Every answer takes
+    ``EVERYONE`` in such a set stands for all callers. Callers in
+    ``silent_operators`` get no answer about the operators' table. Reads of
+    the tables in ``silent_tables`` get no answer. Every answer takes
     ``answer_delay_seconds`` longer. The next ``lost_answers`` transactions
     are applied but not answered; ``commit_delay_seconds`` is how long after
     their request they are applied.
@@ -37,6 +38,7 @@
     refused: set = attrs.field(factory=set)
     silent: set = attrs.field(factory=set)
     silent_tables: set = attrs.field(factory=set)
+    silent_operators: set = attrs.field(factory=set)
     answer_delay_seconds: float = 0.0
     lost_answers: int = 0
     commit_delay_seconds: float = 0.0
@@ -63,10 +65,12 @@
         self.faults = Faults()
         self.calls = collections.Counter()
 
-    def _inject_faults(self, caller):
+    def _inject_faults(self, caller, table=""):
         faults = self.faults
         if faults.answer_delay_seconds:
             time.sleep(faults.answer_delay_seconds)
+        if table == "op" and caller in faults.silent_operators:
+            raise AnswerLostError(table)
         if {caller, EVERYONE} & faults.silent:
             raise AnswerLostError("silent")
         if {caller, EVERYONE} & faults.refused:
@@ -149,7 +153,7 @@
     def get(self, table, part, start="", limit=500, caller=""):
         """Return the rows of a part from a key on, in key order."""
         self.calls["rows-get"] += 1
-        self._inject_faults(caller)
+        self._inject_faults(caller, table)
         if table in self.faults.silent_tables:
             raise AnswerLostError(table)
         with self.lock:
@@ -182,7 +186,7 @@
         Waits up to ``wait_ms`` for a change if there is none yet.
         """
         self.calls["rows-feed"] += 1
-        self._inject_faults(caller)
+        self._inject_faults(caller, table)
         deadline = time.monotonic() + wait_ms / 1000.0
         with self.lock:
             while True:
--- a/tests/emulator/world.py
+++ b/tests/emulator/world.py
@@ -489,8 +489,11 @@
         row = self.store.rows.get((table, part, key))
         return json.loads(base64.b64decode(row["value"])) if row else None
 
-    def configure(self, version, pools, standby=(), attempts=2):
-        """Write a configuration with one queue for each of ``pools``."""
+    def configure(self, version, pools, standby=(), attempts=2, tenants=None):
+        """Write a configuration with one queue for each of ``pools``.
+
+        Without ``tenants`` it has no such field.
+        """
         routes = [
             {
                 "name": f"q-{pool}",
@@ -516,6 +519,8 @@
             "services": services,
             "limits": {},
         }
+        if tenants is not None:
+            config["tenants"] = tenants
         self.write("op", "config", config)
 
     def order_wave(self, number, vms, deadline_seconds, max_count):
