--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -541,6 +541,33 @@
         feature="maintenance",
         scenario="Long-lived tasks leave without room",
     ),
+    Mutant(
+        promise="keys: they are served only on a recent configuration",
+        package="peridotsill_jobs",
+        module="_key_checks.py",
+        old="        return bound <= 0 or age < bound",
+        new="        return True",
+        feature="team_keys",
+        scenario="No removed key is served after the bound",
+    ),
+    Mutant(
+        promise="keys: the age is measured again before a success",
+        package="peridotsill_jobs",
+        module="_key_checks.py",
+        old="        return not caller.has_key or self._is_current(",
+        new="        return True or self._is_current(",
+        feature="team_keys",
+        scenario="A node that is frozen during a call",
+    ),
+    Mutant(
+        promise="keys: a read counts from its beginning",
+        package="peridotsill_jobs",
+        module="_catalog.py",
+        old="        self._read_began_at = update.read_began_at",
+        new="        self._read_began_at = self._last_answer_at",
+        feature="team_keys",
+        scenario="A key is served while the last read is recent",
+    ),
     Mutant(
         promise="store: the first read after a failure is not a long poll",
         package="peridotsill_jobs",
@@ -1618,7 +1645,9 @@
     sources = [str(each / "src") for each in copy.iterdir()]
     environment = {
         **os.environ,
-        "PYTHONPATH": os.pathsep.join([*sources, str(_ROOT / "tests")]),
+        "PYTHONPATH": os.pathsep.join(
+            [*sources, str(_ROOT / "platform/src"), str(_ROOT / "tests")]
+        ),
         "MUTANT_PATH": os.pathsep.join(sources),
     }
     feature = _ROOT / "tests" / "features" / f"{mutant.feature}.feature"
