Limit what teams have running, and rank their jobs by their shares

Cause: nothing limits what the jobs of one team take of the VMs, and a team that sends many times its usual keeps the others waiting.

Change: each round counts what the teams' jobs may have on runners, over all pools, and plans no start beyond a team's allowance. Jobs within their team's rate go first; those beyond it are ranked by weighted dominant share. VMs are fetched for neither work beyond a rate nor work beyond an allowance. Without teams, nothing is limited and the order is that of the policy.

--- a/packages/peridotsill/src/peridotsill/_counters.py
+++ b/packages/peridotsill/src/peridotsill/_counters.py
@@ -18,6 +18,7 @@
     "job_call_seconds": "Time from a job call to its answer.",
     "starts": "Starts of tasks by outcome.",
     "ends": "Ends of runs by kind.",
+    "team_starts": "Starts within and beyond the rates of their teams.",
     "tasks_lost": "Tasks that lost their run, by the reason.",
     "tasks_given_up": "Tasks given up as their runners crashed.",
     "runners_gone": "Runners whose process has ended, by pool and reason.",
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_controller.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_controller.py
@@ -38,6 +38,7 @@
 from peridotsill_jobs import _runs
 from peridotsill_jobs import _start_checks
 from peridotsill_jobs import _suspects
+from peridotsill_jobs import _team_usage
 from peridotsill_jobs import _workers
 import peridotsill_scheduler
 
@@ -80,6 +81,9 @@
     lease: _lease.Lease
     counters: peridotsill.Counters
     stopped: threading.Event
+    team_figures: _team_usage.TeamFigures = attrs.field(
+        factory=_team_usage.TeamFigures
+    )
 
 
 class Controller:
@@ -105,6 +109,12 @@
                 get_grants_end=lambda: parts.lease.earlier_grants_end_at,
             ),
         )
+        self._teams = _team_usage.TeamTracker(
+            catalog=parts.catalog,
+            workers=self._workers,
+            counters=parts.counters,
+            figures=parts.team_figures,
+        )
         self._feeds = _feeds.Feeds(ports=parts.ports, post=self._inbox.put)
         self._estimator = peridotsill_scheduler.Estimator()
         self._runs = _runs.RunTracker(
@@ -188,6 +198,7 @@
                 command_sender=self._command_sender,
                 evict=self._runs.stop,
                 requeue_lost=self._runs.requeue_lost,
+                count_startable=self._teams.count_startable,
             )
         )
 
@@ -218,6 +229,7 @@
             self._close()
 
     def _close(self) -> None:
+        self._parts.team_figures.clear()
         self._feeds.stop()
         self._command_sender.stop()
         self._job_store.close()
@@ -237,6 +249,7 @@
 
     def _adopt_loaded_jobs(self) -> None:
         jobs = tuple(self._job_store.open_jobs)
+        self._teams.adopt(jobs, self._job_store.pop_ended_arrivals())
         for job in jobs:
             for task in job.tasks:
                 if task.active:
@@ -317,10 +330,11 @@
         if cancelled:
             self._runs.cancel(job)
         elif len(self._job_store.open_jobs) > open_before:
+            self._teams.see(job)
             self._record_arrival(job)
 
     def _record_arrival(self, job: peridotsill_scheduler.Job) -> None:
-        if not job.long_lived:
+        if not job.long_lived and self._teams.counts_as_demand(job):
             work = peridotsill_scheduler.job_work(job, self._estimator)
             self._fleet.record_arrival(job.queue.pool, work, job.arrived_at)
 
@@ -332,6 +346,9 @@
             self._requeue_silent()
         self._open_due_occurrences()
         jobs = self._jobs_by_pool()
+        self._teams.begin_round(
+            self._job_store.open_jobs, self._max_lease_seconds
+        )
         starts: list[peridotsill_scheduler.Start] = []
         if self._parts.lease.held and self._registry is not None:
             with self._round_timer.part("fleet"):
@@ -339,6 +356,7 @@
             if self._is_registry_valid(self._registry, now):
                 with self._round_timer.part("plan"):
                     starts = self._plan_starts(jobs, now)
+                self._teams.end_round(starts)
         unsent: dict[tuple[str, str], list[_RecordedStart]] = {}
         for start in starts:
             order = self._record_start(start, now)
@@ -522,6 +540,7 @@
                 vms=views.get(pool, []),
                 now=now,
                 estimator=self._estimator,
+                quotas=self._teams.quotas,
             )
         return starts
 
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_fleet.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_fleet.py
@@ -98,6 +98,7 @@
 
     ``evict`` stops a long-lived task so that it starts elsewhere;
     ``requeue_lost`` is called with the tasks of a VM that was taken away.
+    ``count_startable`` is as in `peridotsill_scheduler.pool_demand`.
     """
 
     settings: _live_settings.LiveSettings
@@ -112,6 +113,9 @@
         [_workers.Worker, _workers.PlacedTask], None
     ]
     requeue_lost: collections.abc.Callable[[list[_workers.JobTask], str], None]
+    count_startable: peridotsill_scheduler.CountStartable = (
+        peridotsill_scheduler.count_all
+    )
 
 
 class Fleet:
@@ -740,6 +744,7 @@
                 self._arrivals.get(pool, ()),
                 now,
                 estimator,
+                self._parts.count_startable,
             ),
         )
 
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_inherited_leases.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_inherited_leases.py
@@ -64,6 +64,13 @@
         wait_seconds = self._wait_seconds(runner, max_lease_seconds)
         return self._counted_from + wait_seconds - _clock.monotonic_seconds()
 
+    def may_last(self, max_lease_seconds: float) -> bool:
+        """Tell whether some earlier holder's lease may last yet."""
+        runners = (_lease.OTHER_RUNNERS, *(self._waits or ()))
+        return any(
+            self.seconds_left(each, max_lease_seconds) >= 0 for each in runners
+        )
+
     def describe(self, runner: str, max_lease_seconds: float) -> _LogFields:
         """Return what the wait for a runner is made of, for a log line.
 
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_job_store.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_job_store.py
@@ -120,6 +120,7 @@
         # Keys of the ``jobs`` rows of jobs that were finished when loaded.
         self._final_row_keys: set[str] = set()
         self._quarantined_keys: set[_JobKey] = set()
+        self._ended_arrivals: list[tuple[float, str]] = []
 
     @property
     def open_jobs(
@@ -142,6 +143,15 @@
         """
         return frozenset(self._quarantined_keys)
 
+    def pop_ended_arrivals(self) -> list[tuple[float, str]]:
+        """Return when jobs of teams arrived that had ended when loaded.
+
+        Each is a time in Unix milliseconds and the team's name; they are not
+        kept.
+        """
+        arrivals, self._ended_arrivals = self._ended_arrivals, []
+        return arrivals
+
     def get(self, key: _JobKey) -> peridotsill_scheduler.Job | None:
         """Return a job by queue and id."""
         return self._jobs.get(key)
@@ -213,6 +223,9 @@
         self, row: peridotsill.Row, progress: dict[str, peridotsill.Row]
     ) -> None:
         if row.key in self._final_row_keys:
+            arrival = _records.parse_team_arrival(row)
+            if arrival is not None:
+                self._ended_arrivals.append(arrival)
             return
         job = self._add(row, restored=True)
         if job is None:
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_node.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_node.py
@@ -17,6 +17,7 @@
 from peridotsill_jobs import _records
 from peridotsill_jobs import _settings
 from peridotsill_jobs import _submissions
+from peridotsill_jobs import _team_usage
 import peridotsill_platform
 
 # Largest number of submissions in one commit. Each takes three entries, and
@@ -57,6 +58,7 @@
             threads=_MAX_CONCURRENT_COMMITS,
             partition_of=_records.partition_of,
         )
+        self._team_figures = _team_usage.TeamFigures()
         self._lease = _lease.Lease(
             node=settings.node,
             table=self._ports.adaptive_timeout_table(
@@ -120,6 +122,7 @@
             "scheduler_epoch": self._lease.epoch,
             "table_reachable": float(self._catalog.reachable),
             "calls_open": self._caller_listener.open_requests.count,
+            **self._team_figures.gauges(),
         }
         return self._counters.render(gauges)
 
@@ -156,6 +159,7 @@
                 lease=self._lease,
                 counters=self._counters,
                 stopped=self._stopping,
+                team_figures=self._team_figures,
             )
         )
         controller.run()
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_records.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_records.py
@@ -124,6 +124,20 @@
     return peridotsill.from_plain(row.value, Submission, strict=False)
 
 
+def parse_team_arrival(row: peridotsill.Row) -> tuple[float, str] | None:
+    """Return when a team's job arrived, in Unix milliseconds, and the team.
+
+    None if the ``jobs`` row names no team or is malformed. The rest of the
+    row isn't parsed, as there may be many rows of ended jobs.
+    """
+    arrived_ms, team = row.value.get("arrived_ms"), row.value.get("team")
+    if not team or not isinstance(team, str):
+        return None
+    if not isinstance(arrived_ms, (int, float)):
+        return None
+    return float(arrived_ms), team
+
+
 def tombstone_value() -> dict[str, typing.Any]:
     """Return the row's value for a job that was cancelled but not submitted.
 
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_workers.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_workers.py
@@ -494,6 +494,28 @@
         for tasks in self._awaiting_runner.values():
             tasks[:] = [each for each in tasks if each[0].key != job_key]
 
+    def possible_runs(
+        self,
+    ) -> collections.abc.Iterator[
+        tuple[peridotsill_scheduler.Job, peridotsill_scheduler.Task, str]
+    ]:
+        """Yield the job, task and pool of each run that may be on a runner."""
+        for worker in self._workers.values():
+            pool = worker.entry.pool
+            for placed in worker.placed.values():
+                yield placed.job, placed.task, pool
+            for (job_id, task, run), placed in worker.abandoned.items():
+                current = worker.placed.get((job_id, task))
+                if current is None or current.run != run:
+                    yield placed.job, placed.task, pool
+        for tasks in self._awaiting_runner.values():
+            for job, awaiting in tasks:
+                yield job, awaiting, job.queue.pool
+
+    def may_have_inherited_runs(self, max_lease_seconds: float) -> bool:
+        """Tell whether leases of earlier schedulers may last somewhere."""
+        return self._inherited_leases.may_last(max_lease_seconds)
+
     def update(self, entries: tuple[_ports.RunnerEntry, ...]) -> None:
         """Apply the registry.
 
--- a/packages/peridotsill_node/src/peridotsill_node/_service_cli.py
+++ b/packages/peridotsill_node/src/peridotsill_node/_service_cli.py
@@ -20,7 +20,7 @@
 from peridotsill_node import _cli_output
 
 # Log fields that may hold the subject of a decision.
-_SUBJECT_FIELDS = ("job", "vm", "runner", "wave", "node")
+_SUBJECT_FIELDS = ("job", "vm", "runner", "wave", "node", "team")
 _EXCLUDED_FIELDS = frozenset(
     {"task_uuid", "task_level", "timestamp", "message_type"}
 )
@@ -182,9 +182,10 @@
 def explain(
     context: typer.Context, subject: str, logs: list[pathlib.Path]
 ) -> None:
-    """Print the decisions about a job, VM, runner, wave or node, by time.
+    """Print the decisions about a subject, by time.
 
-    They are read from log files that hold the nodes' standard output.
+    It is a job, VM, runner, wave, node or team. The decisions are read from
+    log files that hold the nodes' standard output.
     """
     found = sorted(
         (line for path in logs for line in _messages_about(path, subject)),
@@ -216,12 +217,17 @@
         # Other programs may write lines that aren't JSON to the same file.
         with contextlib.suppress(ValueError):
             fields = json.loads(line)
-            if isinstance(fields, dict) and subject in (
-                fields.get(name) for name in _SUBJECT_FIELDS
-            ):
+            if isinstance(fields, dict) and _is_about(fields, subject):
                 yield fields
 
 
+def _is_about(fields: dict[str, typing.Any], subject: str) -> bool:
+    jobs = fields.get("jobs")
+    return subject in (fields.get(name) for name in _SUBJECT_FIELDS) or (
+        isinstance(jobs, list) and subject in jobs
+    )
+
+
 def _format_fields(line: dict[str, typing.Any]) -> str:
     inputs = {k: v for k, v in line.items() if k not in _EXCLUDED_FIELDS}
     return ", ".join(f"{name} {value}" for name, value in inputs.items())
--- a/packages/peridotsill_scheduler/src/peridotsill_scheduler/__init__.py
+++ b/packages/peridotsill_scheduler/src/peridotsill_scheduler/__init__.py
@@ -12,6 +12,8 @@
 from peridotsill_scheduler._crashes import restart_pause_seconds
 from peridotsill_scheduler._crashes import suspicion_group
 from peridotsill_scheduler._demand import Arrival
+from peridotsill_scheduler._demand import count_all
+from peridotsill_scheduler._demand import CountStartable
 from peridotsill_scheduler._demand import pool_demand
 from peridotsill_scheduler._demand import PoolDemand
 from peridotsill_scheduler._demand import PoolSupply
@@ -69,7 +71,12 @@
 from peridotsill_scheduler._progress import Task
 from peridotsill_scheduler._progress import TaskPhase
 from peridotsill_scheduler._progress import tasks_of
+from peridotsill_scheduler._quotas import Quotas
+from peridotsill_scheduler._quotas import StartableWork
 from peridotsill_scheduler._round import plan_starts
+from peridotsill_scheduler._team_rates import plausible_arrival_ms
+from peridotsill_scheduler._team_rates import RateClass
+from peridotsill_scheduler._team_rates import TeamRates
 from peridotsill_scheduler._vms import TRIAL_REASON
 from peridotsill_scheduler._vms import VmView
 
@@ -83,6 +90,7 @@
     "AdvisorAnswer",
     "Arrival",
     "CircuitBreaker",
+    "CountStartable",
     "Crash",
     "Estimator",
     "Evacuation",
@@ -97,19 +105,24 @@
     "PoolSettings",
     "PoolSupply",
     "Queue",
+    "Quotas",
+    "RateClass",
     "Resources",
     "Start",
+    "StartableWork",
     "Step",
     "TailLatency",
     "Task",
     "TaskPhase",
     "Team",
+    "TeamRates",
     "VmView",
     "WaveTerms",
     "WaveVm",
     "add_crash",
     "advisor_answer_for",
     "after_moves",
+    "count_all",
     "counts_as_suspect",
     "critical_path_seconds",
     "find_culprits",
@@ -135,6 +148,7 @@
     "plan_maintenance",
     "plan_moves",
     "plan_starts",
+    "plausible_arrival_ms",
     "pool_demand",
     "ready_tasks",
     "refresh_state",
--- a/packages/peridotsill_scheduler/src/peridotsill_scheduler/_demand.py
+++ b/packages/peridotsill_scheduler/src/peridotsill_scheduler/_demand.py
@@ -6,6 +6,7 @@
 import attrs
 
 from peridotsill_scheduler import _estimates
+from peridotsill_scheduler import _model
 from peridotsill_scheduler import _progress
 
 # Window over which the arrival rate is measured: long enough for a few jobs
@@ -24,6 +25,17 @@
 MIN_POOL_VMS = 2
 
 
+# Returns how many of a step's waiting tasks count, given their number.
+CountStartable = collections.abc.Callable[
+    [_progress.Job, _model.Step, int], int
+]
+
+
+def count_all(job: _progress.Job, step: _model.Step, waiting: int) -> int:
+    """Return the number itself: every waiting task counts."""
+    return waiting
+
+
 @attrs.frozen(kw_only=True)
 class Arrival:
     """Work that arrived: monotonic time in seconds, and core-seconds."""
@@ -106,11 +118,21 @@
     arrivals: collections.abc.Iterable[Arrival],
     now: float,
     estimator: _estimates.Estimator,
+    count_startable: CountStartable = count_all,
 ) -> PoolDemand:
-    """Return the demand of a pool's jobs and arrivals."""
+    """Return the demand of a pool's jobs and arrivals.
+
+    Args:
+        jobs: The open jobs.
+        arrivals: The work that arrived in the last windows.
+        now: Seconds of the monotonic clock.
+        estimator: Estimates the run times of tasks.
+        count_startable: Returns how many of a step's waiting tasks count;
+            by default all of them.
+    """
     long_lived = running = waiting = late_running = 0.0
     for job in jobs:
-        job_demand = _job_demand(job, now, estimator)
+        job_demand = _job_demand(job, now, estimator, count_startable)
         long_lived += job_demand.long_lived
         running += job_demand.running
         waiting += job_demand.waiting
@@ -141,21 +163,29 @@
 
 
 def _job_demand(
-    job: _progress.Job, now: float, estimator: _estimates.Estimator
+    job: _progress.Job,
+    now: float,
+    estimator: _estimates.Estimator,
+    count_startable: CountStartable,
 ) -> PoolDemand:
     """Return the demand of one job, without an arrival rate."""
     long_lived = running = 0.0
     waiting_steps = []
     for step in job.spec.steps:
         counts = job.tally.of_step(step.index)
+        startable = counts.waiting
+        if startable:
+            startable = count_startable(job, step, startable)
         if step.long_lived:
-            count = counts.active if job.final else counts.total
+            count = counts.active
+            if not job.final:
+                count = counts.total - counts.waiting + startable
             long_lived += step.reserved.cores * count
             continue
         if counts.active:
             running += step.reserved.cores * counts.active
-        if counts.waiting:
-            waiting_steps.append((step, counts.waiting))
+        if startable:
+            waiting_steps.append((step, startable))
     waiting = late_running = 0.0
     if waiting_steps or running:
         if _is_within_objective(job, now, estimator):
--- a/packages/peridotsill_scheduler/src/peridotsill_scheduler/_placement.py
+++ b/packages/peridotsill_scheduler/src/peridotsill_scheduler/_placement.py
@@ -8,6 +8,7 @@
 from peridotsill_scheduler import _crashes
 from peridotsill_scheduler import _model
 from peridotsill_scheduler import _progress
+from peridotsill_scheduler import _quotas
 from peridotsill_scheduler import _vm_order
 from peridotsill_scheduler import _vms
 
@@ -37,10 +38,20 @@
     resource shape, none is looked at for it again, and jobs whose tasks all
     have such shapes needn't be ranked. With a backlog of some hundred jobs
     this would take most of a round.
+
+    Args:
+        vms: The VMs.
+        quotas: What the jobs' teams may have running; unlimited by default.
     """
 
-    def __init__(self, *, vms: collections.abc.Sequence[_vms.VmView]) -> None:
+    def __init__(
+        self,
+        *,
+        vms: collections.abc.Sequence[_vms.VmView],
+        quotas: _quotas.Quotas | None = None,
+    ) -> None:
         self._vms = vms
+        self._quotas = quotas or _quotas.Quotas()
         self._open_vms = [vm for vm in vms if not vm.closed_reason]
         self._order = _vm_order.VmOrder(vms=tuple(self._open_vms))
         self._largest_room = _vm_order.LargestRoom(vms=tuple(self._open_vms))
@@ -73,6 +84,7 @@
     ) -> Start:
         vm.reserve_start(job.spec.id, task)
         self._note_change(vm)
+        self._quotas.take(job, task.step, vm.pool)
         return Start(job=job, task=task, vm=vm)
 
     def _note_change(self, vm: _vms.VmView) -> None:
@@ -122,10 +134,14 @@
         """
         starts: list[Start] = []
         for group in _group_by_step(tasks):
-            if group[0].step.gang:
+            step = group[0].step
+            if step.gang:
+                if not self._quotas.has_room(job, step, len(group)):
+                    continue
                 gang_starts = _place_gang(job, group, self._vms)
                 for start in gang_starts:
                     self._note_change(start.vm)
+                    self._quotas.take(job, step, start.vm.pool)
                 starts += gang_starts
             else:
                 starts += self._place_group(job, group)
@@ -139,6 +155,8 @@
             return []
         starts: list[Start] = []
         for task in group:
+            if not self._quotas.has_room(job, step):
+                break
             vm = self._order.choose(job, task)
             if vm is None and _crashes.is_suspect(task):
                 # Another task of the step may still have room.
--- a/packages/peridotsill_scheduler/src/peridotsill_scheduler/_progress.py
+++ b/packages/peridotsill_scheduler/src/peridotsill_scheduler/_progress.py
@@ -10,6 +10,7 @@
 from peridotsill_scheduler import _crashes
 from peridotsill_scheduler import _model
 from peridotsill_scheduler import _task_tally
+from peridotsill_scheduler import _team_rates
 
 # A job that completes within this multiple of its objective still earns a
 # part of its payoff.
@@ -157,7 +158,8 @@
 
     ``arrived_at`` is in seconds of the monotonic clock; ``arrived_ms`` is
     the Unix millisecond at which the accepting node received the
-    submission. ``team`` names the team that submitted it, if any.
+    submission. ``team`` names the team that submitted it, if any, and
+    ``rate_class`` tells whether it was within the team's rate.
     ``row_version`` is the version of the progress row, 0 as
     long as there is none. ``opened_count`` counts the occurrences whose tasks
     have been created. ``advisor_answers`` is used only for queues
@@ -172,6 +174,7 @@
     arrived_at: float
     arrived_ms: float = 0.0
     team: str = ""
+    rate_class: _team_rates.RateClass = _team_rates.RateClass.UNDECIDED
     state: JobState = JobState.QUEUED
     _tasks: list[Task] = attrs.field(factory=list, alias="tasks")
     row_version: int = 0
--- a/packages/peridotsill_scheduler/src/peridotsill_scheduler/_round.py
+++ b/packages/peridotsill_scheduler/src/peridotsill_scheduler/_round.py
@@ -9,6 +9,8 @@
 from peridotsill_scheduler import _order
 from peridotsill_scheduler import _placement
 from peridotsill_scheduler import _progress
+from peridotsill_scheduler import _quotas
+from peridotsill_scheduler import _team_order
 from peridotsill_scheduler import _vms
 
 
@@ -19,6 +21,7 @@
     vms: collections.abc.Sequence[_vms.VmView],
     now: float,
     estimator: _estimates.Estimator,
+    quotas: _quotas.Quotas | None = None,
 ) -> list[_placement.Start]:
     """Return the tasks to start now on one pool's VMs, best-ranked jobs first.
 
@@ -28,8 +31,11 @@
         vms: The pool's VMs; the started tasks are reserved on them.
         now: Seconds of the monotonic clock.
         estimator: Estimates the run times of the jobs' tasks.
+        quotas: What the jobs' teams have and may have running in all pools;
+            the starts are counted there. Unlimited by default.
     """
-    placer = _placement.Placer(vms=vms)
+    quotas = quotas or _quotas.Quotas()
+    placer = _placement.Placer(vms=vms, quotas=quotas)
     ready_steps: dict[tuple[str, str], list[_model.Step]] = {}
     tasks_with_suspects: dict[tuple[str, str], list[_progress.Task]] = {}
     starts: list[_placement.Start] = []
@@ -38,8 +44,17 @@
         steps = [each.step for each in _progress.ready_steps(job)]
         if not steps:
             continue
+        if job.team:
+            quotas.note_waiting(job)
+            steps = quotas.startable_steps(job, steps)
+            if not steps:
+                continue
         if job.tally.has_suspects:
-            tasks = _progress.ready_tasks(job, now)
+            tasks = [
+                each
+                for each in _progress.ready_tasks(job, now)
+                if each.step in steps
+            ]
             lone = [
                 each for each in tasks if _crashes.must_run_alone(each, now)
             ]
@@ -52,9 +67,12 @@
             ready_steps[job.key] = steps
             candidates.append(job)
     context = _order.OrderContext(now=now, estimator=estimator)
-    for job in _order.order_jobs(policy, candidates, context):
+    for job in _team_order.serve_jobs(
+        policy, candidates, context, quotas, vms
+    ):
         # Listing the tasks is left for jobs that still have room.
-        if not any(placer.has_room(step) for step in ready_steps[job.key]):
+        steps = quotas.startable_steps(job, ready_steps[job.key])
+        if not any(placer.has_room(step) for step in steps):
             continue
         if job.tally.has_suspects:
             tasks = tasks_with_suspects[job.key]
