--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_team_usage.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_team_usage.py
@@ -217,7 +217,9 @@
         if held:
             self._log_held(held)
 
-    def _log_held(self, held: dict[str, tuple[tuple[str, str], ...]]) -> None:
+    def _log_held(
+        self, held: dict[str, tuple[peridotsill_scheduler.Job, ...]]
+    ) -> None:
         """Log the teams at their allowance, each once in a while."""
         now = _clock.monotonic_seconds()
         self._logged_at = {
@@ -226,7 +228,7 @@
             if now < at + _LOG_PERIOD_SECONDS
         }
         recent_lines = sum(now < at + 1.0 for at in self._logged_at.values())
-        for team, keys in held.items():
+        for team, jobs in held.items():
             if recent_lines >= _MAX_LINES_PER_SECOND:
                 return
             if team in self._logged_at:
@@ -236,8 +238,8 @@
             _logs.log(
                 "team:at_allowance",
                 team=team,
-                waiting_jobs=len(keys),
-                jobs=[job_id for _, job_id in keys[:_MAX_NAMED_JOBS]],
+                waiting_jobs=len(jobs),
+                jobs=[job.spec.id for job in jobs[:_MAX_NAMED_JOBS]],
                 used=attrs.asdict(self._quotas.used(team)),
                 allowance=attrs.asdict(self._quotas.allowance(team)),
             )
--- a/packages/peridotsill_scheduler/src/peridotsill_scheduler/_placement.py
+++ b/packages/peridotsill_scheduler/src/peridotsill_scheduler/_placement.py
@@ -170,13 +170,8 @@
 
 
 def _resource_shape(step: _model.Step) -> _ResourceShape:
-    reserved = step.reserved
-    return (
-        reserved.cores,
-        reserved.memory_mib,
-        reserved.accelerators,
-        step.required_label,
-    )
+    room, label = step.reserved, step.required_label
+    return room.cores, room.memory_mib, room.accelerators, label
 
 
 def _group_by_step(
--- a/packages/peridotsill_scheduler/src/peridotsill_scheduler/_quotas.py
+++ b/packages/peridotsill_scheduler/src/peridotsill_scheduler/_quotas.py
@@ -52,14 +52,17 @@
                 self._allowances[team.name] = team.allowance
         self._total: dict[str, _Use] = {}
         self._by_pool: dict[tuple[str, str], _Use] = {}
-        # By team, the keys of the jobs that its allowance keeps waiting.
-        self._held: dict[str, dict[tuple[str, str], None]] = {}
-        self._waiting_beyond: set[tuple[str, str]] = set()
+        # By team, the jobs that its allowance keeps waiting, in order.
+        self._held: dict[str, dict[_progress.Job, None]] = {}
+        self._waiting_beyond: set[_progress.Job] = set()
+        # Teams, demands and numbers of tasks without room. Use only grows
+        # within a round, so that they are not looked at again.
+        self._without_room: set[tuple[str, _model.Resources, int]] = set()
 
     @property
-    def held(self) -> dict[str, tuple[tuple[str, str], ...]]:
+    def held(self) -> dict[str, tuple[_progress.Job, ...]]:
         """By team, the jobs that its allowance keeps waiting."""
-        return {team: tuple(keys) for team, keys in self._held.items()}
+        return {team: tuple(jobs) for team, jobs in self._held.items()}
 
     @property
     def waiting_beyond_rate(self) -> int:
@@ -113,7 +116,13 @@
         if job.team not in self._allowances:
             return True
         wanted = count or (step.task_count if step.gang else 1)
-        return self.startable_count(job.team, step, wanted) >= wanted
+        key = (job.team, step.demand, wanted)
+        if key in self._without_room:
+            return False
+        if self.startable_count(job.team, step, wanted) >= wanted:
+            return True
+        self._without_room.add(key)
+        return False
 
     def startable_count(
         self, team: str, step: _model.Step, most: int, claimed: _Use = _NO_USE
@@ -154,13 +163,16 @@
     ) -> list[_model.Step]:
         """Return the steps that the allowance of a job's team has room for.
 
-        If there are none, the job is among those that are held.
+        If there are none, the job is among those that are held. It is counted
+        if it is beyond its rate.
         """
+        if self.is_beyond_rate(job):
+            self._waiting_beyond.add(job)
         if job.team not in self._allowances:
             return steps
         startable = [step for step in steps if self.has_room(job, step)]
         if steps and not startable:
-            self._held.setdefault(job.team, {})[job.key] = None
+            self._held.setdefault(job.team, {})[job] = None
         return startable
 
     def is_beyond_rate(self, job: _progress.Job) -> bool:
@@ -169,17 +181,9 @@
         A team that the configuration lacks has no rate. Jobs without a team
         and those of a configuration without teams are within theirs.
         """
-        if not job.team or not self._weights:
-            return False
-        return (
-            job.rate_class is not _team_rates.RateClass.WITHIN
-            or job.team not in self._weights
-        )
-
-    def note_waiting(self, job: _progress.Job) -> None:
-        """Count a job with tasks to start if it is beyond its rate."""
-        if job.team and self.is_beyond_rate(job):
-            self._waiting_beyond.add(job.key)
+        if job.team not in self._weights:
+            return bool(job.team and self._weights)
+        return job.rate_class is not _team_rates.RateClass.WITHIN
 
     def weighted_share(
         self, team: str, pool: str, capacity: _model.Resources
@@ -214,6 +218,8 @@
     def __init__(self, *, quotas: Quotas) -> None:
         self._quotas = quotas
         self._claimed: dict[str, _Use] = {}
+        # Teams and demands without room: what is claimed only grows.
+        self._without_room: set[tuple[str, _model.Resources]] = set()
 
     def count(
         self, job: _progress.Job, step: _model.Step, waiting: int
@@ -221,10 +227,15 @@
         """Return how many of a step's waiting tasks count as demand."""
         if not job.team:
             return waiting
-        if job.final or self._quotas.is_beyond_rate(job):
+        if self._quotas.is_beyond_rate(job):
+            return 0
+        key = (job.team, step.demand)
+        if key in self._without_room:
             return 0
         claimed = self._claimed.setdefault(job.team, _Use())
         count = self._quotas.startable_count(job.team, step, waiting, claimed)
+        if not count:
+            self._without_room.add(key)
         if step.gang:
             count -= count % step.task_count
         claimed.add(step.demand, count)
--- a/packages/peridotsill_scheduler/src/peridotsill_scheduler/_round.py
+++ b/packages/peridotsill_scheduler/src/peridotsill_scheduler/_round.py
@@ -45,7 +45,6 @@
         if not steps:
             continue
         if job.team:
-            quotas.note_waiting(job)
             steps = quotas.startable_steps(job, steps)
             if not steps:
                 continue
