Start nothing of a team before the configuration is known

Cause: a scheduler whose node had not read the configuration yet took every team to be without limits. Lines on teams at their allowance were not shared out among more than 50 teams.

Change: without a configuration, no job that has a team is started, and its class is decided once there is one. The teams that were not logged for longest are logged first.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_team_usage.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_team_usage.py
@@ -11,10 +11,11 @@
 from peridotsill_jobs import _workers
 import peridotsill_scheduler
 
-# Shortest time between two log lines on the same team.
+# Shortest time between two log lines on the same team, and between two looks
+# at which teams to log; most lines each time, and most jobs that one names.
 _LOG_PERIOD_SECONDS = 5.0
-# Most log lines a second on all teams, and most jobs that a line names.
-_MAX_LINES_PER_SECOND = 10
+_LOOK_PERIOD_SECONDS = 1.0
+_MAX_LINES = 10
 _MAX_NAMED_JOBS = 50
 
 
@@ -68,8 +69,9 @@
         self._figures = figures
         self._rates = peridotsill_scheduler.TeamRates()
         self._entries: object = None
-        self._teams: tuple[peridotsill_scheduler.Team, ...] = ()
-        self._quotas = peridotsill_scheduler.Quotas()
+        self._teams: tuple[peridotsill_scheduler.Team, ...] | None = None
+        self._ended: list[_Arrival] = []
+        self._quotas = peridotsill_scheduler.Quotas(teams=None)
         self._startable = peridotsill_scheduler.StartableWork(
             quotas=self._quotas
         )
@@ -82,6 +84,7 @@
             _clock.unix_ms() - _clock.monotonic_seconds() * 1000.0
         )
         self._logged_at: dict[str, float] = {}
+        self._next_look_at = float("-inf")
 
     @property
     def quotas(self) -> peridotsill_scheduler.Quotas:
@@ -100,15 +103,11 @@
             ended: When jobs that had ended arrived, in Unix milliseconds,
                 and their teams. These took tokens, too.
         """
-        self._update_teams(())
-        arrivals: list[_Arrival] = [
-            (arrived_ms, team, None) for arrived_ms, team in ended
-        ]
+        self._ended = [(arrived_ms, team, None) for arrived_ms, team in ended]
         for job in jobs:
             if job.team:
-                arrivals.append(_arrival_of(job))
                 self._former_copies += _former_copies(job)
-        self._classify(arrivals)
+        self._update_teams(jobs)
 
     def see(self, job: peridotsill_scheduler.Job) -> None:
         """Decide on a job that was just read for the first time."""
@@ -135,20 +134,22 @@
         configuration with it; these are decided on now.
         """
         config = self._catalog.config
-        entries = config.teams if config is not None else None
-        if entries is self._entries:
+        if config is None or (
+            self._teams is not None and config.teams is self._entries
+        ):
             return
-        self._entries = entries
-        self._teams = tuple(each.team for each in entries or ())
+        self._entries = config.teams
+        self._teams = tuple(each.team for each in config.teams or ())
         new_teams = self._rates.set_teams(self._teams)
+        self._quotas = peridotsill_scheduler.Quotas(teams=self._teams)
         undecided = peridotsill_scheduler.RateClass.UNDECIDED
-        self._classify(
-            [
-                _arrival_of(job)
-                for job in jobs
-                if job.team in new_teams and job.rate_class is undecided
-            ]
-        )
+        arrivals, self._ended = self._ended, []
+        arrivals += [
+            (job.arrived_ms, job.team, job)
+            for job in jobs
+            if job.team in new_teams and job.rate_class is undecided
+        ]
+        self._classify(arrivals)
 
     def begin_round(
         self,
@@ -209,46 +210,40 @@
                 self._counters.add(
                     "team_starts", rate="beyond" if beyond else "within"
                 )
-        held = self._quotas.held
-        self._figures.teams_at_allowance = len(held)
+        self._figures.teams_at_allowance = self._quotas.held_teams
         self._figures.jobs_waiting_beyond_rate = (
             self._quotas.waiting_beyond_rate
         )
-        if held:
-            self._log_held(held)
-
-    def _log_held(
-        self, held: dict[str, tuple[peridotsill_scheduler.Job, ...]]
-    ) -> None:
-        """Log the teams at their allowance, each once in a while."""
         now = _clock.monotonic_seconds()
-        self._logged_at = {
+        if self._quotas.held_teams and now >= self._next_look_at:
+            self._next_look_at = now + _LOOK_PERIOD_SECONDS
+            self._log_held(now)
+
+    def _log_held(self, now: float) -> None:
+        """Log some teams at their allowance, the longest not logged first."""
+        never = float("-inf")
+        held = self._quotas.held
+        logged_at = {
             team: at
             for team, at in self._logged_at.items()
-            if now < at + _LOG_PERIOD_SECONDS
+            if team in held or now < at + _LOG_PERIOD_SECONDS
         }
-        recent_lines = sum(now < at + 1.0 for at in self._logged_at.values())
-        for team, jobs in held.items():
-            if recent_lines >= _MAX_LINES_PER_SECOND:
+        self._logged_at = logged_at
+        teams = sorted(held, key=lambda team: logged_at.get(team, never))
+        for team in teams[:_MAX_LINES]:
+            if now < logged_at.get(team, never) + _LOG_PERIOD_SECONDS:
                 return
-            if team in self._logged_at:
-                continue
             self._logged_at[team] = now
-            recent_lines += 1
             _logs.log(
                 "team:at_allowance",
                 team=team,
-                waiting_jobs=len(jobs),
-                jobs=[job.spec.id for job in jobs[:_MAX_NAMED_JOBS]],
+                waiting_jobs=len(held[team]),
+                jobs=[job.spec.id for job in held[team][:_MAX_NAMED_JOBS]],
                 used=attrs.asdict(self._quotas.used(team)),
                 allowance=attrs.asdict(self._quotas.allowance(team)),
             )
 
 
-def _arrival_of(job: peridotsill_scheduler.Job) -> _Arrival:
-    return job.arrived_ms, job.team, job
-
-
 def _former_copies(
     job: peridotsill_scheduler.Job,
 ) -> list[tuple[peridotsill_scheduler.Job, peridotsill_scheduler.Task, int]]:
--- a/packages/peridotsill_scheduler/src/peridotsill_scheduler/_quotas.py
+++ b/packages/peridotsill_scheduler/src/peridotsill_scheduler/_quotas.py
@@ -39,14 +39,19 @@
 
     Example: a team with an allowance of 4 cores, of which its runs use 3,
     may start one more task of one core, in whichever pool.
+
+    Args:
+        teams: The teams; None if they are not known yet. Nothing of a job
+            that has a team may be started then.
     """
 
     def __init__(
-        self, *, teams: collections.abc.Iterable[_model.Team] = ()
+        self, *, teams: collections.abc.Iterable[_model.Team] | None = ()
     ) -> None:
+        self._are_known = teams is not None
         self._weights: dict[str, float] = {}
         self._allowances: dict[str, _model.Resources] = {}
-        for team in teams:
+        for team in teams or ():
             self._weights[team.name] = team.weight
             if team.allowance != _model.Resources():
                 self._allowances[team.name] = team.allowance
@@ -59,6 +64,11 @@
         # within a round, so that they are not looked at again.
         self._without_room: set[tuple[str, _model.Resources, int]] = set()
 
+    @property
+    def held_teams(self) -> int:
+        """How many teams have jobs that their allowance keeps waiting."""
+        return len(self._held)
+
     @property
     def held(self) -> dict[str, tuple[_progress.Job, ...]]:
         """By team, the jobs that its allowance keeps waiting."""
@@ -114,7 +124,7 @@
                 or one task.
         """
         if job.team not in self._allowances:
-            return True
+            return self._are_known or not job.team
         wanted = count or (step.task_count if step.gang else 1)
         key = (job.team, step.demand, wanted)
         if key in self._without_room:
@@ -137,7 +147,7 @@
         """
         allowance = self._allowances.get(team)
         if allowance is None:
-            return most
+            return most if self._are_known else 0
         use = self._total.get(team, _NO_USE)
         demand = step.demand
         for limit, used, each in (
@@ -169,7 +179,7 @@
         if self.is_beyond_rate(job):
             self._waiting_beyond.add(job)
         if job.team not in self._allowances:
-            return steps
+            return steps if self._are_known or not job.team else []
         startable = [step for step in steps if self.has_room(job, step)]
         if steps and not startable:
             self._held.setdefault(job.team, {})[job] = None
--- a/tests/features/team_shares.feature
+++ b/tests/features/team_shares.feature
@@ -80,6 +80,15 @@
     When the configuration has team "c" as well
     Then the job of team "c" is within its rate
 
+  # Guards against a new holder that starts by no quotas, as the table has not
+  # answered it yet.
+  Scenario: Nothing of a team starts before the configuration is known
+    Given a tracker of teams that has no configuration yet
+    When it has adopted a job of team "a" and one without a team
+    Then of these, the job without a team may start
+    When it has a configuration without teams
+    Then of these, both jobs may start
+
   # Guards against jobs that wait without a reason, and logs that flood.
   Scenario: An operator sees which teams are at their allowance
     Given a tracker of teams, and a job of team "a" with 4 tasks
