Test that a scheduler's rounds keep to a quota

Cause: the quota was tested in its parts, and not in the controller that calls them.

Change: a scenario on the controller's rounds, with a stand-in for the links.

--- a/tests/features/steps/controller_steps.py
+++ b/tests/features/steps/controller_steps.py
@@ -144,9 +144,8 @@
 def _submit_job(context, **fields):
     step = scheduler.Step(
         index=0,
-        task_count=1,
         demand=scheduler.Resources(cores=8),
-        **{"speculative": True, **fields},
+        **{"task_count": 1, "speculative": True, **fields},
     )
     submission = _records.Submission(
         spec=scheduler.JobSpec(id=_JOB, queue="q", payload="", steps=(step,)),
--- a/tests/features/steps/team_share_steps.py
+++ b/tests/features/steps/team_share_steps.py
@@ -9,6 +9,7 @@
 from behave import given
 from behave import then
 from behave import when
+import controller_steps as base
 from emulator import executed_lines
 from emulator import stubs
 import hypothesis
@@ -298,6 +299,51 @@
     assert used == _cores(cores), used
 
 
+@given('a scheduler with a job of team "a" of 4 tasks of 8 cores')
+def _scheduler_with_team(context):
+    base._make_controller(context)
+    base._submit_job(context, task_count=4, speculative=False)
+    context.job.team = "a"
+    context.controller._registry = base._registry_now()
+
+
+@given('team "a" may have {cores:d} cores')
+def _allow_team(context, cores):
+    limit = scheduler.Resources(cores=cores)
+    context.controller._parts.catalog.config = types.SimpleNamespace(
+        teams=_entries(scheduler.Team(name="a", weight=1, allowance=limit)),
+        pools=(),
+    )
+
+
+@when("{count:d} rounds are run")
+def _run_rounds(context, count):
+    for _ in range(count):
+        context.controller._run_round()
+
+
+@when('runner "i-1" lists the first of them as done')
+def _first_done(context):
+    order = context.links["i-1"].starts[0]
+    end = attrs.evolve(base._reported_end(1, 1, "done"), name=order.name)
+    running = [
+        _ports.ReportedRun(name=each.name, run=each.run, checkpoint="")
+        for each in context.links["i-1"].starts[1:]
+    ]
+    base._handle_report(context, "i-1", running=running, ended=[end])
+
+
+@then("{count:d} starts were sent, all within the rate")
+def _check_sent(context, count):
+    starts = [
+        order for link in context.links.values() for order in link.starts
+    ]
+    assert len(starts) == count, starts
+    rendered = context.controller._parts.counters.render({}).decode()
+    line = f'peridotsill_team_starts_total{{rate="within"}} {count}'
+    assert line in rendered, rendered
+
+
 def _within(jobs):
     return {job.key for job in jobs if job.rate_class is _RateClass.WITHIN}
 
--- a/tests/features/team_shares.feature
+++ b/tests/features/team_shares.feature
@@ -57,6 +57,17 @@
     When a start has no answer, a run is abandoned for a copy, and the rows have a run on an unknown runner
     Then team "a" uses 4 cores
 
+  # Guards against a quota that one round or one part of the node goes by, and
+  # another one does not.
+  Scenario: The rounds of a scheduler keep to a quota
+    Given a scheduler with a job of team "a" of 4 tasks of 8 cores
+    And team "a" may have 16 cores
+    When 3 rounds are run
+    Then 2 starts were sent, all within the rate
+    When runner "i-1" lists the first of them as done
+    And 3 rounds are run
+    Then 3 starts were sent, all within the rate
+
   # Guards against a new scheduler that takes late jobs for owed ones.
   Scenario: A new scheduler decides as the last one did
     Given drawn arrivals of jobs of two teams, some of which have ended
