--- a/packages/peridotsill_scheduler/src/peridotsill_scheduler/_progress.py
+++ b/packages/peridotsill_scheduler/src/peridotsill_scheduler/_progress.py
@@ -9,7 +9,9 @@
 
 from peridotsill_scheduler import _crashes
 from peridotsill_scheduler import _model
+from peridotsill_scheduler import _paths
 from peridotsill_scheduler import _task_tally
+from peridotsill_scheduler import _team_rates
 
 # A job that completes within this multiple of its objective still earns a
 # part of its payoff.
@@ -157,7 +159,8 @@
 
     ``arrived_at`` is in seconds of the monotonic clock; ``arrived_ms`` is
     the Unix millisecond at which the accepting node received the
-    submission. ``team`` names the team that submitted it, if any.
+    submission. ``team`` names the team that submitted it, if any, and
+    ``rate_class`` tells whether it was within the team's rate.
     ``row_version`` is the version of the progress row, 0 as
     long as there is none. ``opened_count`` counts the occurrences whose tasks
     have been created. ``advisor_answers`` is used only for queues
@@ -172,6 +175,7 @@
     arrived_at: float
     arrived_ms: float = 0.0
     team: str = ""
+    rate_class: _team_rates.RateClass = _team_rates.RateClass.UNDECIDED
     state: JobState = JobState.QUEUED
     _tasks: list[Task] = attrs.field(factory=list, alias="tasks")
     row_version: int = 0
@@ -183,6 +187,14 @@
     )
     _long_lived: bool = attrs.field(init=False, repr=False)
 
+    _longest_chains: tuple[_paths.Chain, ...] = attrs.field(
+        init=False, repr=False
+    )
+
+    @_longest_chains.default
+    def _find_longest_chains(self) -> tuple[_paths.Chain, ...]:
+        return _paths.longest_chains(self.spec.steps)
+
     @_long_lived.default
     def _has_long_lived_step(self) -> bool:
         return any(step.long_lived for step in self.spec.steps)
@@ -231,6 +243,11 @@
         """Whether some step runs until the job is cancelled."""
         return self._long_lived
 
+    @property
+    def longest_chains(self) -> tuple[_paths.Chain, ...]:
+        """The chains of steps that may be the job's critical path."""
+        return self._longest_chains
+
 
 def advisor_answer_for(
     job: Job, task: Task, runner: str
