Size pools by what work can use, and return idle VMs to standby

Demand counted work twice, as arriving and as waiting, counted tasks that wait for other steps, took backlogs of long tasks for more cores than these can use, and extrapolated a rise in one step to twice its height. VMs came from standby while billed ones were idle, and none ever went back. A pool with 149 VMs, 77 of them idle, asked for 160.

Change: the lending policy `usable` counts cores that running and ready tasks reserve, or those that arrived jobs use over their duration, whichever is larger; it bounds the extrapolation and takes idle billed VMs before standby ones.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_controller.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_controller.py
@@ -335,8 +335,8 @@
 
     def _record_arrival(self, job: peridotsill_scheduler.Job) -> None:
         if not job.long_lived and self._teams.counts_as_demand(job):
-            work = peridotsill_scheduler.job_work(job, self._estimator)
-            self._fleet.record_arrival(job.queue.pool, work, job.arrived_at)
+            arrival = peridotsill_scheduler.arrival_of(job, self._estimator)
+            self._fleet.record_arrival(job.queue.pool, arrival)
 
     def _run_round(self) -> None:
         now = _clock.monotonic_seconds()
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_fleet.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_fleet.py
@@ -44,8 +44,6 @@
 _MAX_SECONDS_TO_IDLE = 1.5
 # Shortest time between two log lines on a shortage of VMs.
 _SHORTAGE_LOG_PERIOD_SECONDS = 1.0
-# Arrivals of jobs count towards a pool's demand for this long.
-_ARRIVAL_RETENTION_SECONDS = 60.0
 # A command may be carried out this long after its operation has ended.
 _LATE_COMMAND_SECONDS = 15.0
 _MAY_BE_CARRIED_OUT = (
@@ -130,10 +128,11 @@
         self._endangered_until: dict[str, float] = {}
         self._wave_rows = _waves.WaveRows(table=parts.table)
         self._waves: dict[str, _waves.Wave] = {}
-        self._arrivals: dict[
-            str, collections.deque[peridotsill_scheduler.Arrival]
-        ] = {}
+        self._arrivals: collections.defaultdict[
+            str, peridotsill_scheduler.ArrivalHistory
+        ] = collections.defaultdict(peridotsill_scheduler.ArrivalHistory)
         self._backoff_until: dict[str, float] = {}
+        self._need_history = peridotsill_scheduler.NeedHistory()
         self._next_decision_at = 0.0
         # False once a write of this round got no answer. Another one would be
         # waited for in vain while nothing else of the round is done.
@@ -145,12 +144,11 @@
     def _maintenance_seconds(self) -> float:
         return self._parts.settings.current.bounds.maintenance_ms / 1000.0
 
-    def record_arrival(self, pool: str, work: float, at: float) -> None:
-        """Record a job's work in core-seconds, for the pool's demand."""
-        arrivals = self._arrivals.setdefault(pool, collections.deque())
-        arrivals.append(peridotsill_scheduler.Arrival(at=at, work=work))
-        while arrivals and arrivals[0].at < at - _ARRIVAL_RETENTION_SECONDS:
-            arrivals.popleft()
+    def record_arrival(
+        self, pool: str, arrival: peridotsill_scheduler.Arrival
+    ) -> None:
+        """Record the arrival of a job, for the pool's demand."""
+        self._arrivals[pool].record(arrival)
 
     # Updates: the list of VMs and the outcomes of commands.
 
@@ -741,7 +739,7 @@
             vm_cores=sum(cores) / len(cores) if cores else 1.0,
             demand=peridotsill_scheduler.pool_demand(
                 jobs.get(pool, ()),
-                self._arrivals.get(pool, ()),
+                self._arrivals[pool].rates(now),
                 now,
                 estimator,
                 self._parts.count_startable,
@@ -811,6 +809,22 @@
                 waiting_work=round(demand.waiting, 1),
             )
             self._begin_move(move, now)
+        supplies = peridotsill_scheduler.after_moves(supplies, moves)
+        return self._plan_returns(supplies, now)
+
+    def _plan_returns(
+        self,
+        supplies: list[peridotsill_scheduler.PoolSupply],
+        now: float,
+    ) -> list[peridotsill_scheduler.PoolSupply]:
+        """Begin the moves of the return policy; return the pools after."""
+        policy = self._parts.settings.current.return_policy
+        moves = peridotsill_scheduler.plan_returns(
+            policy, supplies, self._need_history, now
+        )
+        for move in moves:
+            _logs.log("vm:return", vm=move.vm, source=move.source)
+            self._begin_move(move, now)
         return peridotsill_scheduler.after_moves(supplies, moves)
 
     def _begin_move(
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_settings.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_settings.py
@@ -81,6 +81,7 @@
     threads: int = peridotsill.bounded(minimum=2, maximum=500, default=24)
     order_policy: str = "payoff_density"
     lending_policy: str = "rising"
+    return_policy: str = "never"
     resources: HostResources = HostResources()
     bounds: Bounds = Bounds()
 
@@ -110,6 +111,7 @@
     known = {
         "order_policy": peridotsill_scheduler.order_policies(),
         "lending_policy": peridotsill_scheduler.lending_policies(),
+        "return_policy": peridotsill_scheduler.return_policies(),
     }
     return tuple(
         f"{field}: {getattr(settings, field)!r} is not one of "
--- a/packages/peridotsill_scheduler/src/peridotsill_scheduler/__init__.py
+++ b/packages/peridotsill_scheduler/src/peridotsill_scheduler/__init__.py
@@ -1,5 +1,8 @@
 """Scheduling decisions, computed without network, clock or threads."""
 
+from peridotsill_scheduler._arrivals import Arrival
+from peridotsill_scheduler._arrivals import ArrivalHistory
+from peridotsill_scheduler._arrivals import ArrivalRates
 from peridotsill_scheduler._availability import may_evict
 from peridotsill_scheduler._circuit_breaker import CircuitBreaker
 from peridotsill_scheduler._circuit_breaker import has_come_to_work
@@ -11,13 +14,13 @@
 from peridotsill_scheduler._crashes import is_suspect
 from peridotsill_scheduler._crashes import restart_pause_seconds
 from peridotsill_scheduler._crashes import suspicion_group
-from peridotsill_scheduler._demand import Arrival
 from peridotsill_scheduler._demand import count_all
 from peridotsill_scheduler._demand import CountStartable
 from peridotsill_scheduler._demand import pool_demand
 from peridotsill_scheduler._demand import PoolDemand
 from peridotsill_scheduler._demand import PoolSupply
 from peridotsill_scheduler._demand import wanted_vms
+from peridotsill_scheduler._estimates import arrival_of
 from peridotsill_scheduler._estimates import critical_path_seconds
 from peridotsill_scheduler._estimates import Estimator
 from peridotsill_scheduler._estimates import job_work
@@ -74,6 +77,10 @@
 from peridotsill_scheduler._progress import tasks_of
 from peridotsill_scheduler._quotas import Quotas
 from peridotsill_scheduler._quotas import StartableWork
+from peridotsill_scheduler._returns import NeedHistory
+from peridotsill_scheduler._returns import plan_returns
+from peridotsill_scheduler._returns import return_policies
+from peridotsill_scheduler._returns import return_policy
 from peridotsill_scheduler._round import plan_starts
 from peridotsill_scheduler._team_rates import plausible_arrival_ms
 from peridotsill_scheduler._team_rates import RateClass
@@ -90,6 +97,8 @@
     "AdviceTiming",
     "AdvisorAnswer",
     "Arrival",
+    "ArrivalHistory",
+    "ArrivalRates",
     "CircuitBreaker",
     "CountStartable",
     "Crash",
@@ -100,6 +109,7 @@
     "JobState",
     "MaintenancePhase",
     "Move",
+    "NeedHistory",
     "OrderContext",
     "Placer",
     "PoolDemand",
@@ -123,6 +133,7 @@
     "add_crash",
     "advisor_answer_for",
     "after_moves",
+    "arrival_of",
     "count_all",
     "counts_as_suspect",
     "critical_path_seconds",
@@ -149,6 +160,7 @@
     "plan_filler_speed",
     "plan_maintenance",
     "plan_moves",
+    "plan_returns",
     "plan_starts",
     "plausible_arrival_ms",
     "pool_demand",
@@ -157,6 +169,8 @@
     "remaining_run_seconds",
     "remaining_work",
     "restart_pause_seconds",
+    "return_policies",
+    "return_policy",
     "seconds_needed",
     "spare_vms",
     "suspicion_group",
--- a/packages/peridotsill_scheduler/src/peridotsill_scheduler/_demand.py
+++ b/packages/peridotsill_scheduler/src/peridotsill_scheduler/_demand.py
@@ -5,17 +5,19 @@
 
 import attrs
 
+from peridotsill_scheduler import _arrivals
 from peridotsill_scheduler import _estimates
 from peridotsill_scheduler import _model
 from peridotsill_scheduler import _progress
 
-# Window over which the arrival rate is measured: long enough for a few jobs
-# to arrive in it during a peak, and short compared with the peak.
-_RATE_WINDOW_SECONDS = 1.5
 # How far ahead a rising arrival rate is extrapolated. The measured rate is
 # that of the middle of its window, and a VM that is requested now can be used
 # only after a move, which takes 1.5 s.
-_FORECAST_SECONDS = _RATE_WINDOW_SECONDS / 2 + 1.5
+_FORECAST_SECONDS = _arrivals.RATE_WINDOW_SECONDS / 2 + 1.5
+# A rise is extrapolated to this multiple of earlier peaks, and not beyond.
+_PEAK_MARGIN_FACTOR = 1.25
+# Largest extrapolated growth, as a share of the present rate.
+_MAX_GROWTH = 1.0
 # Waiting work should be started within this time, which is about the slack
 # that an objective leaves.
 _BACKLOG_START_SECONDS = 1.2
@@ -36,14 +38,6 @@
     return waiting
 
 
-@attrs.frozen(kw_only=True)
-class Arrival:
-    """Work that arrived: monotonic time in seconds, and core-seconds."""
-
-    at: float
-    work: float
-
-
 @attrs.frozen(kw_only=True)
 class PoolDemand:
     """The present demand on a pool, in cores unless stated otherwise.
@@ -54,8 +48,11 @@
     belongs to late jobs. ``rate`` is the work, in core-seconds, that
     arrives per second, and ``rate_growth`` its increase per second, 0 if it
     falls. ``waiting`` is the work, in core-seconds, of waiting tasks whose
-    jobs are not late, without long-lived ones. A job counts as late once
-    its objective time has passed or it has ended.
+    jobs are not late, without long-lived ones. ``ready`` is what those of
+    them would reserve whose preceding steps are done. A job counts as late
+    once its objective time has passed or it has ended. ``earlier_peak`` is
+    the highest rate of earlier peaks, 0 if there was none, and
+    ``remaining_cores`` and ``mean_seconds`` are as in `ArrivalRates`.
     """
 
     long_lived: float
@@ -64,6 +61,10 @@
     waiting: float
     late_running: float = 0.0
     rate_growth: float = 0.0
+    ready: float = 0.0
+    earlier_peak: float = 0.0
+    remaining_cores: float = 0.0
+    mean_seconds: float = 0.0
 
     @property
     def cores(self) -> float:
@@ -89,6 +90,38 @@
             running, self._unstarted_work_cores + forecast_growth
         )
 
+    @property
+    def usable_cores(self) -> float:
+        """Cores that work can use once a requested VM is usable.
+
+        Tasks that wait use the cores that they reserve, and those of a step
+        that waits for others use none yet. A job uses its work divided by
+        its duration, from its arrival until its end, so that cores follow a
+        rise of the rate only over the duration of the jobs. Both count the
+        same jobs, so the larger one counts.
+        """
+        running = self.running - self.late_running
+        arriving = self._rate_forecast * min(
+            1.0, _arrivals.MOVE_SECONDS / max(self.mean_seconds, 0.1)
+        )
+        return self.long_lived + max(
+            running + self.ready, self.remaining_cores + arriving
+        )
+
+    @property
+    def _rate_forecast(self) -> float:
+        """Arrival rate, in cores, while a requested VM is on its way.
+
+        Of a rise in one step the window shows a growth that goes on when the
+        rate no longer rises, so that the extrapolation has bounds.
+        """
+        growth = min(
+            self.rate_growth * _FORECAST_SECONDS, self.rate * _MAX_GROWTH
+        )
+        bound = self.earlier_peak * _PEAK_MARGIN_FACTOR
+        forecast = self.rate + growth
+        return min(forecast, bound) if self.rate <= bound else forecast
+
     @property
     def _unstarted_work_cores(self) -> float:
         return self.rate + self.waiting / _BACKLOG_START_SECONDS
@@ -115,7 +148,7 @@
 
 def pool_demand(
     jobs: collections.abc.Iterable[_progress.Job],
-    arrivals: collections.abc.Iterable[Arrival],
+    rates: _arrivals.ArrivalRates,
     now: float,
     estimator: _estimates.Estimator,
     count_startable: CountStartable = count_all,
@@ -124,7 +157,7 @@
 
     Args:
         jobs: The open jobs.
-        arrivals: The work that arrived in the last windows.
+        rates: The rates at which work arrives.
         now: Seconds of the monotonic clock.
         estimator: Estimates the run times of tasks.
         count_startable: Returns how many of a step's waiting tasks count;
@@ -133,31 +166,20 @@
     totals = _Totals()
     for job in jobs:
         _add_job(totals, job, now, estimator, count_startable)
-    rate, previous = _arrival_rates(arrivals, now)
     return PoolDemand(
         long_lived=totals.long_lived,
         running=totals.running,
-        rate=rate,
+        rate=rates.recent,
         waiting=totals.waiting,
         late_running=totals.late_running,
-        rate_growth=max(0.0, rate - previous) / _RATE_WINDOW_SECONDS,
+        rate_growth=rates.growth,
+        ready=totals.ready,
+        earlier_peak=rates.earlier_peak,
+        remaining_cores=rates.remaining_cores,
+        mean_seconds=rates.mean_seconds,
     )
 
 
-def _arrival_rates(
-    arrivals: collections.abc.Iterable[Arrival], now: float
-) -> tuple[float, float]:
-    """Return the arrival rates of the last window and the one before."""
-    recent = previous = 0.0
-    for each in arrivals:
-        age = now - each.at
-        if age < _RATE_WINDOW_SECONDS:
-            recent += each.work
-        elif age < 2 * _RATE_WINDOW_SECONDS:
-            previous += each.work
-    return recent / _RATE_WINDOW_SECONDS, previous / _RATE_WINDOW_SECONDS
-
-
 @attrs.define(kw_only=True)
 class _Totals:
     """The fields of a pool's demand that its jobs add to."""
@@ -166,6 +188,12 @@
     running: float = 0.0
     waiting: float = 0.0
     late_running: float = 0.0
+    ready: float = 0.0
+
+
+# A step with waiting tasks: their number, the cores that one reserves, the
+# same if the steps before are done and 0 if not, and its declared seconds.
+_WaitingStep = tuple[_model.Step, int, float, float, float]
 
 
 @attrs.frozen(kw_only=True)
@@ -173,17 +201,15 @@
     """What the demand of a job is made of, apart from time and estimates.
 
     It holds until the job's counts, queue or state change. ``long_lived``
-    and ``running`` are in cores. For each step with waiting tasks,
-    ``waiting`` has the step, their number, the cores of one and its declared
-    seconds, and ``waiting_long_lived`` the same but for the seconds.
+    and ``running`` are in cores.
     """
 
     state: _progress.JobState
     queue: _model.Queue
     long_lived: float
     running: float
-    waiting: tuple[tuple[_model.Step, int, float, float], ...]
-    waiting_long_lived: tuple[tuple[_model.Step, int, float], ...]
+    waiting: tuple[_WaitingStep, ...]
+    waiting_long_lived: tuple[_WaitingStep, ...]
 
 
 def _add_job(
@@ -203,20 +229,22 @@
         figures = job.tally.memo = _work_out_figures(job)
     totals.long_lived += figures.long_lived
     totals.running += figures.running
-    for step, count, cores in figures.waiting_long_lived:
+    for step, count, cores, _, _ in figures.waiting_long_lived:
         held = count - count_startable(job, step, count)
         totals.long_lived -= cores * held
     basis = estimator.basis(job.spec.queue)
-    waiting = 0.0
-    for step, count, cores, declared in figures.waiting:
-        seconds = (declared + basis.mean) * basis.share
-        waiting += cores * seconds * count_startable(job, step, count)
+    waiting = ready = 0.0
+    for step, count, cores, ready_cores, declared in figures.waiting:
+        startable = count_startable(job, step, count)
+        waiting += cores * ((declared + basis.mean) * basis.share) * startable
+        ready += ready_cores * startable
     if not waiting and not figures.running:
         return
     if _estimates.is_late(job, now, estimator):
         totals.late_running += figures.running
     else:
         totals.waiting += waiting
+        totals.ready += ready
 
 
 def _is_current(figures: _JobFigures, job: _progress.Job) -> bool:
@@ -225,21 +253,21 @@
 
 def _work_out_figures(job: _progress.Job) -> _JobFigures:
     long_lived = running = 0.0
-    waiting = []
-    waiting_long_lived = []
+    waiting: list[_WaitingStep] = []
+    waiting_long_lived: list[_WaitingStep] = []
     final = job.final
     for step in job.spec.steps:
         counts = job.tally.of_step(step.index)
         cores = step.reserved.cores
-        count = 0 if final else counts.waiting
         if step.long_lived:
             long_lived += cores * (counts.active if final else counts.total)
-            if count:
-                waiting_long_lived.append((step, count, cores))
         else:
             running += cores * counts.active
-            if count:
-                waiting.append((step, count, cores, step.declared_seconds))
+        if counts.waiting and not final:
+            kind = waiting_long_lived if step.long_lived else waiting
+            ready = cores if not step.after or _is_ready(job, step) else 0.0
+            seconds = step.declared_seconds
+            kind.append((step, counts.waiting, cores, ready, seconds))
     return _JobFigures(
         state=job.state,
         queue=job.queue,
@@ -250,6 +278,10 @@
     )
 
 
+def _is_ready(job: _progress.Job, step: _model.Step) -> bool:
+    return not any(job.tally.of_step(each).unfinished for each in step.after)
+
+
 def wanted_vms(pool: PoolSupply) -> int:
     """Return how many VMs a pool needs for its present demand.
 
@@ -266,6 +298,11 @@
     return vms_for(pool, pool.demand.cores_forecast)
 
 
+def usable_vms(pool: PoolSupply) -> int:
+    """Return how many VMs a pool's work can use, by `usable_cores`."""
+    return vms_for(pool, pool.demand.usable_cores)
+
+
 def vms_for(pool: PoolSupply, cores: float) -> int:
     """Return how many of a pool's VMs are needed for this many cores."""
     if pool.standby:
--- a/packages/peridotsill_scheduler/src/peridotsill_scheduler/_estimates.py
+++ b/packages/peridotsill_scheduler/src/peridotsill_scheduler/_estimates.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from peridotsill_scheduler import _arrivals
 from peridotsill_scheduler import _model
 from peridotsill_scheduler import _progress
 
@@ -107,6 +108,15 @@
     )
 
 
+def arrival_of(job: _progress.Job, estimator: Estimator) -> _arrivals.Arrival:
+    """Return a job's arrival, with its work and expected duration."""
+    return _arrivals.Arrival(
+        at=job.arrived_at,
+        work=job_work(job, estimator),
+        seconds=critical_path_seconds(job, estimator),
+    )
+
+
 def remaining_work(job: _progress.Job, estimator: Estimator) -> float:
     """Return the estimated core-seconds of the unfinished tasks.
 
--- a/packages/peridotsill_scheduler/src/peridotsill_scheduler/_lending.py
+++ b/packages/peridotsill_scheduler/src/peridotsill_scheduler/_lending.py
@@ -240,6 +240,28 @@
     )
 
 
+@lending_policy("usable")
+def _usable(
+    pools: collections.abc.Sequence[_demand.PoolSupply],
+) -> list[Move]:
+    """Move VMs as "rising" does, but only for what work can use.
+
+    It leaves out tasks that wait for other steps, and work that is counted
+    twice, as arriving and as waiting; and it extrapolates a rise no further
+    than to somewhat above earlier peaks. Idle VMs of other pools are moved
+    before those of standby pools, which are not billed.
+    """
+    wanted = {each.name: _demand.usable_vms(each) for each in pools}
+    billed = [each for each in pools if not each.standby]
+    moves = _plan_transfers(
+        billed, wanted, {each.name: each.idle for each in billed}
+    )
+    rest = after_moves(pools, moves)
+    return moves + _plan_transfers(
+        rest, wanted, {each.name: each.idle + each.busy for each in rest}
+    )
+
+
 def _plan_transfers(
     pools: collections.abc.Sequence[_demand.PoolSupply],
     wanted: dict[str, int],
--- a/tests/benches/peaks.py
+++ b/tests/benches/peaks.py
@@ -29,7 +29,6 @@
 DRAIN_SECONDS = 12.0
 TICK_SECONDS = 0.1
 LENDING_PERIOD_SECONDS = 0.2
-ARRIVAL_HISTORY_SECONDS = 60.0
 # Load of a pool outside its peaks, as a multiple of its own cores.
 _OFF_PEAK_LOAD = 0.1
 _FIXED_PAYOFF_SHARE = 0.3
@@ -165,7 +164,9 @@
         self._jobs: list[scheduler.Job] = []
         self._open_jobs: list[scheduler.Job] = []
         self._end_times: dict[str, float] = {}
-        self._arrivals: dict[str, list[scheduler.Arrival]] = {}
+        self._arrivals = {
+            pool: scheduler.ArrivalHistory() for pool in (*POOLS, STANDBY)
+        }
         self._moves = 0
         self._paid_vm_seconds = 0.0
         self._mean_work = self._sample_mean_work()
@@ -250,10 +251,7 @@
             self._true_run_seconds[(job_id, step.index)] = seconds
         self._jobs.append(job)
         self._open_jobs.append(job)
-        work = scheduler.job_work(job, self._estimator)
-        self._arrivals.setdefault(pool, []).append(
-            scheduler.Arrival(at=now, work=work)
-        )
+        self._arrivals[pool].record(scheduler.arrival_of(job, self._estimator))
 
     def _end_runs(self, now: float) -> None:
         for vm in self._vms:
@@ -353,11 +351,6 @@
             for name, left in seconds_to_idle.items()
             if left < MAX_CLEAR_SECONDS
         ]
-        recent = [
-            each
-            for each in self._arrivals.get(pool, [])
-            if now - each.at < ARRIVAL_HISTORY_SECONDS
-        ]
         return scheduler.PoolSupply(
             name=pool,
             standby=pool == STANDBY,
@@ -369,7 +362,7 @@
             vm_cores=VM_CORES,
             demand=scheduler.pool_demand(
                 [job for job in self._open_jobs if job.spec.queue == pool],
-                recent,
+                self._arrivals[pool].rates(now),
                 now,
                 self._estimator,
             ),
--- a/tests/features/steps/backlog_steps.py
+++ b/tests/features/steps/backlog_steps.py
@@ -73,7 +73,7 @@
         estimator.record_task("q", 1.5)
 
     def decide():
-        scheduler.pool_demand(jobs, (), _NOW, estimator)
+        scheduler.pool_demand(jobs, scheduler.ArrivalRates(), _NOW, estimator)
         starts = scheduler.plan_starts(
             policy="payoff_density",
             jobs=jobs,
--- a/tests/features/steps/maintenance_steps.py
+++ b/tests/features/steps/maintenance_steps.py
@@ -270,7 +270,8 @@
 @given('pool "{pool}" needs {count:d} VMs')
 def _add_demand(context, pool, count):
     context.planner.record_arrival(
-        pool, 32.0 * count, _clock.monotonic_seconds()
+        pool,
+        scheduler.Arrival(at=_clock.monotonic_seconds(), work=32.0 * count),
     )
 
 
--- a/tests/features/steps/scheduler_steps.py
+++ b/tests/features/steps/scheduler_steps.py
@@ -683,7 +683,9 @@
     job = _job("j", count, 32, 1.0, arrived_at)
     for task in job.tasks:
         task.phase = scheduler.TaskPhase.RUNNING
-    demand = scheduler.pool_demand([job], [], 100.0, scheduler.Estimator())
+    demand = scheduler.pool_demand(
+        [job], scheduler.ArrivalRates(), 100.0, scheduler.Estimator()
+    )
     context.supplies = [
         scheduler.PoolSupply(
             name="a",
@@ -742,11 +744,15 @@
     # Work for one VM in each of the two rate windows of 1.5 s; 0.84 is just
     # below the share of 0.85 of its cores that a VM is expected to fill.
     work = 1.5 * 32 * 0.84
-    arrivals = [
+    history = scheduler.ArrivalHistory()
+    for arrival in (
         scheduler.Arrival(at=98.0, work=before * work),
         scheduler.Arrival(at=99.5, work=now * work),
-    ]
-    demand = scheduler.pool_demand([], arrivals, 100.0, scheduler.Estimator())
+    ):
+        history.record(arrival)
+    demand = scheduler.pool_demand(
+        [], history.rates(100.0), 100.0, scheduler.Estimator()
+    )
     context.supplies.append(
         attrs.evolve(_supply("b", 6, 0), idle=(), demand=demand)
     )
--- a/tests/features/steps/tally_steps.py
+++ b/tests/features/steps/tally_steps.py
@@ -188,7 +188,10 @@
 def _demand(job, estimator):
     objective = scheduler.objective_seconds(job, estimator)
     in_time = not job.final and _NOW - job.arrived_at < objective
-    long_lived = running = waiting = 0.0
+    long_lived = running = waiting = ready = 0.0
+    unfinished = {
+        task.step.index for task in job.tasks if task.phase is not _Phase.DONE
+    }
     for step in job.spec.steps:
         phases = collections.Counter(
             task.phase for task in job.tasks if task.step.index == step.index
@@ -203,12 +206,15 @@
         if in_time:
             seconds = estimator.task_seconds("q", step)
             waiting += cores * seconds * phases[_Phase.WAITING]
+            if unfinished.isdisjoint(step.after):
+                ready += cores * phases[_Phase.WAITING]
     return scheduler.PoolDemand(
         long_lived=long_lived,
         running=running,
         rate=0.0,
         waiting=waiting,
         late_running=0.0 if in_time else running,
+        ready=ready,
     )
 
 
@@ -226,7 +232,9 @@
         work=scheduler.job_work(job, estimator),
         remaining_work=_remaining_work(job, estimator),
     )
-    demand = scheduler.pool_demand([job], (), _NOW, estimator)
+    demand = scheduler.pool_demand(
+        [job], scheduler.ArrivalRates(), _NOW, estimator
+    )
     assert demand == _demand(job, estimator), (
         attrs.asdict(demand),
         attrs.asdict(_demand(job, estimator)),
--- a/tests/features/steps/team_share_steps.py
+++ b/tests/features/steps/team_share_steps.py
@@ -175,7 +175,11 @@
 def _check_demand(context, count):
     work = scheduler.StartableWork(quotas=_quotas(context))
     demand = scheduler.pool_demand(
-        context.jobs, (), _NOW, scheduler.Estimator(), work.count
+        context.jobs,
+        scheduler.ArrivalRates(),
+        _NOW,
+        scheduler.Estimator(),
+        work.count,
     )
     assert demand.waiting == count, demand
 
@@ -208,7 +212,7 @@
             quotas = _quotas(context)
             scheduler.pool_demand(
                 jobs,
-                (),
+                scheduler.ArrivalRates(),
                 _NOW,
                 estimator,
                 scheduler.StartableWork(quotas=quotas).count,
