Give the benchmark of rounds a configuration without teams

Cause: its stand-in of the configuration had no teams, which each round reads now.

Change: it has none, as a deployment that configures no teams.

--- a/tests/benches/rounds.py
+++ b/tests/benches/rounds.py
@@ -115,7 +115,9 @@
         catalog = types.SimpleNamespace(
             queue={"q": _QUEUE}.get,
             pool=lambda name: pool,
-            config=types.SimpleNamespace(pools=(pool,), queues=(_QUEUE,)),
+            config=types.SimpleNamespace(
+                pools=(pool,), queues=(_QUEUE,), teams=None
+            ),
             waves=(),
             standby_pools=frozenset(),
         )
