Add placement policies, and one that reserves capacity for large tasks

Small tasks leave free capacity in pieces that a large task can't use, and take whatever else ends, so that a large one may wait for as long as they arrive. The policy 'reserving' reserves capacity for the next large tasks and gangs where enough work is expected to end soonest, and lets others use it until then. 'immediate', the default, is what was done before.

--- a/packages/peridotsill/src/peridotsill/_counters.py
+++ b/packages/peridotsill/src/peridotsill/_counters.py
@@ -21,6 +21,8 @@
     "tasks_lost": "Tasks that lost their run, by the reason.",
     "tasks_given_up": "Tasks given up as their runners crashed.",
     "runners_gone": "Runners whose process has ended, by pool and reason.",
+    "reservations": "Reservations of capacity for large waiting tasks.",
+    "reservations_released": "Reservations that ended, by the reason.",
     "commit_seconds": "Time that a commit to the table took.",
     "round_seconds": "Time that a round of the scheduler took, by part.",
     "start_delay_seconds": "Time from a job's arrival to its first start.",
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_controller.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_controller.py
@@ -32,6 +32,7 @@
 from peridotsill_jobs import _links
 from peridotsill_jobs import _live_settings
 from peridotsill_jobs import _logs
+from peridotsill_jobs import _placements
 from peridotsill_jobs import _ports
 from peridotsill_jobs import _round_timing
 from peridotsill_jobs import _runner_client
@@ -113,6 +114,11 @@
             estimator=self._estimator,
             counters=parts.counters,
         )
+        self._placements = _placements.Placements(
+            settings=parts.settings,
+            workers=self._workers,
+            counters=parts.counters,
+        )
         self._registry: _feeds.RegistrySnapshot | None = None
         self._starts_paused = False
         self._round_timer = _round_timing.RoundTimer(counters=parts.counters)
@@ -516,13 +522,15 @@
                 self._advice.request_for_ready_steps(
                     pool_jobs, views.get(pool, []), now
                 )
-            starts += peridotsill_scheduler.plan_starts(
-                policy=self._parts.settings.current.order_policy,
-                jobs=pool_jobs,
-                vms=views.get(pool, []),
-                now=now,
-                estimator=self._estimator,
-            )
+            with self._placements.in_round(pool, now) as placement:
+                starts += peridotsill_scheduler.plan_starts(
+                    policy=self._parts.settings.current.order_policy,
+                    jobs=pool_jobs,
+                    vms=views.get(pool, []),
+                    now=now,
+                    estimator=self._estimator,
+                    placement=placement,
+                )
         return starts
 
     def _record_start(
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_live_settings.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_live_settings.py
@@ -9,7 +9,9 @@
 
 # Settings that a running node reloads from a changed file. The others, such
 # as its addresses and the services it uses, need a restart.
-_RELOADABLE_FIELDS = frozenset({"bounds", "lending_policy", "order_policy"})
+_RELOADABLE_FIELDS = frozenset(
+    {"bounds", "lending_policy", "order_policy", "placement_policy"}
+)
 
 
 class LiveSettings:
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_runs.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_runs.py
@@ -187,7 +187,9 @@
     ) -> None:
         now = _clock.monotonic_seconds()
         if task.started_at and task.run == 1:
-            self._estimator.record_task(job.spec.queue, now - task.started_at)
+            self._estimator.record_task(
+                job.spec.queue, now - task.started_at, task.step
+            )
         task.phase = _Phase.DONE
         task.checkpoint = ""
         task.crashes = ()
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_settings.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_settings.py
@@ -78,6 +78,7 @@
     threads: int = peridotsill.bounded(minimum=2, maximum=500, default=24)
     order_policy: str = "payoff_density"
     lending_policy: str = "rising"
+    placement_policy: str = "immediate"
     resources: HostResources = HostResources()
     bounds: Bounds = Bounds()
 
@@ -107,6 +108,7 @@
     known = {
         "order_policy": peridotsill_scheduler.order_policies(),
         "lending_policy": peridotsill_scheduler.lending_policies(),
+        "placement_policy": peridotsill_scheduler.placement_policies(),
     }
     return tuple(
         f"{field}: {getattr(settings, field)!r} is not one of "
--- a/packages/peridotsill_scheduler/src/peridotsill_scheduler/__init__.py
+++ b/packages/peridotsill_scheduler/src/peridotsill_scheduler/__init__.py
@@ -54,6 +54,9 @@
 from peridotsill_scheduler._pacing import TailLatency
 from peridotsill_scheduler._placement import Placer
 from peridotsill_scheduler._placement import Start
+from peridotsill_scheduler._placement_policies import Placement
+from peridotsill_scheduler._placement_policies import placement_policies
+from peridotsill_scheduler._placement_policies import placement_policy
 from peridotsill_scheduler._progress import ACTIVE_PHASES
 from peridotsill_scheduler._progress import advisor_answer_for
 from peridotsill_scheduler._progress import AdvisorAnswer
@@ -69,6 +72,9 @@
 from peridotsill_scheduler._progress import Task
 from peridotsill_scheduler._progress import TaskPhase
 from peridotsill_scheduler._progress import tasks_of
+from peridotsill_scheduler._reservation_memory import ReservationChange
+from peridotsill_scheduler._reservation_memory import ReservationMemory
+from peridotsill_scheduler._reservations import ActiveRun
 from peridotsill_scheduler._round import plan_starts
 from peridotsill_scheduler._vms import TRIAL_REASON
 from peridotsill_scheduler._vms import VmView
@@ -79,6 +85,7 @@
     "LATE_FACTOR",
     "MAX_TASKS_PER_STEP",
     "TRIAL_REASON",
+    "ActiveRun",
     "AdviceTiming",
     "AdvisorAnswer",
     "Arrival",
@@ -92,11 +99,14 @@
     "MaintenancePhase",
     "Move",
     "OrderContext",
+    "Placement",
     "Placer",
     "PoolDemand",
     "PoolSettings",
     "PoolSupply",
     "Queue",
+    "ReservationChange",
+    "ReservationMemory",
     "Resources",
     "Start",
     "Step",
@@ -129,6 +139,8 @@
     "order_jobs",
     "order_policies",
     "order_policy",
+    "placement_policies",
+    "placement_policy",
     "plan_evacuation",
     "plan_fetches",
     "plan_filler_speed",
--- a/packages/peridotsill_scheduler/src/peridotsill_scheduler/_estimates.py
+++ b/packages/peridotsill_scheduler/src/peridotsill_scheduler/_estimates.py
@@ -1,6 +1,7 @@
 """Run time estimates, learned from completed tasks."""
 
 import collections
+import math
 
 import attrs
 
@@ -14,6 +15,17 @@
 _MIN_HISTORY_TASKS = 12
 # Used if no run time was declared.
 _DEFAULT_RUN_SECONDS = 1.0
+# Bounds of the mean factor between expected and actual run times. Estimates
+# are averages of a declaration and a mean, so a larger one is an outlier.
+_MIN_RUN_FACTOR = 0.5
+_MAX_RUN_FACTOR = 2.0
+# Bounds of the factor by which nearly all runs last at most as long as
+# expected, and its value before it is known: declarations may be off by two.
+_MIN_RUN_MARGIN = 1.0
+_MAX_RUN_MARGIN = 3.0
+_UNKNOWN_RUN_MARGIN = 2.0
+# Shortest time for which a run is expected to last.
+_MIN_EXPECTED_SECONDS = 0.01
 
 
 class _MovingMean:
@@ -37,6 +49,32 @@
             self._total -= self._values.popleft()
 
 
+class _RatioHistory:
+    """Mean and spread of the newest ratios of actual to expected times."""
+
+    def __init__(self) -> None:
+        self._ratios = _MovingMean()
+        self._squares = _MovingMean()
+
+    def __len__(self) -> int:
+        return len(self._ratios)
+
+    @property
+    def mean(self) -> float:
+        return self._ratios.mean
+
+    @property
+    def deviation(self) -> float:
+        variance = self._squares.mean - self._ratios.mean**2
+        return math.sqrt(max(0.0, variance))
+
+    def add(self, ratio: float) -> None:
+        # One run that hung must not hide the others.
+        ratio = min(ratio, _MAX_RUN_MARGIN)
+        self._ratios.add(ratio)
+        self._squares.add(ratio * ratio)
+
+
 class Estimator:
     """Learns how long the tasks of each queue run.
 
@@ -50,9 +88,22 @@
         # By queue, the mean run time once it is used.
         self._mean_seconds: dict[str, float] = {}
         self._job_work: dict[str, _MovingMean] = {}
+        self._ratios: dict[str, _RatioHistory] = {}
 
-    def record_task(self, queue: str, seconds: float) -> None:
-        """Record the run time of a task that completed successfully."""
+    def record_task(
+        self, queue: str, seconds: float, step: _model.Step | None = None
+    ) -> None:
+        """Record the run time of a task that completed successfully.
+
+        Args:
+            queue: The queue of its job.
+            seconds: The run time.
+            step: Its step, to learn how good the estimates are.
+        """
+        if step is not None:
+            expected = self.task_seconds(queue, step)
+            ratios = self._ratios.setdefault(queue, _RatioHistory())
+            ratios.add(seconds / expected)
         history = self._run_seconds.setdefault(queue, _MovingMean())
         history.add(seconds)
         if len(history) >= _MIN_HISTORY_TASKS:
@@ -79,6 +130,29 @@
         mean = self._mean_seconds.get(queue)
         return declared if mean is None else (declared + mean) / 2
 
+    def run_factor(self, queue: str) -> float:
+        """Return the mean ratio of actual to expected run times.
+
+        It is between 0.5 and 2, and 1 while too few runs have ended.
+        """
+        ratios = self._ratios.get(queue)
+        if ratios is None or len(ratios) < _MIN_HISTORY_TASKS:
+            return 1.0
+        return min(max(ratios.mean, _MIN_RUN_FACTOR), _MAX_RUN_FACTOR)
+
+    def run_margin(self, queue: str) -> float:
+        """Return the factor within which most runs end.
+
+        Times the expected run time, this is the mean plus the standard
+        deviation of the actual ones. It is between 1 and 3, and 2 while too
+        few runs have ended.
+        """
+        ratios = self._ratios.get(queue)
+        if ratios is None or len(ratios) < _MIN_HISTORY_TASKS:
+            return _UNKNOWN_RUN_MARGIN
+        margin = ratios.mean + ratios.deviation
+        return min(max(margin, _MIN_RUN_MARGIN), _MAX_RUN_MARGIN)
+
 
 def job_work(job: _progress.Job, estimator: Estimator) -> float:
     """Return the estimated core-seconds of one occurrence of a job."""
@@ -121,6 +195,34 @@
     return max(0.0, expected - spent)
 
 
+def expected_end(
+    job: _progress.Job,
+    step: _model.Step,
+    started_at: float,
+    estimator: Estimator,
+    now: float,
+) -> float:
+    """Return when a run is expected to end, by past errors of estimates.
+
+    Infinite for a long-lived task. A run that has lasted longer than expected
+    is given twice the time, as often as needed, so that the time of its end
+    moves on with it. If the start is not confirmed (``started_at`` is 0), the
+    run counts as begun now.
+    """
+    if step.long_lived:
+        return float("inf")
+    queue = job.spec.queue
+    expected = estimator.task_seconds(queue, step) * estimator.run_factor(
+        queue
+    )
+    expected = max(expected, _MIN_EXPECTED_SECONDS)
+    begun_at = started_at or now
+    spent = now - begun_at
+    if spent >= expected:
+        expected *= 2.0 ** (math.floor(math.log2(spent / expected)) + 1)
+    return begun_at + expected
+
+
 def critical_path_seconds(
     job: _progress.Job, estimator: Estimator, *, only_remaining: bool = False
 ) -> float:
--- a/packages/peridotsill_scheduler/src/peridotsill_scheduler/_placement.py
+++ b/packages/peridotsill_scheduler/src/peridotsill_scheduler/_placement.py
@@ -27,7 +27,7 @@
 
 # What a task needs of a VM, apart from limits per VM and advice: cores, memory
 # in mebibytes, accelerators and a label.
-_ResourceShape = tuple[float, float, int, str]
+ResourceShape = tuple[float, float, int, str]
 
 
 class Placer:
@@ -47,16 +47,18 @@
         self._vms_to_clear = max(
             1, int(len(self._open_vms) * _MAX_CLEARED_SHARE)
         )
-        self._shapes_without_room: set[_ResourceShape] = set()
+        self._shapes_without_room: set[ResourceShape] = set()
 
     def has_room_for_any(
-        self, steps: collections.abc.Iterable[_model.Step]
+        self,
+        job: _progress.Job,
+        steps: collections.abc.Sequence[_model.Step],
     ) -> bool:
-        """Tell whether a task of any of the steps may have room."""
+        """Tell whether a task of any of a job's steps may have room."""
         return any(self._may_fit(step) for step in steps)
 
     def _may_fit(self, step: _model.Step) -> bool:
-        shape = _resource_shape(step)
+        shape = resource_shape(step)
         if shape in self._shapes_without_room:
             return False
         if self.has_room(step):
@@ -64,8 +66,27 @@
         self._shapes_without_room.add(shape)
         return False
 
-    def has_room(self, step: _model.Step) -> bool:
-        """Tell whether some VM has the capacity for a task of a step."""
+    def place_reserved(self) -> "list[Start]":
+        """Place what capacity has been reserved for; nothing by default."""
+        return []
+
+    def pop_deferred(
+        self,
+    ) -> collections.abc.Iterable[
+        tuple[_progress.Job, collections.abc.Sequence[_model.Step]]
+    ]:
+        """Return the jobs to rank that `has_room_for_any` left undecided."""
+        return ()
+
+    def has_room(
+        self, step: _model.Step, job: _progress.Job | None = None
+    ) -> bool:
+        """Tell whether some VM has the capacity for a task of a step.
+
+        Args:
+            step: The step.
+            job: Its job, if the answer may depend on it.
+        """
         return self._largest_room.has_room(step.reserved, step.required_label)
 
     def _reserve(
@@ -121,16 +142,21 @@
         A gang is placed as a whole or not at all.
         """
         starts: list[Start] = []
-        for group in _group_by_step(tasks):
+        for group in group_by_step(tasks):
             if group[0].step.gang:
-                gang_starts = _place_gang(job, group, self._vms)
-                for start in gang_starts:
-                    self._note_change(start.vm)
-                starts += gang_starts
+                starts += self._place_gang(job, group)
             else:
                 starts += self._place_group(job, group)
         return starts
 
+    def _place_gang(
+        self, job: _progress.Job, group: list[_progress.Task]
+    ) -> list[Start]:
+        starts = _place_gang(job, group, self._vms)
+        for start in starts:
+            self._note_change(start.vm)
+        return starts
+
     def _place_group(
         self, job: _progress.Job, group: list[_progress.Task]
     ) -> list[Start]:
@@ -145,13 +171,14 @@
                 continue
             if vm is None:
                 if not step.max_per_vm and job.queue.advice is None:
-                    self._shapes_without_room.add(_resource_shape(step))
+                    self._shapes_without_room.add(resource_shape(step))
                 break
             starts.append(self._reserve(job, task, vm))
         return starts
 
 
-def _resource_shape(step: _model.Step) -> _ResourceShape:
+def resource_shape(step: _model.Step) -> ResourceShape:
+    """Return what a task of a step needs of a VM."""
     reserved = step.reserved
     return (
         reserved.cores,
@@ -161,9 +188,10 @@
     )
 
 
-def _group_by_step(
+def group_by_step(
     tasks: typing.Iterable[_progress.Task],
 ) -> list[list[_progress.Task]]:
+    """Return the tasks of each step in each occurrence."""
     groups: dict[tuple[int, int], list[_progress.Task]] = {}
     for task in tasks:
         key = (task.occurrence, task.step.index)
--- a/packages/peridotsill_scheduler/src/peridotsill_scheduler/_round.py
+++ b/packages/peridotsill_scheduler/src/peridotsill_scheduler/_round.py
@@ -8,6 +8,7 @@
 from peridotsill_scheduler import _model
 from peridotsill_scheduler import _order
 from peridotsill_scheduler import _placement
+from peridotsill_scheduler import _placement_policies
 from peridotsill_scheduler import _progress
 from peridotsill_scheduler import _vms
 
@@ -19,6 +20,7 @@
     vms: collections.abc.Sequence[_vms.VmView],
     now: float,
     estimator: _estimates.Estimator,
+    placement: _placement_policies.Placement | None = None,
 ) -> list[_placement.Start]:
     """Return the tasks to start now on one pool's VMs, best-ranked jobs first.
 
@@ -28,8 +30,10 @@
         vms: The pool's VMs; the started tasks are reserved on them.
         now: Seconds of the monotonic clock.
         estimator: Estimates the run times of the jobs' tasks.
+        placement: The placement policy and what it needs; `immediate` if
+            left out.
     """
-    placer = _placement.Placer(vms=vms)
+    placer = _placement_policies.make_placer(placement, vms, now, estimator)
     ready_steps: dict[tuple[str, str], list[_model.Step]] = {}
     tasks_with_suspects: dict[tuple[str, str], list[_progress.Task]] = {}
     starts: list[_placement.Start] = []
@@ -48,13 +52,19 @@
                 tasks = [each for each in tasks if each not in lone]
             steps = list({id(each.step): each.step for each in tasks}.values())
             tasks_with_suspects[job.key] = tasks
-        if placer.has_room_for_any(steps):
+        if placer.has_room_for_any(job, steps):
             ready_steps[job.key] = steps
             candidates.append(job)
+    starts += placer.place_reserved()
+    for job, deferred_steps in placer.pop_deferred():
+        ready_steps[job.key] = list(deferred_steps)
+        candidates.append(job)
     context = _order.OrderContext(now=now, estimator=estimator)
     for job in _order.order_jobs(policy, candidates, context):
         # Listing the tasks is left for jobs that still have room.
-        if not any(placer.has_room(step) for step in ready_steps[job.key]):
+        if not any(
+            placer.has_room(step, job) for step in ready_steps[job.key]
+        ):
             continue
         if job.tally.has_suspects:
             tasks = tasks_with_suspects[job.key]
--- a/packages/peridotsill_scheduler/src/peridotsill_scheduler/_vm_order.py
+++ b/packages/peridotsill_scheduler/src/peridotsill_scheduler/_vm_order.py
@@ -226,6 +226,12 @@
                     if former in self._largest.get(label, ()):
                         del self._largest[label]
 
+    def leave_out(self, vm: _vms.VmView) -> None:
+        """Count a VM no longer, as it was closed."""
+        if self._amounts.pop(vm, None) is not None:
+            self._counts.clear()
+            self._largest.clear()
+
     def has_room(self, reserved: _model.Resources, label: str) -> bool:
         """Tell whether a VM with a label has this much free capacity."""
         if label not in self._counts:
