--- a/packages/peridotsill_scheduler/src/peridotsill_scheduler/_reservation_memory.py
+++ b/packages/peridotsill_scheduler/src/peridotsill_scheduler/_reservation_memory.py
@@ -24,7 +24,8 @@
     It stands since ``since``, was then expected to be free at
     ``expected_at``, and is given up at ``give_up_at``. Others may use the
     capacity until ``gap_until``. Times are in seconds of the monotonic clock.
-    ``runners`` are those of its VMs, each with its lifetime.
+    ``runners`` are those of its VMs, each with its lifetime. ``late`` tells
+    that its job was too late to earn anything when it was made.
     """
 
     since: float
@@ -32,6 +33,7 @@
     give_up_at: float
     gap_until: float
     runners: frozenset[tuple[str, int]]
+    late: bool = False
 
 
 @attrs.frozen(kw_only=True)
@@ -63,15 +65,15 @@
 
     def __init__(self) -> None:
         self.standing: dict[_reservations.StepKey, Standing] = {}
-        # Whether the next one is for the job that has waited for the longest.
-        self.is_turn_of_oldest = False
+        # Whether the next one is for a job that is late, if there is one.
+        self.is_turn_of_late = False
         self._pauses: dict[_reservations.StepKey, _Pause] = {}
         self._changes: list[ReservationChange] = []
 
     @property
     def is_empty(self) -> bool:
-        """Whether it differs in nothing from a new one."""
-        return not (self.standing or self._pauses or self.is_turn_of_oldest)
+        """Whether no reservation and no pause is remembered."""
+        return not (self.standing or self._pauses)
 
     def pop_changes(self) -> list[ReservationChange]:
         """Return the changes since the last call."""
@@ -88,8 +90,11 @@
         key: _reservations.StepKey,
         reservation: _reservations.Reservation,
         now: float,
+        *,
+        late: bool,
     ) -> None:
         """Remember a new reservation."""
+        self.is_turn_of_late = not late
         wait = reservation.at - now
         pause = self._pauses.get(key)
         limit = max(_MIN_GIVE_UP_SECONDS, wait * _GIVE_UP_FACTOR)
@@ -101,6 +106,7 @@
             give_up_at=now + min(limit, _MAX_GIVE_UP_SECONDS),
             gap_until=reservation.at,
             runners=runners,
+            late=late,
         )
         reservation.gap_until = reservation.at
         self._changes.append(
--- a/packages/peridotsill_scheduler/src/peridotsill_scheduler/_reserving.py
+++ b/packages/peridotsill_scheduler/src/peridotsill_scheduler/_reserving.py
@@ -19,6 +19,8 @@
 # Of the jobs without room that could get a reservation, these many are ranked
 # that arrived first, and as many that arrived last.
 _MAX_RANKED_OF_EACH_END = 32
+# Of the jobs that are late, these many are tried in a round.
+_MAX_LATE_TRIED = 4
 # Largest number of shapes for which, and of times that, a round looks for
 # capacity on all VMs.
 _MAX_SEARCHES = 8
@@ -39,11 +41,14 @@
     as the order of the jobs decides who gets the place of a run that ended.
 
     A reservation goes to the highest-ranked job with a large task that has no
-    room, in turns with the one that has waited for the longest if that can't
-    earn its payoff any more. Once made it holds against all tasks but
-    long-lived ones, as with most order policies small tasks that arrive later
-    rank higher and would take the capacity for ever. Other tasks use the
-    reserved capacity if they fit beside, or are expected to end in time.
+    room. It holds until the task starts, against all tasks but long-lived
+    ones: with most order policies small tasks that arrive later rank higher,
+    and would take the capacity for ever. Other tasks use reserved capacity if
+    they fit beside, or are expected to end in time.
+
+    Jobs that are too late to earn anything rank last. The one of them that
+    has waited for the longest gets every other reservation, one at a time, so
+    that none waits for ever, and those in time lose little.
     """
 
     def __init__(
@@ -203,28 +208,30 @@
     def pop_deferred(self) -> list[_Noted]:
         """Return the jobs that may get room or a reservation."""
         ranked: list[_Noted] = []
+        large: list[tuple[float, int, _Noted]] = []
         without_room: list[tuple[float, int, _Noted]] = []
         may_reserve = self._has_slot(gang=False) or self._has_slot(gang=True)
         for job, steps in self._noted.values():
             is_large = False
             for step in steps:
                 shape = _placement.resource_shape(step)
-                if self._may_place(job, step, shape):
+                has_room = self._may_place(job, step, shape)
+                if may_reserve and (step.gang or not has_room):
+                    is_large = is_large or self._is_large(job, step, shape)
+                if has_room:
                     ranked.append((job, steps))
                     break
-                is_large = is_large or (
-                    may_reserve and self._is_large(job, step, shape)
-                )
             else:
                 if is_large:
                     without_room.append(
-                        (job.arrived_at, len(without_room), (job, steps))
+                        (job.arrived_at, len(large), (job, steps))
                     )
+            if is_large:
+                large.append((job.arrived_at, len(large), (job, steps)))
         if may_reserve:
             self._eligible.update(job.key for job, _ in ranked)
             ranked += self._choose_to_rank(without_room)
-            if self._memory.is_turn_of_oldest and without_room:
-                self._reserve_for_oldest(min(without_room)[2][0])
+            self._take_turn_of_late(large)
         self._is_ranking = True
         return ranked
 
@@ -283,19 +290,40 @@
             self._eligible.add(noted[0].key)
             yield noted
 
-    def _reserve_for_oldest(self, job: _progress.Job) -> None:
-        """Reserve for the job that waits for the longest if it is late."""
-        objective = _estimates.objective_seconds(job, self._estimator)
-        age = self._now - job.arrived_at
-        if age <= objective * _progress.LATE_FACTOR:
+    def _take_turn_of_late(
+        self, large: list[tuple[float, int, _Noted]]
+    ) -> None:
+        """Reserve for the late job that has waited for the longest.
+
+        If it is not its turn, the others have the first free slot, for one
+        round.
+        """
+        if not self._memory.is_turn_of_late:
+            if self._has_slot(gang=False):
+                self._memory.is_turn_of_late = True
             return
-        for group in _placement.group_by_step(
-            _progress.ready_tasks(job, self._now)
-        ):
-            if self._try_reserve(job, group):
-                self._memory.is_turn_of_oldest = False
+        if any(each.late for each in self._memory.standing.values()):
+            return
+        for _, _, (job, _) in heapq.nsmallest(_MAX_LATE_TRIED, large):
+            if self._is_late(job) and self._reserve_for_late(job):
                 return
 
+    def _reserve_for_late(self, job: _progress.Job) -> bool:
+        self._eligible.add(job.key)
+        tasks = _progress.ready_tasks(job, self._now)
+        return any(
+            self._try_reserve(job, group, late=True)
+            for group in _placement.group_by_step(tasks)
+        )
+
+    def _is_late(self, job: _progress.Job) -> bool:
+        """Tell whether a job is too late to earn anything."""
+        if job.long_lived:
+            return False
+        objective = _estimates.objective_seconds(job, self._estimator)
+        age = self._now - job.arrived_at
+        return age > objective * _progress.LATE_FACTOR
+
     def place_job(
         self,
         job: _progress.Job,
@@ -314,8 +342,8 @@
             placed = {start.task for start in starts}
             rest = [task for task in group if task not in placed]
             starts += self._fill_gaps(job, rest)
-            if rest and self._try_reserve(job, rest):
-                self._memory.is_turn_of_oldest = True
+            if rest:
+                self._try_reserve(job, rest, late=False)
         return starts
 
     def _place_gang(
@@ -324,8 +352,8 @@
         starts = super()._place_gang(job, group)
         for start in starts:
             self._forecast.note_start(job, start.task, start.vm)
-        if not starts and self._is_ranking and self._try_reserve(job, group):
-            self._memory.is_turn_of_oldest = True
+        if not starts and self._is_ranking:
+            self._try_reserve(job, group, late=False)
         return starts
 
     def _reserve(
@@ -335,7 +363,7 @@
         return super()._reserve(job, task, vm)
 
     def _try_reserve(
-        self, job: _progress.Job, group: list[_progress.Task]
+        self, job: _progress.Job, group: list[_progress.Task], *, late: bool
     ) -> bool:
         """Reserve capacity for a task of a group, or for a gang."""
         step = group[0].step
@@ -348,14 +376,18 @@
             key, self._now
         ):
             return False
+        if self._is_late(job) != late:
+            return False
         if not step.gang:
             group = group[:1]
         if not _reservations.may_reserve_for(group, self._now):
             return False
         found = self._search(job, group)
-        if found is None or not self._needs_room(found):
+        if found is None or found.at <= self._now:
+            return False
+        if not self._needs_room(found):
             return False
-        self._memory.add(key, found, self._now)
+        self._memory.add(key, found, self._now, late=late)
         self._hold(found)
         return True
 
