Reserve only for tasks that need a quarter of a VM

A task of two cores among tasks of one counted as large, as it needs more than one of them leaves. Smaller tasks get a reservation once their job is too late to earn anything, so that none waits for ever.

--- a/packages/peridotsill_scheduler/src/peridotsill_scheduler/_reserving.py
+++ b/packages/peridotsill_scheduler/src/peridotsill_scheduler/_reserving.py
@@ -1,7 +1,9 @@
 """Places tasks, and reserves capacity for those that need much of a VM."""
 
 import collections.abc
+import enum
 import heapq
+import math
 
 from peridotsill_scheduler import _crashes
 from peridotsill_scheduler import _estimates
@@ -16,6 +18,10 @@
 # VMs with one for a single task.
 _MAX_RESERVATIONS = 4
 _MAX_RESERVED_SHARE = 0.25
+# Share of the largest VM, in cores, memory or accelerators, from which on a
+# task is large. With less, tasks of two cores among tasks of one held most of
+# the reservations, and VMs were kept from others for them.
+_LARGE_SHARE = 0.25
 # Of the jobs without room that could get a reservation, these many are ranked
 # that arrived first, and as many that arrived last.
 _MAX_RANKED_OF_EACH_END = 12
@@ -30,15 +36,24 @@
 # to be free within this share of the time that its own VMs still take.
 _MOVE_GAIN = 0.5
 
+
+class _Need(enum.IntEnum):
+    """Whether a task without room needs a reservation."""
+
+    NEVER = 0
+    ONCE_LATE = 1
+    ALWAYS = 2
+
+
 _Noted = tuple[_progress.Job, collections.abc.Sequence[_model.Step]]
 
 
 class ReservingPlacer(_placement.Placer):
     """A `Placer` that reserves capacity for the next large tasks.
 
-    A task is large if it needs more of each VM than one run there leaves when
-    it ends; a gang always counts as large. Other tasks need no reservation,
-    as the order of the jobs decides who gets the place of a run that ended.
+    A task is large if it needs a quarter of the largest VM, and more than one
+    run leaves when it ends; a gang always counts as large. For other tasks the
+    order of the jobs decides who gets the place of a run that ended.
 
     A reservation goes to the highest-ranked job with a large task that has no
     room. It holds until the task starts, against all tasks but long-lived
@@ -47,8 +62,8 @@
     they fit beside, or are expected to end in time.
 
     Jobs that are too late to earn anything rank last. The one of them that
-    has waited for the longest gets every other reservation, one at a time, so
-    that none waits for ever, and those in time lose little.
+    has waited for the longest gets every other reservation, one at a time and
+    also for a task that isn't large, so that none waits for ever.
     """
 
     def __init__(
@@ -79,7 +94,17 @@
         self._eligible: set[tuple[str, str]] = set()
         self._is_ranking = False
         self._searches = 0
-        self._large_shapes: dict[_placement.ResourceShape, bool] = {}
+        self._needs: dict[_placement.ResourceShape, _Need] = {}
+        self._large_demand = _model.Resources(
+            cores=_LARGE_SHARE
+            * max((vm.capacity.cores for vm in vms), default=0.0),
+            memory_mib=_LARGE_SHARE
+            * max((vm.capacity.memory_mib for vm in vms), default=0.0),
+            accelerators=math.ceil(
+                _LARGE_SHARE
+                * max((vm.capacity.accelerators for vm in vms), default=0)
+            ),
+        )
         self._shapes_without_gap: set[_placement.ResourceShape] = set()
         self._shapes_not_beside: set[_placement.ResourceShape] = set()
 
@@ -101,7 +126,10 @@
         if job is None:
             return False
         shape = _placement.resource_shape(step)
-        if job.key in self._eligible and self._is_large(job, step, shape):
+        if (
+            job.key in self._eligible
+            and self._need(job, step, shape) is _Need.ALWAYS
+        ):
             return True
         return bool(self._reservations) and self._may_use_gap(job, step, shape)
 
@@ -211,30 +239,28 @@
     def pop_deferred(self) -> list[_Noted]:
         """Return the jobs that may get room or a reservation."""
         ranked: list[_Noted] = []
-        large: list[tuple[float, int, _Noted]] = []
-        without_room: list[tuple[float, int, _Noted]] = []
+        needy: list[tuple[float, int, _Noted]] = []
+        large_without_room: list[tuple[float, int, _Noted]] = []
         may_reserve = self._has_slot(gang=False) or self._has_slot(gang=True)
         for job, steps in self._noted.values():
-            is_large = False
+            need = _Need.NEVER
             for step in steps:
                 shape = _placement.resource_shape(step)
                 has_room = self._may_place(job, step, shape)
                 if may_reserve and (step.gang or not has_room):
-                    is_large = is_large or self._is_large(job, step, shape)
+                    need = max(need, self._need(job, step, shape))
                 if has_room:
                     ranked.append((job, steps))
                     break
-            else:
-                if is_large:
-                    without_room.append(
-                        (job.arrived_at, len(large), (job, steps))
-                    )
-            if is_large:
-                large.append((job.arrived_at, len(large), (job, steps)))
+            if need:
+                entry = (job.arrived_at, len(needy), (job, steps))
+                needy.append(entry)
+                if not has_room and need is _Need.ALWAYS:
+                    large_without_room.append(entry)
         if may_reserve:
             self._eligible.update(job.key for job, _ in ranked)
-            ranked += self._choose_to_rank(without_room)
-            self._take_turn_of_late(large)
+            ranked += self._choose_to_rank(large_without_room)
+            self._take_turn_of_late(needy)
         self._is_ranking = True
         return ranked
 
@@ -250,27 +276,42 @@
             self._shapes_without_room.add(shape)
         return bool(self._reservations) and self._may_use_gap(job, step, shape)
 
-    def _is_large(
+    def _need(
         self,
         job: _progress.Job,
         step: _model.Step,
         shape: _placement.ResourceShape,
-    ) -> bool:
-        """Tell whether a step without room may need and get a reservation."""
+    ) -> _Need:
+        """Tell whether a task without room needs and may get a reservation."""
         if not self._has_slot(gang=step.gang):
-            return False
-        if step.gang or step.max_per_vm or job.queue.advice is not None:
-            return True
-        known = self._large_shapes.get(shape)
-        if known is None:
-            known = False
-            if len(self._large_shapes) < _MAX_SEARCHES:
+            return _Need.NEVER
+        if step.gang:
+            return _Need.ALWAYS
+        if step.max_per_vm or job.queue.advice is not None:
+            # Where it may run depends on more than its shape.
+            return self._need_if_blocked(step)
+        need = self._needs.get(shape)
+        if need is None:
+            need = _Need.NEVER
+            if len(self._needs) < _MAX_SEARCHES:
                 task = _progress.Task(occurrence=0, step=step, index=0)
                 found = self._search(job, [task])
                 self._searches -= 1
-                known = found is not None and self._needs_room(found)
-                self._large_shapes[shape] = known
-        return known
+                if found is not None and self._needs_room(found):
+                    need = self._need_if_blocked(step)
+                self._needs[shape] = need
+        return need
+
+    def _need_if_blocked(self, step: _model.Step) -> _Need:
+        """Return the need of a task that is not left enough by one run."""
+        large = self._large_demand
+        reserved = step.reserved
+        is_large = (
+            reserved.cores >= large.cores
+            or reserved.memory_mib >= large.memory_mib
+            or reserved.accelerators >= max(1, large.accelerators)
+        )
+        return _Need.ALWAYS if is_large else _Need.ONCE_LATE
 
     def _needs_room(self, reservation: _reservations.Reservation) -> bool:
         """Tell whether a task gets room only if several runs make it."""
@@ -294,7 +335,7 @@
             yield noted
 
     def _take_turn_of_late(
-        self, large: list[tuple[float, int, _Noted]]
+        self, needy: list[tuple[float, int, _Noted]]
     ) -> None:
         """Reserve for the late job that has waited for the longest.
 
@@ -307,7 +348,7 @@
             return
         if any(each.late for each in self._memory.standing.values()):
             return
-        for _, _, (job, _) in heapq.nsmallest(_MAX_LATE_TRIED, large):
+        for _, _, (job, _) in heapq.nsmallest(_MAX_LATE_TRIED, needy):
             if self._is_late(job) and self._reserve_for_late(job):
                 return
 
@@ -374,8 +415,9 @@
     ) -> bool:
         """Reserve capacity for a task of a group, or for a gang."""
         step = group[0].step
-        if job.key not in self._eligible or not self._is_large(
-            job, step, _placement.resource_shape(step)
+        need = self._need(job, step, _placement.resource_shape(step))
+        if job.key not in self._eligible or need < (
+            _Need.ONCE_LATE if late else _Need.ALWAYS
         ):
             return False
         key = _reservations.step_key(job, group[0])
