--- a/tests/features/reservations.feature
+++ b/tests/features/reservations.feature
@@ -133,6 +133,14 @@
     When drawn large tasks and gangs arrive within 10 s under "reserving"
     Then each of them has started after 120 s
 
+  # Guards against starts that the rules forbid, as reserved VMs are closed and
+  # opened within a round, and tasks with a reservation are placed first.
+  Scenario: Reserving keeps the rules of placement
+    Given drawn pools with jobs of all kinds
+    When several rounds are planned under "reserving", as runs begin and end
+    Then no VM has more than its capacity, and no task starts twice
+    And labels, limits, tickets and closed VMs hold, and gangs start whole
+
   # Guards against a margin that one queue's outliers make useless for it: too
   # small ones delay what capacity is reserved for, large ones leave it idle.
   Scenario Outline: The margin of run times follows past errors, within bounds
--- a/tests/features/steps/reservation_steps.py
+++ b/tests/features/steps/reservation_steps.py
@@ -1,5 +1,6 @@
 """Steps for the capacity that is reserved for large tasks."""
 
+import collections
 import random
 import unittest.mock
 
@@ -8,6 +9,7 @@
 from behave import then
 from behave import when
 from benches import placement
+import choice_steps as choice
 from emulator import stubs
 import hypothesis
 from hypothesis import strategies
@@ -415,6 +417,114 @@
     assert not context.waiting, context.waiting
 
 
+def _play_rounds(seed):
+    """Return the faults in the rounds of a drawn pool, and what was reserved.
+
+    Each fault is a round's number and what is wrong.
+    """
+    rng = random.Random(seed)
+    jobs, views = choice._draw_pool(rng)
+    closed = {vm for vm in views if vm.closed_reason}
+    runs = {vm: [] for vm in views}
+    memory = scheduler.ReservationMemory()
+    faults = []
+    for number in range(5):
+        now = 100.0 + number / 2
+        for vm in views:
+            vm.closed_reason = "silent" if vm in closed else ""
+            vm.made_at = now
+        starts = scheduler.plan_starts(
+            policy="payoff_density",
+            jobs=jobs,
+            vms=views,
+            now=now,
+            estimator=scheduler.Estimator(),
+            placement=scheduler.Placement(
+                policy="reserving", memory=memory, runs_of=runs.get
+            ),
+        )
+        faults += [
+            (number, fault) for fault in _find_faults(starts, views, closed)
+        ]
+        for start in starts:
+            start.task.phase = scheduler.TaskPhase.RUNNING
+            start.task.started_at = now
+            runs[start.vm].append(
+                scheduler.ActiveRun(
+                    job=start.job, task=start.task, started_at=now
+                )
+            )
+        for vm in views:
+            _end_some(rng, vm, runs[vm])
+    return faults, memory.pop_changes()
+
+
+def _end_some(rng, vm, runs):
+    for run in [each for each in runs if rng.random() < 0.3]:
+        runs.remove(run)
+        run.task.phase = scheduler.TaskPhase.DONE
+        step = run.task.step
+        vm.free = vm.free.plus(step.reserved)
+        vm.step_counts[(run.job.spec.id, 0, step.index)] -= 1
+
+
+def _find_faults(starts, views, closed):
+    yield from (
+        f"{vm.runner} is over its capacity"
+        for vm in views
+        if not vm.has_nonnegative_room
+    )
+    members = collections.Counter()
+    tasks = set()
+    for start in starts:
+        job, task, vm = start.job, start.task, start.vm
+        step = task.step
+        key = (job.spec.id, task.occurrence, step.index)
+        members[key] += 1
+        answer = scheduler.advisor_answer_for(job, task, vm.runner)
+        checks = {
+            "twice": task not in tasks,
+            "waits": task.phase is scheduler.TaskPhase.WAITING,
+            "closed": vm not in closed,
+            "label": vm.has_label(step.required_label),
+            "limit": vm.step_counts[key] <= (step.max_per_vm or 1e9),
+            "ticket": job.queue.advice is None or (answer and answer.ticket),
+        }
+        tasks.add(task)
+        yield from (
+            f"{name}: {key}" for name, holds in checks.items() if not holds
+        )
+    yield from (
+        f"part of a gang: {start.job.spec.id}"
+        for start in starts
+        if start.task.step.gang
+        and members[(start.job.spec.id, 0, start.task.step.index)]
+        != start.task.step.task_count
+    )
+
+
+@when('several rounds are planned under "reserving", as runs begin and end')
+def _plan_several(context):
+    context.faults = []
+    context.reserved = 0
+
+    @hypothesis.settings(max_examples=300, deadline=None, derandomize=True)
+    @hypothesis.given(context.seeds)
+    def check(seed):
+        faults, changes = _play_rounds(seed)
+        context.reserved += sum(not each.reason for each in changes)
+        context.faults += [(seed, *fault) for fault in faults]
+
+    check()
+
+
+@then("no VM has more than its capacity, and no task starts twice")
+@then("labels, limits, tickets and closed VMs hold, and gangs start whole")
+def _no_faults(context):
+    assert not context.faults, context.faults[:3]
+    assert context.reserved > 100, context.reserved
+
+
 @given("a queue whose 30 tasks took {ratios} times as long as expected")
 def _queue_with_errors(context, ratios):
     context.estimator = scheduler.Estimator()
