--- a/tests/features/reservations.feature
+++ b/tests/features/reservations.feature
@@ -96,7 +96,8 @@
     And a VM of 8 cores with a task of 4 cores that takes 4 s
     And a task of 8 cores waits, under the policy "reserving"
     Then capacity is reserved for it on the second VM alone
-    When the second VM is lost
+    When a gang of 1 task of 8 cores waits as well
+    And the second VM is lost
     Then nothing is reserved in the next round
 
   # Guards against reservations where nothing may be started.
--- a/tests/features/steps/reservation_steps.py
+++ b/tests/features/steps/reservation_steps.py
@@ -324,6 +324,11 @@
     assert _reserved_runners(context.pool) == {"i-1"}
 
 
+@when("a gang of 1 task of 8 cores waits as well")
+def _gang_waits(context):
+    context.pool.submit("gang", cores=8.0, seconds=1.0, gang=True)
+
+
 @when("the second VM is lost")
 def _lose_second(context):
     context.pool.lose(context.pool.vms[1])
