--- a/packages/peridotsill_scheduler/src/peridotsill_scheduler/__init__.py
+++ b/packages/peridotsill_scheduler/src/peridotsill_scheduler/__init__.py
@@ -60,6 +60,9 @@
 from peridotsill_scheduler._pacing import TailLatency
 from peridotsill_scheduler._placement import Placer
 from peridotsill_scheduler._placement import Start
+from peridotsill_scheduler._placement_policies import Placement
+from peridotsill_scheduler._placement_policies import placement_policies
+from peridotsill_scheduler._placement_policies import placement_policy
 from peridotsill_scheduler._progress import ACTIVE_PHASES
 from peridotsill_scheduler._progress import advisor_answer_for
 from peridotsill_scheduler._progress import AdvisorAnswer
@@ -77,6 +80,9 @@
 from peridotsill_scheduler._progress import tasks_of
 from peridotsill_scheduler._quotas import Quotas
 from peridotsill_scheduler._quotas import StartableWork
+from peridotsill_scheduler._reservation_memory import ReservationChange
+from peridotsill_scheduler._reservation_memory import ReservationMemory
+from peridotsill_scheduler._reservations import ActiveRun
 from peridotsill_scheduler._returns import NeedHistory
 from peridotsill_scheduler._returns import plan_returns
 from peridotsill_scheduler._returns import return_policies
@@ -94,6 +100,7 @@
     "LATE_FACTOR",
     "MAX_TASKS_PER_STEP",
     "TRIAL_REASON",
+    "ActiveRun",
     "AdviceTiming",
     "AdvisorAnswer",
     "Arrival",
@@ -111,6 +118,7 @@
     "Move",
     "NeedHistory",
     "OrderContext",
+    "Placement",
     "Placer",
     "PoolDemand",
     "PoolSettings",
@@ -118,6 +126,8 @@
     "Queue",
     "Quotas",
     "RateClass",
+    "ReservationChange",
+    "ReservationMemory",
     "Resources",
     "Start",
     "StartableWork",
@@ -155,6 +165,8 @@
     "order_policies",
     "order_policy",
     "oversized_reason",
+    "placement_policies",
+    "placement_policy",
     "plan_evacuation",
     "plan_fetches",
     "plan_filler_speed",
--- a/packages/peridotsill_scheduler/src/peridotsill_scheduler/_round.py
+++ b/packages/peridotsill_scheduler/src/peridotsill_scheduler/_round.py
@@ -8,6 +8,7 @@
 from peridotsill_scheduler import _model
 from peridotsill_scheduler import _order
 from peridotsill_scheduler import _placement
+from peridotsill_scheduler import _placement_policies
 from peridotsill_scheduler import _progress
 from peridotsill_scheduler import _quotas
 from peridotsill_scheduler import _team_order
@@ -22,6 +23,7 @@
     now: float,
     estimator: _estimates.Estimator,
     quotas: _quotas.Quotas | None = None,
+    placement: _placement_policies.Placement | None = None,
 ) -> list[_placement.Start]:
     """Return the tasks to start now on one pool's VMs, best-ranked jobs first.
 
@@ -33,9 +35,13 @@
         estimator: Estimates the run times of the jobs' tasks.
         quotas: What the jobs' teams have and may have running in all pools;
             the starts are counted there. Unlimited by default.
+        placement: The placement policy and what it needs; `immediate` if
+            left out.
     """
     quotas = quotas or _quotas.Quotas()
-    placer = _placement.Placer(vms=vms, quotas=quotas)
+    placer = _placement_policies.make_placer(
+        placement, vms, now, estimator, quotas
+    )
     ready_steps: dict[tuple[str, str], list[_model.Step]] = {}
     tasks_with_suspects: dict[tuple[str, str], list[_progress.Task]] = {}
     starts: list[_placement.Start] = []
@@ -62,16 +68,20 @@
                 tasks = [each for each in tasks if each not in lone]
             steps = list({id(each.step): each.step for each in tasks}.values())
             tasks_with_suspects[job.key] = tasks
-        if placer.has_room_for_any(steps):
+        if placer.has_room_for_any(job, steps):
             ready_steps[job.key] = steps
             candidates.append(job)
+    starts += placer.place_reserved()
+    for job, deferred_steps in placer.pop_deferred():
+        ready_steps[job.key] = list(deferred_steps)
+        candidates.append(job)
     context = _order.OrderContext(now=now, estimator=estimator)
     for job in _team_order.serve_jobs(
         policy, candidates, context, quotas, vms
     ):
         # Listing the tasks is left for jobs that still have room.
         steps = quotas.startable_steps(job, ready_steps[job.key])
-        if not any(placer.has_room(step) for step in steps):
+        if not any(placer.has_room(step, job) for step in steps):
             continue
         if job.tally.has_suspects:
             tasks = tasks_with_suspects[job.key]
