--- a/tests/run_tests.py
+++ b/tests/run_tests.py
@@ -19,7 +19,7 @@
 _PARALLEL_FEATURES = 3
 # Features run alone, before the others: their time bounds hold only if
 # nothing else loads the machine.
-_EXCLUSIVE_FEATURES = frozenset({"overload"})
+_EXCLUSIVE_FEATURES = frozenset({"client_limits", "overload"})
 _FEATURE_TIMEOUT_SECONDS = 800
 
 
