Limit what a listener reads from its clients and waits for

Lines of chunked bodies and trailers were read whole before their length was counted; bodies were kept in small parts and had no common budget; all worker threads could wait for slow senders or for clients that never read, and the number of connections had no limit.

Lines, trailers, the memory of all bodies, the connections, their buffers in the kernel and the wait for a client to read have limits now, with settings under peer_limits, a counter and a log line at most each 10 s. A new connection beyond the limit takes the place of the one that has waited longest for a header. A refusal says that the request did not run only if the application was not called.

--- a/packages/peridotsill/src/peridotsill/__init__.py
+++ b/packages/peridotsill/src/peridotsill/__init__.py
@@ -46,6 +46,7 @@
 from peridotsill._model import Vm
 from peridotsill._model import Wave
 from peridotsill._model import WaveState
+from peridotsill._peer_limits import PeerLimits
 from peridotsill._requests import Answer
 from peridotsill._requests import Header
 from peridotsill._requests import Problem
@@ -113,6 +114,7 @@
     "NodeRow",
     "OutcomeFuture",
     "Owner",
+    "PeerLimits",
     "Pool",
     "Problem",
     "Ran",
--- a/packages/peridotsill/src/peridotsill/_counters.py
+++ b/packages/peridotsill/src/peridotsill/_counters.py
@@ -8,6 +8,8 @@
 import aioprometheus
 from aioprometheus import renderer
 
+from peridotsill import _limit_hits
+
 _HELP = {
     "requests": "Callers' requests by outcome.",
     "suspect_requests": "Requests under which runners broke off, given up.",
@@ -16,6 +18,7 @@
     "platform_microseconds": "Time spent in calls to the table, by kind.",
     "job_calls": "Callers' job calls by kind and status.",
     "job_call_seconds": "Time from a job call to its answer.",
+    "peer_limits": "Limits that peers reached, by the limit.",
     "starts": "Starts of tasks by outcome.",
     "ends": "Ends of runs by kind.",
     "tasks_lost": "Tasks that lost their run, by the reason.",
@@ -79,6 +82,8 @@
         registry = aioprometheus.Registry()
         with self._lock:
             counts = dict(self._counts)
+        for limit, count in _limit_hits.counts().items():
+            counts["peer_limits", (("limit", limit),)] = count
         metrics_by_name: dict[str, aioprometheus.Counter] = {}
         for (name, labels), count in sorted(counts.items()):
             counter = metrics_by_name.get(name)
--- a/packages/peridotsill/src/peridotsill/_gate.py
+++ b/packages/peridotsill/src/peridotsill/_gate.py
@@ -5,7 +5,6 @@
 """
 
 import collections.abc
-import contextlib
 import selectors
 import socket
 import threading
@@ -79,6 +78,23 @@
         with self._lock:
             self._watch(entry)
 
+    def evict(self) -> bool:
+        """Pass the connection that has waited longest to ``on_timeout``.
+
+        Returns false if none is waiting.
+        """
+        with self._lock:
+            entries = self._partial + self._watched()
+            if not entries:
+                return False
+            oldest = min(entries, key=lambda entry: entry.deadline)
+            if oldest in self._partial:
+                self._partial.remove(oldest)
+            else:
+                self._selector.unregister(oldest.connection.socket)
+        self._on_timeout(oldest.connection)
+        return True
+
     def stop(self) -> None:
         """Close the connections that still wait, and let the thread end."""
         self._stopped = True
@@ -132,8 +148,11 @@
 
     def _on_readable(self, entry: _WaitingConnection) -> None:
         with self._lock:
-            with contextlib.suppress(KeyError, ValueError):
+            try:
                 self._selector.unregister(entry.connection.socket)
+            except (KeyError, ValueError):
+                # It was evicted or closed meanwhile.
+                return
         self._check_header(entry)
 
     def _check_header(self, entry: _WaitingConnection) -> None:
--- a/packages/peridotsill/src/peridotsill/_http_request.py
+++ b/packages/peridotsill/src/peridotsill/_http_request.py
@@ -6,13 +6,17 @@
 chunked body as the next request. The classes here prevent that.
 """
 
+import contextlib
 import re
 import typing
 
-from cheroot import errors
 from cheroot import server
 
+from peridotsill import _bodies
 from peridotsill import _codec
+from peridotsill import _limit_hits
+from peridotsill import _memory_budget
+from peridotsill import exceptions
 
 _SINGLETON_HEADERS = frozenset(
     {
@@ -34,9 +38,9 @@
 _REQUEST_LINE = re.compile(
     rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+ [^\x00-\x20\x7f]+ HTTP/1\.[01]\r\n"
 )
-# RFC 9112, 7.1; 16 digits are enough for every size that a body may have.
-_CHUNK_LINE = re.compile(rb"([0-9A-Fa-f]{1,16})[ \t]*(?:;[^\r\n]*)?\r\n")
 _CRLF = b"\r\n"
+# Of the request line, and of all header lines.
+_HEADER_TOO_LARGE = (414, 413)
 
 
 class _LineRecorder:
@@ -110,66 +114,21 @@
         return key_name.title()
 
 
-class _ChunkedBody(server.ChunkedRFile):
-    """Reads a chunked body exactly to the end of its trailer.
-
-    cheroot's own reader accepts chunk sizes such as ``-5`` and ``1_0``, and
-    leaves the trailer unread, to be parsed as the next request.
-    """
-
-    @property
-    def is_at_end(self) -> bool:
-        """Whether the whole body has been read, including its trailer."""
-        return bool(self.closed)
-
-    def _fetch(self) -> None:
-        if self.closed:
-            return
-        size = self._read_chunk_size()
-        if size == 0:
-            self._skip_trailer()
-            self.closed = True
-            return
-        self._add_bytes_read(size + len(_CRLF))
-        chunk = self.rfile.read(size)
-        if len(chunk) < size or self.rfile.read(len(_CRLF)) != _CRLF:
-            raise ValueError("a chunk is not of the size that it declares")
-        self.buffer += chunk
-
-    def _read_chunk_size(self) -> int:
-        line = self.rfile.readline()
-        self._add_bytes_read(len(line))
-        match = _CHUNK_LINE.fullmatch(line)
-        if match is None:
-            raise ValueError("bad chunk size")
-        return int(match[1], 16)
-
-    def _skip_trailer(self) -> None:
-        while True:
-            line = self.rfile.readline()
-            self._add_bytes_read(len(line))
-            if line == _CRLF:
-                return
-            if not line.endswith(_CRLF):
-                raise ValueError("the trailer broke off")
-
-    def _add_bytes_read(self, size: int) -> None:
-        self.bytes_read += size
-        if self.maxlen and self.bytes_read > self.maxlen:
-            raise errors.MaxSizeExceeded("body too large", self.maxlen)
-
-
 class HttpRequest(server.HTTPRequest):
     """A request with one time limit for its header and one for its body."""
 
     def __init__(self, *args: typing.Any, **kwargs: typing.Any) -> None:
         super().__init__(*args, **kwargs)
         self.header_reader = _HeaderReader()
+        self._application_ran = False
 
     def parse_request(self) -> None:
         """Read the header within its limit, then start the body's limit."""
         self.conn.set_read_deadline(self.server.header_seconds)
-        super().parse_request()
+        try:
+            super().parse_request()
+        except exceptions.TooManySlowClients as error:
+            self.simple_response("503 Service Unavailable", str(error))
         self.conn.set_read_deadline(self.server.body_seconds)
 
     def read_request_line(self) -> bool:
@@ -193,16 +152,46 @@
 
         The request counts as open until this method returns.
         """
+        charge = self.server.body_memory.charge()
         with self.server.open_requests.track():
-            if self.chunked_read:
-                self._respond_to_chunked()
-            else:
-                super().respond()
-
-    def _respond_to_chunked(self) -> None:
-        self.rfile = _ChunkedBody(
-            self.conn.rfile, self.server.max_request_body_size
+            try:
+                if self._open_body(charge):
+                    self._run_application()
+            finally:
+                charge.release()
+
+    def _open_body(self, charge: _memory_budget.MemoryCharge) -> bool:
+        """Prepare the body's reader; return false if it is refused."""
+        limit = self.server.max_request_body_size
+        limits = self.server.peer_limits
+        if self.chunked_read:
+            self.conn.enlarge_receive_buffer()
+            self.rfile = _bodies.ChunkedBody(
+                self.conn.rfile,
+                limit,
+                line_bytes=limits.line_bytes,
+                trailer_bytes=limits.trailer_bytes,
+                charge=charge,
+            )
+            return True
+        length = int(self.inheaders.get(b"Content-Length", 0))
+        if limit and length > limit:
+            _limit_hits.record("body_bytes", f"{limit} bytes")
+            self.simple_response(
+                "413 Request Entity Too Large",
+                "The entity sent with the request exceeds the maximum allowed"
+                " bytes.",
+            )
+            return False
+        if length > limits.receive_buffer_bytes:
+            self.conn.enlarge_receive_buffer()
+        self.rfile = _bodies.KnownLengthBody(
+            self.conn.rfile, length, charge=charge
         )
+        return True
+
+    def _run_application(self) -> None:
+        self._application_ran = True
         self.server.gateway(self).respond()
         if self.ready:
             self.ensure_headers_sent()
@@ -212,37 +201,61 @@
     def send_headers(self) -> None:
         """Send ``Connection: close`` if no further request may follow.
 
-        That is so after `Listener.disable_keep_alive`, and after a chunked
-        body that was not read to its end: the rest must not be parsed as a
-        request.
+        That is so after `Listener.disable_keep_alive`, and after a body that
+        was not read to its end: the rest must not be parsed as a request.
         """
-        body = self.rfile
-        unread = isinstance(body, _ChunkedBody) and not body.is_at_end
-        if self.server.closing or unread:
+        if self.server.closing or not self._is_body_at_end():
             self.close_connection = True
         super().send_headers()
 
+    def _is_body_at_end(self) -> bool:
+        """Return whether the body is read; discard one that was not begun.
+
+        One that the application began to read has failed.
+        """
+        body = self.rfile
+        if isinstance(body, _bodies.ChunkedBody):
+            return body.is_at_end
+        if not body.is_at_end and not body.begun:
+            with contextlib.suppress(OSError):
+                body.discard()
+        return bool(body.is_at_end)
+
     def simple_response(self, status: str, msg: str = "") -> None:
         """Send a problem in place of the application's response, and close.
 
         cheroot calls this method as well, for requests that it refuses or
         that fail with an exception.
         """
-        status_code = int(str(status)[:3])
-        problem = {
-            "type": "about:blank",
-            "title": str(status)[4:],
-            "status": status_code,
-            "detail": msg or str(status)[4:],
-            "ran": "no",
-        }
-        body = _codec.encode(problem)
-        header = (
-            f"HTTP/1.1 {status}\r\nContent-Type: application/problem+json"
-            f"\r\nContent-Length: {len(body)}\r\nConnection: close\r\n\r\n"
-        )
+        if int(str(status)[:3]) in _HEADER_TOO_LARGE and not self.ready:
+            _limit_hits.record("header_bytes")
         self.close_connection = True
+        ran = "unknown" if self._application_ran else "no"
         try:
-            self.conn.wfile.write(header.encode("latin-1") + body)
+            self.conn.wfile.write(problem_response(status, msg, ran))
         except OSError:
             return
+
+
+def problem_response(status: str, detail: str = "", ran: str = "no") -> bytes:
+    """Return a response with a problem document that ends the connection.
+
+    Args:
+        status: Code and phrase, such as ``408 Request Timeout``.
+        detail: What is wrong; the phrase if it is empty.
+        ran: Whether the request may have run: ``no`` or ``unknown``.
+    """
+    code, _, title = str(status).partition(" ")
+    problem = {
+        "type": "about:blank",
+        "title": title,
+        "status": int(code),
+        "detail": detail or title,
+        "ran": ran,
+    }
+    body = _codec.encode(problem)
+    header = (
+        f"HTTP/1.1 {status}\r\nContent-Type: application/problem+json"
+        f"\r\nContent-Length: {len(body)}\r\nConnection: close\r\n\r\n"
+    )
+    return header.encode("latin-1") + body
--- a/packages/peridotsill/src/peridotsill/_json_http.py
+++ b/packages/peridotsill/src/peridotsill/_json_http.py
@@ -8,9 +8,11 @@
 import urllib.parse
 
 import attrs
+from cheroot import errors
 import urllib3
 
 from peridotsill import _codec
+from peridotsill import _limit_hits
 from peridotsill import exceptions
 
 _KEEPALIVE_OPTIONS = [
@@ -319,15 +321,39 @@
     """Read a request's complete body.
 
     Raises:
-        HttpProblem: With 400 if it is shorter than its ``Content-Length``.
+        HttpProblem: With 400 if it is malformed or shorter than its
+            ``Content-Length``, 408 if it took too long, 413 if it is too
+            large, and 503 if there is no memory or thread for it now. The
+            request was not run.
     """
+    try:
+        return _read_body(environ)
+    except errors.MaxSizeExceeded as error:
+        raise _body_problem(413, "the body is too large") from error
+    except (
+        exceptions.MemoryBudgetExceeded,
+        exceptions.TooManySlowClients,
+    ) as error:
+        raise _body_problem(503, str(error)) from error
+    except TimeoutError as error:
+        _limit_hits.record("body_seconds")
+        raise _body_problem(408, "the body took too long") from error
+    except (ValueError, OSError) as error:
+        raise _body_problem(400, f"the body is broken: {error}") from error
+
+
+def _body_problem(status: int, detail: str) -> HttpProblem:
+    return HttpProblem(status, detail, ran="no")
+
+
+def _read_body(environ: dict[str, typing.Any]) -> bytes:
     stream = environ["wsgi.input"]
     if environ.get("wsgi.input_terminated"):
         return bytes(stream.read())
     length = int(environ.get("CONTENT_LENGTH") or 0)
     body = bytes(stream.read(length)) if length else b""
     if len(body) < length:
-        raise HttpProblem(
+        raise _body_problem(
             400, f"the body broke off after {len(body)} of {length} bytes"
         )
     return body
--- /dev/null
+++ b/packages/peridotsill/src/peridotsill/_limit_hits.py
@@ -0,0 +1,45 @@
+"""Counts and logs where a peer reached a limit, for the whole process.
+
+Listeners, clients and the call loop reach limits in places that know neither
+the node's counters nor its log, so there is one record for the process.
+"""
+
+import collections
+import threading
+import time
+
+import eliot
+
+# A peer may reach a limit thousands of times a second.
+_LOG_PERIOD_SECONDS = 10.0
+
+_lock = threading.Lock()
+_counts: collections.Counter[str] = collections.Counter()
+_logged_counts: collections.Counter[str] = collections.Counter()
+_next_log_at: dict[str, float] = {}
+
+
+def record(limit: str, detail: str = "") -> None:
+    """Count that a limit was reached; log it at most once in 10 s.
+
+    Args:
+        limit: The limit's name, such as ``connections``.
+        detail: What is known of the peer or the size.
+    """
+    now = time.monotonic()
+    with _lock:
+        _counts[limit] += 1
+        if now < _next_log_at.get(limit, 0.0):
+            return
+        _next_log_at[limit] = now + _LOG_PERIOD_SECONDS
+        count = _counts[limit] - _logged_counts[limit]
+        _logged_counts[limit] = _counts[limit]
+    eliot.log_message(
+        message_type="peer:limit", limit=limit, count=count, detail=detail
+    )
+
+
+def counts() -> dict[str, int]:
+    """Return how often each limit was reached."""
+    with _lock:
+        return dict(_counts)
--- a/packages/peridotsill/src/peridotsill/_listener.py
+++ b/packages/peridotsill/src/peridotsill/_listener.py
@@ -8,7 +8,6 @@
 
 import collections.abc
 import contextlib
-import io
 import queue
 import socket
 import threading
@@ -22,45 +21,20 @@
 
 from peridotsill import _gate
 from peridotsill import _http_request
+from peridotsill import _limit_hits
+from peridotsill import _memory_budget
+from peridotsill import _peer_limits
+from peridotsill import _peer_stream
 
-_WRITE_TIMEOUT_SECONDS = 60.0
-
-
-class _DeadlineSocket(io.RawIOBase):
-    """A raw socket reader whose reads share one deadline."""
-
-    def __init__(self, sock: socket.socket) -> None:
-        self._sock = sock
-        self.deadline = float("inf")
-
-    def readable(self) -> bool:
-        return True
-
-    def readinto(self, buffer: typing.Any) -> int:
-        remaining_seconds = self.deadline - time.monotonic()
-        if remaining_seconds <= 0:
-            raise TimeoutError("timed out")
-        # `settimeout` does not accept an infinite value.
-        self._sock.settimeout(min(remaining_seconds, 3600.0))
-        try:
-            return self._sock.recv_into(buffer)
-        finally:
-            self._sock.settimeout(_WRITE_TIMEOUT_SECONDS)
-
-
-class _DeadlineReader(makefile.StreamReader):
-    """cheroot's buffered reader on top of a `_DeadlineSocket`."""
-
-    def __init__(self, sock: socket.socket, raw: _DeadlineSocket) -> None:
-        # Skips cheroot's constructor, which creates its own raw reader.
-        super(makefile.StreamReader, self).__init__(
-            typing.cast(typing.Any, raw), io.DEFAULT_BUFFER_SIZE
-        )
-        self.bytes_read = 0
+# While a large body arrives, so that a distant client can send it in time.
+_LARGE_RECEIVE_BUFFER_BYTES = 262144
+_NOT_ACCEPTED = _http_request.problem_response(
+    "503 Service Unavailable", "too many connections are open"
+)
 
 
 class _Connection(server.HTTPConnection):
-    """A client connection with a deadline for its reads."""
+    """A client connection with limits for its reads and writes."""
 
     RequestHandlerClass = _http_request.HttpRequest
 
@@ -70,21 +44,72 @@
         sock: socket.socket,
         make_file: typing.Any = makefile.MakeFile,
     ) -> None:
-        super().__init__(http_server, sock, make_file)
+        # The reader and the writer are replaced below.
+        super().__init__(http_server, sock, lambda *_: None)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 5)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 2)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 3)
-        self._raw = _DeadlineSocket(sock)
-        self.rfile = _DeadlineReader(sock, self._raw)
+        limits = http_server.peer_limits
+        self._receive_buffer_bytes = limits.receive_buffer_bytes
+        self._set_buffer(socket.SO_RCVBUF, limits.receive_buffer_bytes)
+        self._set_buffer(socket.SO_SNDBUF, limits.send_buffer_bytes)
+        self._enlarged = False
+        self._stream = _peer_stream.PeerStream(
+            sock=sock,
+            waits=http_server.peer_waits,
+            response_seconds=limits.response_seconds,
+        )
+        self.rfile = _peer_stream.PeerReader(self._stream)
+        self.wfile = _peer_stream.PeerWriter(self._stream)
+        self._counted = True
+        http_server.open_connections.add(1)
+
+    def _set_buffer(self, option: int, size: int) -> None:
+        if size:
+            self.socket.setsockopt(socket.SOL_SOCKET, option, size)
 
     def set_read_deadline(self, seconds: float) -> None:
         """Let all further reads together take at most ``seconds`` from now."""
-        self._raw.deadline = time.monotonic() + seconds
+        self._stream.deadline = time.monotonic() + seconds
+
+    def enlarge_receive_buffer(self) -> None:
+        """Let the kernel receive more at once until the request's end."""
+        if self._receive_buffer_bytes and not self._enlarged:
+            self._enlarged = True
+            size = max(self._receive_buffer_bytes, _LARGE_RECEIVE_BUFFER_BYTES)
+            self._set_buffer(socket.SO_RCVBUF, size)
+
+    def communicate(self) -> bool:
+        """Serve one request; return whether the connection stays open."""
+        self._stream.begin_request()
+        try:
+            return bool(typing.cast(typing.Any, super()).communicate())
+        finally:
+            self._stream.end_request()
+            if self._enlarged:
+                self._enlarged = False
+                with contextlib.suppress(OSError):
+                    self._set_buffer(
+                        socket.SO_RCVBUF, self._receive_buffer_bytes
+                    )
+
+    def refuse(self, response: bytes) -> None:
+        """Send a response if that is possible at once, and close."""
+        with contextlib.suppress(OSError):
+            self.socket.send(response)
+        self.close()
+
+    def close(self) -> None:
+        """Close the connection."""
+        if self._counted:
+            self._counted = False
+            self.server.open_connections.add(-1)
+        super().close()
 
 
 class OpenRequests:
-    """Counts requests from the end of their header to their response's end."""
+    """Counts what is open, such as requests until their response's end."""
 
     def __init__(self) -> None:
         self._count = 0
@@ -92,12 +117,12 @@
 
     @property
     def count(self) -> int:
-        """Number of requests that are open at present."""
+        """Number of those that are open at present."""
         return self._count
 
     @contextlib.contextmanager
     def track(self) -> collections.abc.Iterator[None]:
-        """Count one request as open until the context ends."""
+        """Count one as open until the context ends."""
         self.add(1)
         try:
             yield
@@ -111,7 +136,7 @@
             self._changed.notify_all()
 
     def wait_idle(self, timeout_seconds: float | None = None) -> bool:
-        """Wait until no request is open; return false on a timeout."""
+        """Wait until none is open; return false on a timeout."""
         with self._changed:
             return self._changed.wait_for(
                 lambda: self._count == 0, timeout_seconds
@@ -126,10 +151,21 @@
     body_seconds = 10.0
     closing = False
     open_requests: OpenRequests
+    open_connections: OpenRequests
+    max_connections: int
+    peer_limits: _peer_limits.PeerLimits
+    peer_waits: _peer_stream.PeerWaits
+    body_memory: _memory_budget.MemoryBudget
     gate: _gate.HeaderGate
 
     def process_conn(self, conn: typing.Any) -> None:
         """Queue a connection as soon as its header has arrived."""
+        if self.open_connections.count > self.max_connections:
+            _limit_hits.record("connections", f"{self.max_connections}")
+            # One that has not sent a request yet gives way to a new one.
+            if not self.gate.evict():
+                conn.refuse(_NOT_ACCEPTED)
+                return
         # The gate peeks at the socket, where data that `rfile` has already
         # buffered can't be seen.
         if conn.rfile.has_data():
@@ -168,6 +204,7 @@
     body_bytes: int = 1 << 20
     connections: int = 2000
     shutdown_seconds: float | None = None
+    peer_limits: _peer_limits.PeerLimits = _peer_limits.PeerLimits()
 
 
 class Listener:
@@ -194,6 +231,17 @@
         self._server.max_request_body_size = options.body_bytes
         self._server.keep_alive_conn_limit = options.connections
         self._server.open_requests = OpenRequests()
+        self._server.open_connections = OpenRequests()
+        self._server.max_connections = options.connections
+        limits = options.peer_limits
+        self._server.peer_limits = limits
+        self._server.peer_waits = _peer_stream.PeerWaits(
+            limit=int(options.threads * limits.waiting_share)
+        )
+        self._server.body_memory = _memory_budget.MemoryBudget(
+            name="body_memory_bytes",
+            limit_bytes=max(limits.body_memory_bytes, options.body_bytes),
+        )
         self._server.gate = _gate.HeaderGate(
             on_ready=self._server.queue,
             on_timeout=_refuse_late_header,
@@ -244,10 +292,13 @@
     # was merely idle.
     try:
         if connection.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT):
-            request = _http_request.HttpRequest(connection.server, connection)
-            request.simple_response(
-                "408 Request Timeout", "the header took too long"
+            _limit_hits.record("header_seconds")
+            connection.refuse(
+                _http_request.problem_response(
+                    "408 Request Timeout", "the header took too long"
+                )
             )
+            return
     except OSError:
         pass
     connection.close()
--- a/packages/peridotsill/src/peridotsill/_settings.py
+++ b/packages/peridotsill/src/peridotsill/_settings.py
@@ -6,6 +6,7 @@
 import attrs
 
 from peridotsill import _codec
+from peridotsill import _peer_limits
 from peridotsill import exceptions
 
 _PORT_PATTERN = re.compile(r"[1-9][0-9]{0,4}")
@@ -98,6 +99,8 @@
     runner's connections are divided by it to get each node's limit.
     ``siblings_advertised`` is the address at which other nodes reach this
     one, if it differs from ``siblings``.
+    ``peer_limits`` bounds what all peers may send; the callers' listener
+    takes its number of connections from ``limits``.
     """
 
     node: str
@@ -114,6 +117,7 @@
     node_limit: int = _codec.bounded(minimum=1, maximum=64, default=10)
     log_file: str = "-"
     limits: Limits = Limits()
+    peer_limits: _peer_limits.PeerLimits = _peer_limits.PeerLimits()
     timing: Timing = Timing()
 
 
--- a/packages/peridotsill/src/peridotsill/exceptions.py
+++ b/packages/peridotsill/src/peridotsill/exceptions.py
@@ -49,3 +49,11 @@
         super().__init__(f"status {status}: {body.get('detail', body)}")
         self.status = status
         self.body = body
+
+
+class MemoryBudgetExceeded(PeridotsillError):
+    """What peers send at once would take more memory than is allowed."""
+
+
+class TooManySlowClients(PeridotsillError, TimeoutError):
+    """All the threads that may wait for slow clients do so already."""
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_node.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_node.py
@@ -83,19 +83,23 @@
             why_unready=self.why_unready, metrics=self._metrics
         )
         self._caller_listener = _make_listener(
-            settings.callers, settings.threads, app
+            settings.callers,
+            threads=settings.threads,
+            connections=settings.peer_limits.connections,
+            limits=settings.peer_limits,
+            app=app,
         )
         self._internal_listeners = [
-            _make_listener(address, _INTERNAL_LISTENER_THREADS, internal_app)
+            _make_internal_listener(address, settings, internal_app)
             for address in dict.fromkeys(
                 (settings.readiness, settings.metrics)
             )
         ]
         if settings.siblings:
             self._internal_listeners.append(
-                _make_listener(
+                _make_internal_listener(
                     settings.siblings,
-                    _INTERNAL_LISTENER_THREADS,
+                    settings,
                     _holder_check.HolderApp(answer=self._lease.answer_peer),
                 )
             )
@@ -192,8 +196,27 @@
         _logs.log("node:stopped", node=self._settings.current.node)
 
 
+def _make_internal_listener(
+    address: str,
+    settings: _settings.JobNodeSettings,
+    app: collections.abc.Callable[..., object],
+) -> peridotsill.Listener:
+    return _make_listener(
+        address,
+        threads=_INTERNAL_LISTENER_THREADS,
+        connections=settings.peer_limits.internal_connections,
+        limits=settings.peer_limits,
+        app=app,
+    )
+
+
 def _make_listener(
-    address: str, threads: int, app: collections.abc.Callable[..., object]
+    address: str,
+    *,
+    threads: int,
+    connections: int,
+    limits: peridotsill.PeerLimits,
+    app: collections.abc.Callable[..., object],
 ) -> peridotsill.Listener:
     parsed = _settings.split_address(address)
     return peridotsill.Listener(
@@ -201,6 +224,8 @@
             host=parsed.host,
             port=parsed.port,
             threads=threads,
+            connections=connections,
+            peer_limits=limits,
             shutdown_seconds=_LISTENER_CLOSE_SECONDS,
         ),
         app=app,
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_settings.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_settings.py
@@ -62,6 +62,7 @@
     ``siblings`` is the address at which other nodes ask this one whether it
     still schedules; if it is empty, a lost scheduler's lease has to expire.
     ``max_row_bytes`` is the largest value of a row that the table accepts.
+    ``peer_limits`` bounds what callers, runners and services may send.
     """
 
     node: str
@@ -80,6 +81,7 @@
     lending_policy: str = "rising"
     resources: HostResources = HostResources()
     bounds: Bounds = Bounds()
+    peer_limits: peridotsill.PeerLimits = peridotsill.PeerLimits()
 
 
 def load_job_settings(path: str) -> JobNodeSettings:
--- a/packages/peridotsill_node/src/peridotsill_node/_node.py
+++ b/packages/peridotsill_node/src/peridotsill_node/_node.py
@@ -272,12 +272,13 @@
                 header_bytes=limits.header_bytes,
                 body_bytes=limits.body_bytes,
                 connections=limits.connections,
+                peer_limits=settings.peer_limits,
             ),
             app=caller_app,
         )
         self.siblings = peridotsill.Listener(
             options=_internal_listener_options(
-                settings.siblings, _SIBLING_THREADS
+                settings.siblings, _SIBLING_THREADS, settings.peer_limits
             ),
             app=peridotsill.JsonApp(
                 routes=peridotsill_siblings.routes,
@@ -287,7 +288,7 @@
         )
         self.operators = peridotsill.Listener(
             options=_internal_listener_options(
-                settings.operators, _OPERATOR_THREADS
+                settings.operators, _OPERATOR_THREADS, settings.peer_limits
             ),
             app=peridotsill.JsonApp(
                 routes=peridotsill_operators.routes,
@@ -481,7 +482,9 @@
 
 
 def _internal_listener_options(
-    address: peridotsill.Address, threads: int
+    address: peridotsill.Address,
+    threads: int,
+    limits: peridotsill.PeerLimits,
 ) -> peridotsill.ListenerOptions:
     return peridotsill.ListenerOptions(
         host=address.host,
@@ -489,6 +492,8 @@
         threads=threads,
         idle_seconds=30.0,
         body_bytes=64 << 20,
+        connections=limits.internal_connections,
+        peer_limits=limits,
     )
 
 
