Limit the responses to blocking calls, and the time of a whole call

JsonClient read a response's body whole, whatever its size, and its time-out applied to each read. A VM service with an endless body made a job node grow to 440 MiB in three calls.

The socket of its connections has a deadline and a number of bytes for the header; urllib3 stays. The body is limited for each response and for all responses of the process, and is not decompressed any more.

--- a/packages/peridotsill/src/peridotsill/__init__.py
+++ b/packages/peridotsill/src/peridotsill/__init__.py
@@ -1,5 +1,6 @@
 """Core of peridotsill: resources, settings, decisions, slots and HTTP."""
 
+from peridotsill._bounded_connection import BoundedConnection
 from peridotsill._call_loop import CallLoop
 from peridotsill._call_loop import CallResult
 from peridotsill._call_loop import JsonCall
@@ -53,6 +54,7 @@
 from peridotsill._requests import Ran
 from peridotsill._requests import Request
 from peridotsill._requests import RequestClass
+from peridotsill._response_limits import ResponseLimits
 from peridotsill._settings import Address
 from peridotsill._settings import advertised_address
 from peridotsill._settings import Limits
@@ -83,6 +85,7 @@
     "RESOURCE_KINDS",
     "Address",
     "Answer",
+    "BoundedConnection",
     "CallLoop",
     "CallResult",
     "Candidate",
@@ -121,6 +124,7 @@
     "Release",
     "Request",
     "RequestClass",
+    "ResponseLimits",
     "Routes",
     "Row",
     "Scan",
--- a/packages/peridotsill/src/peridotsill/_json_http.py
+++ b/packages/peridotsill/src/peridotsill/_json_http.py
@@ -3,6 +3,7 @@
 import collections.abc
 import hmac
 import http
+import http.client
 import socket
 import typing
 import urllib.parse
@@ -11,8 +12,11 @@
 from cheroot import errors
 import urllib3
 
+from peridotsill import _bounded_connection
 from peridotsill import _codec
 from peridotsill import _limit_hits
+from peridotsill import _memory_budget
+from peridotsill import _response_limits
 from peridotsill import exceptions
 
 _KEEPALIVE_OPTIONS = [
@@ -24,6 +28,8 @@
     (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 10000),
 ]
 
+_READ_BYTES = 65536
+
 _NOT_SENT_ERRORS = (
     urllib3.exceptions.NewConnectionError,
     urllib3.exceptions.ConnectTimeoutError,
@@ -37,18 +43,31 @@
     After a call that failed in transport, such as by a timeout, the whole
     pool is replaced: the other connections that were open then may be
     broken as well, so later calls open new ones.
+
+    Args:
+        base: URL that the paths are added to.
+        token: Bearer token that is sent with each call, if any.
+        connections: Largest number of connections that are kept.
+        limits: Limits on the responses.
     """
 
     def __init__(
-        self, *, base: str, token: str = "", connections: int = 64
+        self,
+        *,
+        base: str,
+        token: str = "",
+        connections: int = 64,
+        limits: _response_limits.ResponseLimits | None = None,
     ) -> None:
+        self._limits = limits or _response_limits.ResponseLimits.for_calls()
         self._base = base.rstrip("/")
         self._token = token
         self._connections = connections
         self._pool = self._new_pool()
 
     def _new_pool(self) -> urllib3.PoolManager:
-        return urllib3.PoolManager(
+        return _bounded_connection.pool_manager(
+            header_bytes=self._limits.header_bytes,
             num_pools=4,
             maxsize=self._connections,
             retries=False,
@@ -76,6 +95,7 @@
             headers["Authorization"] = f"Bearer {self._token}"
         payload = None if body is None else _codec.encode(body)
         pool = self._pool
+        charge = self._limits.memory.charge()
         try:
             response = pool.request(
                 method,
@@ -86,15 +106,62 @@
                     connect=min(1.0, timeout_seconds), total=timeout_seconds
                 ),
                 redirect=False,
+                preload_content=False,
+                decode_content=False,
             )
-        except (urllib3.exceptions.HTTPError, OSError) as error:
+            content = self._read(response, charge)
+        except (
+            urllib3.exceptions.HTTPError,
+            http.client.HTTPException,
+            OSError,
+            exceptions.MemoryBudgetExceeded,
+        ) as error:
             self._replace_pool(pool)
             raise exceptions.PeerUnavailable(
                 f"{self._base}{path}: {type(error).__name__}",
                 sent=not isinstance(error, _NOT_SENT_ERRORS),
                 refused=isinstance(error.__cause__, ConnectionRefusedError),
             ) from error
-        return decode_response(response.status, response.data)
+        finally:
+            charge.release()
+        return decode_response(response.status, content)
+
+    def _read(
+        self,
+        response: urllib3.BaseHTTPResponse,
+        charge: _memory_budget.MemoryCharge,
+    ) -> bytes:
+        """Return a response's body; the time-out applies to the whole."""
+        try:
+            length = response.length_remaining
+            if length is None:
+                content = self._read_chunks(response, charge)
+            else:
+                self._check_size(length)
+                charge.add(length)
+                content = response.read(decode_content=False)
+        except BaseException:
+            response.close()
+            raise
+        response.release_conn()
+        return content
+
+    def _read_chunks(
+        self,
+        response: urllib3.BaseHTTPResponse,
+        charge: _memory_budget.MemoryCharge,
+    ) -> bytes:
+        content = bytearray()
+        while part := response.read1(_READ_BYTES, decode_content=False):
+            self._check_size(len(content) + len(part))
+            charge.add(len(part))
+            content += part
+        return bytes(content)
+
+    def _check_size(self, size: int) -> None:
+        if size > self._limits.body_bytes:
+            _limit_hits.record("response_bytes", self._base)
+            raise OSError("the body of the response is too large")
 
     def close(self) -> None:
         """Close the pooled connections."""
--- /dev/null
+++ b/packages/peridotsill/src/peridotsill/_response_limits.py
@@ -0,0 +1,49 @@
+"""Limits on the responses that a process gets from its peers."""
+
+import functools
+
+import attrs
+
+from peridotsill import _memory_budget
+from peridotsill import _peer_limits
+
+
+@functools.cache
+def _shared_memory(limit_bytes: int) -> _memory_budget.MemoryBudget:
+    """Return the budget that all clients of the process share."""
+    return _memory_budget.MemoryBudget(
+        name="responses_memory_bytes", limit_bytes=limit_bytes
+    )
+
+
+@attrs.frozen(kw_only=True)
+class ResponseLimits:
+    """Limits on the responses to a client's calls.
+
+    ``body_bytes`` and ``header_bytes`` limit one response, and ``memory`` the
+    bodies of all that are being received.
+    """
+
+    body_bytes: int
+    header_bytes: int
+    memory: _memory_budget.MemoryBudget
+
+    @classmethod
+    def for_calls(
+        cls, limits: _peer_limits.PeerLimits = _peer_limits.PeerLimits()
+    ) -> "ResponseLimits":
+        """Return the limits of blocking calls."""
+        return cls(
+            body_bytes=limits.response_bytes,
+            header_bytes=limits.response_header_bytes,
+            memory=_shared_memory(limits.responses_memory_bytes),
+        )
+
+    @classmethod
+    def for_runners(
+        cls, limits: _peer_limits.PeerLimits = _peer_limits.PeerLimits()
+    ) -> "ResponseLimits":
+        """Return the limits of calls to runners."""
+        return attrs.evolve(
+            cls.for_calls(limits), body_bytes=limits.runner_response_bytes
+        )
