Limit the responses of all runners together

Each of some hundred runners could make the process keep 8 MiB, and a body in small chunks many times that, as each chunk was an object of its own.

The bodies share the budget of all responses; each is kept in one buffer. The header and the framing have limits as well.

--- a/packages/peridotsill/src/peridotsill/_call_loop.py
+++ b/packages/peridotsill/src/peridotsill/_call_loop.py
@@ -32,11 +32,14 @@
 
 from peridotsill import _codec
 from peridotsill import _json_http
+from peridotsill import _limit_hits
+from peridotsill import _response_limits
 from peridotsill import exceptions
 
 _READ_BYTES = 65536
-# A call whose response body is larger fails with `PeerUnavailable`.
-_MAX_RESPONSE_BYTES = 8 << 20
+# A response may be received in as many bytes more than its body may have,
+# as the framing of small chunks takes several times their size.
+_MAX_FRAMING_FACTOR = 8
 # The same limit as in `JsonClient`.
 _CONNECT_TIMEOUT_SECONDS = 1.0
 
@@ -67,12 +70,17 @@
 
     Args:
         on_error: Called with each exception that a callback raised.
+        limits: Limits on the responses to the calls.
     """
 
     def __init__(
-        self, *, on_error: collections.abc.Callable[[Exception], None]
+        self,
+        *,
+        on_error: collections.abc.Callable[[Exception], None],
+        limits: _response_limits.ResponseLimits | None = None,
     ) -> None:
         self._on_error = on_error
+        self._limits = limits or _response_limits.ResponseLimits.for_runners()
         self._selector = selectors.DefaultSelector()
         self._wakeup_receiver, self._wakeup_sender = socket.socketpair()
         for wakeup_socket in (self._wakeup_receiver, self._wakeup_sender):
@@ -88,6 +96,11 @@
         self._selecting = False
         self._stopped = threading.Event()
 
+    @property
+    def limits(self) -> _response_limits.ResponseLimits:
+        """Limits on the responses to the calls."""
+        return self._limits
+
     def start(self) -> None:
         """Start the thread."""
         threading.Thread(target=self._run, daemon=True, name="calls").start()
@@ -211,8 +224,12 @@
         self._on_result: ResultCallback | None = None
         self._timers: tuple[Timer, ...] = ()
         self._parser: httptools.HttpResponseParser | None = None
-        self._body: list[bytes] = []
-        self._body_bytes = 0
+        # A small part of a body as an object of its own would take many times
+        # its size.
+        self._body = bytearray()
+        self._body_charge = loop.limits.memory.charge()
+        self._received_bytes = 0
+        self._header_complete = False
         self._complete_count = 0
         self._keep_alive = False
 
@@ -331,22 +348,42 @@
             )
             return
         try:
+            self._check_received(len(content))
             self._parser.feed_data(content)
+        except ValueError as error:
+            self._fail(str(error))
+            return
         except httptools.HttpParserError as error:
             self._fail(f"invalid HTTP response: {error!r}")
             return
         if self._complete_count:
             self._deliver_result(self._parser)
 
+    def _check_received(self, size: int) -> None:
+        """Check the size of a response's header, and of its framing."""
+        limits = self._loop.limits
+        self._received_bytes += size
+        limit = limits.header_bytes + _READ_BYTES
+        if self._header_complete:
+            limit += limits.body_bytes * _MAX_FRAMING_FACTOR
+        if self._received_bytes > limit:
+            _limit_hits.record("response_header_bytes", self._address)
+            raise ValueError("the response has too large a header or framing")
+
     # Callbacks of httptools. It turns an exception raised in one of them
     # into its own `HttpParserCallbackError`.
 
+    def on_headers_complete(self) -> None:
+        """Record that the rest is the response's body."""
+        self._header_complete = True
+
     def on_body(self, body: bytes) -> None:
         """Store a part of the response's body."""
-        self._body_bytes += len(body)
-        if self._body_bytes > _MAX_RESPONSE_BYTES:
+        if len(self._body) + len(body) > self._loop.limits.body_bytes:
+            _limit_hits.record("runner_response_bytes", self._address)
             raise ValueError("the response body is too large")
-        self._body.append(body)
+        self._body_charge.add(len(body))
+        self._body += body
 
     def on_message_complete(self) -> None:
         """Count a complete response; record whether the connection stays open.
@@ -363,9 +400,9 @@
                 "more than one response, or one before the request was sent"
             )
             return
-        content = b"".join(self._body)
+        content = bytes(self._body)
         on_result, self._on_result = self._on_result, None
-        self._body, self._body_bytes, self._complete_count = [], 0, 0
+        self._reset_response()
         self._cancel_timers()
         if not self._keep_alive or on_result is None:
             self._disconnect()
@@ -413,6 +450,12 @@
             )
             on_result(result.Failure(error))
 
+    def _reset_response(self) -> None:
+        self._body = bytearray()
+        self._body_charge.release()
+        self._received_bytes = self._complete_count = 0
+        self._header_complete = False
+
     def _cancel_timers(self) -> None:
         for timer in self._timers:
             timer.cancel()
@@ -423,7 +466,7 @@
         self._parser = None
         self._connecting = False
         self._unsent = b""
-        self._body, self._body_bytes, self._complete_count = [], 0, 0
+        self._reset_response()
         if sock is not None:
             self._loop.watch(sock, 0, None)
             sock.close()
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_controller.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_controller.py
@@ -95,7 +95,12 @@
             counters=parts.counters,
             limits=parts.ports.table_limits,
         )
-        self._call_loop = peridotsill.CallLoop(on_error=_log_failed_call)
+        self._call_loop = peridotsill.CallLoop(
+            on_error=_log_failed_call,
+            limits=peridotsill.ResponseLimits.for_runners(
+                parts.settings.current.peer_limits
+            ),
+        )
         self._departures = _departures.Departures()
         self._workers = _workers.Workers(
             connect=self._connect_runner,
