--- a/packages/peridotsill/src/peridotsill/__init__.py
+++ b/packages/peridotsill/src/peridotsill/__init__.py
@@ -1,5 +1,6 @@
 """Core of peridotsill: resources, settings, decisions, slots and HTTP."""
 
+from peridotsill._allocator import return_large_blocks
 from peridotsill._bounded_connection import BoundedConnection
 from peridotsill._call_loop import CallLoop
 from peridotsill._call_loop import CallResult
@@ -26,6 +27,7 @@
 from peridotsill._json_http import JsonRequest
 from peridotsill._json_http import read_body
 from peridotsill._json_http import Routes
+from peridotsill._limit_hits import record as record_limit
 from peridotsill._listener import Listener
 from peridotsill._listener import ListenerOptions
 from peridotsill._model import Config
@@ -154,8 +156,10 @@
     "load_settings",
     "load_token",
     "read_body",
+    "record_limit",
     "rendezvous",
     "resource_key",
+    "return_large_blocks",
     "short_digest",
     "to_plain",
 ]
--- a/packages/peridotsill_node/src/peridotsill_node/_daemon.py
+++ b/packages/peridotsill_node/src/peridotsill_node/_daemon.py
@@ -41,6 +41,7 @@
     signal.signal(signal.SIGTERM, lambda *_: stop.set())
     signal.signal(signal.SIGINT, lambda *_: stop.set())
     sys.setswitchinterval(0.001)
+    peridotsill.return_large_blocks()
     try:
         with _node.running(settings, token):
             stop.wait()
