Give up a runner's response whose header trickles in

The time-out now applies to the whole header, the request's deadline to the whole response, and the header and the framing have limits of size. The clients of the fleet daemon take the process's limits.

--- a/packages/peridotsill/src/peridotsill/__init__.py
+++ b/packages/peridotsill/src/peridotsill/__init__.py
@@ -57,6 +57,7 @@
 from peridotsill._requests import Request
 from peridotsill._requests import RequestClass
 from peridotsill._response_limits import ResponseLimits
+from peridotsill._response_limits import set_process_limits
 from peridotsill._settings import Address
 from peridotsill._settings import advertised_address
 from peridotsill._settings import Limits
@@ -160,6 +161,7 @@
     "rendezvous",
     "resource_key",
     "return_large_blocks",
+    "set_process_limits",
     "short_digest",
     "to_plain",
 ]
--- a/packages/peridotsill/src/peridotsill/_bounded_connection.py
+++ b/packages/peridotsill/src/peridotsill/_bounded_connection.py
@@ -27,6 +27,11 @@
     deadline = float("inf")
     allowed_bytes = float("inf")
 
+    def limit_reads(self, *, seconds: float, size: float) -> None:
+        """Let all further reads take at most this time, and bytes."""
+        self.deadline = time.monotonic() + seconds
+        self.allowed_bytes = size
+
     def recv_into(self, *args: typing.Any, **kwargs: typing.Any) -> int:
         """Receive into a buffer.
 
@@ -34,17 +39,16 @@
             TimeoutError: If the deadline has passed.
             OSError: If more was received than is allowed.
         """
-        remaining_seconds = self.deadline - time.monotonic()
-        if remaining_seconds <= 0:
-            raise TimeoutError("timed out")
-        timeout_seconds = self.gettimeout()
-        if timeout_seconds is None or remaining_seconds < timeout_seconds:
+        if self.deadline < float("inf"):
+            remaining_seconds = self.deadline - time.monotonic()
+            if remaining_seconds <= 0:
+                raise TimeoutError("timed out")
             self.settimeout(min(remaining_seconds, 3600.0))
         count = super().recv_into(*args, **kwargs)
         self.allowed_bytes -= count
         if self.allowed_bytes < 0:
             _limit_hits.record("response_header_bytes")
-            raise OSError("the header of the response is too large")
+            raise OSError("the response has too large a header or framing")
         return count
 
 
@@ -69,11 +73,12 @@
     def getresponse(self) -> urllib3.HTTPResponse:  # type: ignore[override]
         """Read the response's header; its time counts for the body as well."""
         sock = self.bounded_socket
-        if isinstance(self.timeout, (int, float)):
-            sock.deadline = time.monotonic() + self.timeout
-        else:
-            sock.deadline = float("inf")
-        sock.allowed_bytes = self.header_bytes + _READ_AHEAD_BYTES
+        seconds = self.timeout
+        if not isinstance(seconds, (int, float)):
+            seconds = float("inf")
+        sock.limit_reads(
+            seconds=seconds, size=self.header_bytes + _READ_AHEAD_BYTES
+        )
         try:
             return super().getresponse()
         finally:
--- a/packages/peridotsill/src/peridotsill/_response_limits.py
+++ b/packages/peridotsill/src/peridotsill/_response_limits.py
@@ -7,6 +7,17 @@
 from peridotsill import _memory_budget
 from peridotsill import _peer_limits
 
+_process_limits = _peer_limits.PeerLimits()
+
+
+def set_process_limits(limits: _peer_limits.PeerLimits) -> None:
+    """Set the limits of the clients that are created without any from now on.
+
+    They are created in many places, such as one for each sibling.
+    """
+    global _process_limits
+    _process_limits = limits
+
 
 @functools.cache
 def _shared_memory(limit_bytes: int) -> _memory_budget.MemoryBudget:
@@ -30,9 +41,10 @@
 
     @classmethod
     def for_calls(
-        cls, limits: _peer_limits.PeerLimits = _peer_limits.PeerLimits()
+        cls, limits: _peer_limits.PeerLimits | None = None
     ) -> "ResponseLimits":
-        """Return the limits of blocking calls."""
+        """Return the limits of blocking calls; the process's by default."""
+        limits = limits or _process_limits
         return cls(
             body_bytes=limits.response_bytes,
             header_bytes=limits.response_header_bytes,
@@ -41,9 +53,10 @@
 
     @classmethod
     def for_runners(
-        cls, limits: _peer_limits.PeerLimits = _peer_limits.PeerLimits()
+        cls, limits: _peer_limits.PeerLimits | None = None
     ) -> "ResponseLimits":
-        """Return the limits of calls to runners."""
+        """Return the limits of calls to runners; the process's by default."""
+        limits = limits or _process_limits
         return attrs.evolve(
             cls.for_calls(limits), body_bytes=limits.runner_response_bytes
         )
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_node.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_node.py
@@ -41,6 +41,7 @@
     """A process that serves callers and may hold the scheduler's lease."""
 
     def __init__(self, *, settings: _settings.JobNodeSettings) -> None:
+        peridotsill.set_process_limits(settings.peer_limits)
         self._settings = _live_settings.LiveSettings(settings)
         self._ports = _settings.make_ports(settings)
         self._counters = peridotsill.Counters()
--- a/packages/peridotsill_node/src/peridotsill_node/_node.py
+++ b/packages/peridotsill_node/src/peridotsill_node/_node.py
@@ -45,6 +45,7 @@
 
     def __init__(self, *, settings: peridotsill.Settings, token: str) -> None:
         self.settings = settings
+        peridotsill.set_process_limits(settings.peer_limits)
         self.id = f"{settings.node}-{uuid.uuid4().hex[:6]}"
         self.leaving = False
         self.journal = peridotsill.Journal(node=self.id)
--- a/packages/peridotsill_upstreams/src/peridotsill_upstreams/_connections.py
+++ b/packages/peridotsill_upstreams/src/peridotsill_upstreams/_connections.py
@@ -7,7 +7,7 @@
 import time
 
 import attrs
-import urllib3.connection
+import peridotsill
 import urllib3.util.connection
 import urllib3.util.wait
 
@@ -33,7 +33,7 @@
     runner closes the connection after it.
     """
 
-    raw: urllib3.connection.HTTPConnection
+    raw: peridotsill.BoundedConnection
     opened_at: float
     idle_since: float = 0.0
     fresh: bool = True
@@ -125,7 +125,7 @@
         return self._connect(min(_CONNECT_TIMEOUT_SECONDS, timeout_seconds))
 
     def _connect(self, timeout_seconds: float) -> Connection:
-        raw = urllib3.connection.HTTPConnection(
+        raw = peridotsill.BoundedConnection(
             self._host,
             self._port,
             timeout=max(timeout_seconds, 0.001),
--- a/packages/peridotsill_upstreams/src/peridotsill_upstreams/_exchange.py
+++ b/packages/peridotsill_upstreams/src/peridotsill_upstreams/_exchange.py
@@ -19,6 +19,8 @@
 
 _MAX_BUFFERED_BYTES = 256 * 1024
 _CHUNK_BYTES = 64 * 1024
+# Of the line before a part of the body, and of trailers.
+_MAX_FRAMING_BYTES = 256 * 1024
 _HOP_BY_HOP_HEADERS = frozenset(
     {
         "connection",
@@ -237,10 +239,10 @@
 ) -> collections.abc.Iterator[bytes]:
     stream = response.stream(_CHUNK_BYTES, decode_content=False)
     while True:
-        left = request.remaining_seconds
-        sock = connection.raw.sock
-        if sock is not None:
-            sock.settimeout(max(left, 0.001))
+        connection.raw.bounded_socket.limit_reads(
+            seconds=max(request.remaining_seconds, 0.001),
+            size=_CHUNK_BYTES + _MAX_FRAMING_BYTES,
+        )
         try:
             chunk = next(stream, None)
         except (
--- a/tests/features/client_limits.feature
+++ b/tests/features/client_limits.feature
@@ -117,3 +117,12 @@
     Then each of the crowd was refused truthfully or closed
     And the process stayed within its memory and descriptors
     And an ordinary request is answered
+
+  # Guards against a time-out that starts anew with each byte of an answer,
+  # so that a runner holds a caller's thread for ever.
+  Scenario: A runner whose header trickles in, at a fleet daemon
+    Given a fleet daemon with lowered limits and a runner that trickles
+    When a crowd calls that runner
+    Then each of the crowd was answered
+    And an ordinary request is answered
+    And the process stayed within its memory and descriptors
--- a/tests/features/steps/client_limits_steps.py
+++ b/tests/features/steps/client_limits_steps.py
@@ -39,6 +39,9 @@
 _HEAD = b"POST /trails/0a HTTP/1.1\r\nHost: jobs.example\r\n"
 _CHUNKED_HEAD = _HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
 _BODY_BYTES = 1 << 20
+_HEALTHY = (
+    b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\n{}"
+)
 _SETTINGS = {
     "threads": _CROWD,
     "peer_limits": {
@@ -121,6 +124,29 @@
     _start_job_node(context)
 
 
+@given("a fleet daemon with lowered limits and a runner that trickles")
+def _given_daemon_and_trickle(context):
+    _given_daemon(context)
+    peer = _EndlessPeer("a header a byte at a time")
+    context.stack.callback(peer.close)
+    vm = {**context.fleet_vm, "name": "vm1", "address": peer.address}
+    client = context.operator
+    client.apply("pools", "slow", {"min_available": 0})
+    client.apply("vms", "vm1", {**vm, "pool": "slow"})
+    client.apply("services", "slow", {"pool": "slow", "slots_per_vm": 64})
+
+
+@when("a crowd calls that runner")
+def _when_crowd_calls_slow(context):
+    request = (
+        b"POST /slow/x HTTP/1.1\r\nHost: x\r\nRequest-Timeout: 1\r\n"
+        b"Content-Length: 0\r\n\r\n"
+    )
+    context.responses = _crowd(
+        lambda _: _send_and_read(context.address, [request])
+    )
+
+
 @given("a fleet daemon with lowered limits")
 def _given_daemon(context):
     running = context.stack.enter_context(fleet.fleet(0, 1))
@@ -129,7 +155,11 @@
     running.create_pool(_POOL, ["vm0"], 0)
     running.create_service(_POOL, _POOL)
     context.address = _split(running.address("n0", "callers"))
-    context.request = lambda: running.call("n0", "GET", f"/{_POOL}/x")
+    context.request = lambda: running.call(
+        "n0", "GET", f"/{_POOL}/x", timeout=5.0
+    )
+    context.operator = running.operator()
+    context.fleet_vm = running.vms["vm0"]
     _watch(context, running.processes["n0"].child)
 
 
@@ -356,7 +386,10 @@
 
     def _serve(self, sock):
         with sock, contextlib.suppress(OSError):
-            if sock.recv(65536):
+            request = sock.recv(65536)
+            if request.startswith(b"GET /healthz"):
+                sock.sendall(_HEALTHY)
+            elif request:
                 with contextlib.suppress(OSError):
                     self._send(sock)
                 self.calls += 1
@@ -366,6 +399,12 @@
 
     def _send(self, sock):
         status = b"HTTP/1.1 200 OK\r\n"
+        if self._response == "a header a byte at a time":
+            while not self.closed:
+                sock.sendall(status[:1])
+                status = status[1:] or b"X-A: a\r\n"
+                time.sleep(0.05)
+            return
         if self._response == "a header without an end":
             pieces = _repeated(status, b"X-A: aaaaaaaa\r\n")
         elif self._response == "a body without an end":
@@ -447,6 +486,11 @@
     context.watch.check()
 
 
+@then("each of the crowd was answered")
+def _then_each_answered(context):
+    assert all(context.responses), context.responses
+
+
 @then("its readiness is answered")
 def _then_ready(context):
     assert context.cluster.ready(context.cluster.nodes[0])
