--- a/packages/peridotsill/src/peridotsill/__init__.py
+++ b/packages/peridotsill/src/peridotsill/__init__.py
@@ -1,5 +1,7 @@
 """Core of peridotsill: resources, settings, decisions, slots and HTTP."""
 
+from peridotsill._allocator import return_large_blocks
+from peridotsill._bounded_connection import BoundedConnection
 from peridotsill._call_loop import CallLoop
 from peridotsill._call_loop import CallResult
 from peridotsill._call_loop import JsonCall
@@ -25,6 +27,7 @@
 from peridotsill._json_http import JsonRequest
 from peridotsill._json_http import read_body
 from peridotsill._json_http import Routes
+from peridotsill._limit_hits import record as record_limit
 from peridotsill._listener import Listener
 from peridotsill._listener import ListenerOptions
 from peridotsill._model import Config
@@ -46,12 +49,15 @@
 from peridotsill._model import Vm
 from peridotsill._model import Wave
 from peridotsill._model import WaveState
+from peridotsill._peer_limits import PeerLimits
 from peridotsill._requests import Answer
 from peridotsill._requests import Header
 from peridotsill._requests import Problem
 from peridotsill._requests import Ran
 from peridotsill._requests import Request
 from peridotsill._requests import RequestClass
+from peridotsill._response_limits import ResponseLimits
+from peridotsill._response_limits import set_process_limits
 from peridotsill._settings import Address
 from peridotsill._settings import advertised_address
 from peridotsill._settings import Limits
@@ -82,6 +88,7 @@
     "RESOURCE_KINDS",
     "Address",
     "Answer",
+    "BoundedConnection",
     "CallLoop",
     "CallResult",
     "Candidate",
@@ -113,12 +120,14 @@
     "NodeRow",
     "OutcomeFuture",
     "Owner",
+    "PeerLimits",
     "Pool",
     "Problem",
     "Ran",
     "Release",
     "Request",
     "RequestClass",
+    "ResponseLimits",
     "Routes",
     "Row",
     "Scan",
@@ -148,8 +157,11 @@
     "load_settings",
     "load_token",
     "read_body",
+    "record_limit",
     "rendezvous",
     "resource_key",
+    "return_large_blocks",
+    "set_process_limits",
     "short_digest",
     "to_plain",
 ]
--- a/packages/peridotsill/src/peridotsill/_counters.py
+++ b/packages/peridotsill/src/peridotsill/_counters.py
@@ -8,6 +8,8 @@
 import aioprometheus
 from aioprometheus import renderer
 
+from peridotsill import _limit_hits
+
 _HELP = {
     "requests": "Callers' requests by outcome.",
     "suspect_requests": "Requests under which runners broke off, given up.",
@@ -17,6 +19,7 @@
     "job_calls": "Callers' job calls by kind and status.",
     "calls_refused": "Job calls refused for their key, by reason.",
     "job_call_seconds": "Time from a job call to its answer.",
+    "peer_limits": "Limits that peers reached, by the limit.",
     "starts": "Starts of tasks by outcome.",
     "ends": "Ends of runs by kind.",
     "team_starts": "Starts within and beyond the rates of their teams.",
@@ -83,6 +86,8 @@
         registry = aioprometheus.Registry()
         with self._lock:
             counts = dict(self._counts)
+        for limit, count in _limit_hits.counts().items():
+            counts["peer_limits", (("limit", limit),)] = count
         metrics_by_name: dict[str, aioprometheus.Counter] = {}
         for (name, labels), count in sorted(counts.items()):
             counter = metrics_by_name.get(name)
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_settings.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_settings.py
@@ -65,6 +65,7 @@
     ``siblings`` is the address at which other nodes ask this one whether it
     still schedules; if it is empty, a lost scheduler's lease has to expire.
     ``max_row_bytes`` is the largest value of a row that the table accepts.
+    ``peer_limits`` bounds what callers, runners and services may send.
     """
 
     node: str
@@ -85,6 +86,7 @@
     return_policy: str = "never"
     resources: HostResources = HostResources()
     bounds: Bounds = Bounds()
+    peer_limits: peridotsill.PeerLimits = peridotsill.PeerLimits()
 
 
 def load_job_settings(path: str) -> JobNodeSettings:
