Return nothing by a need that was known before a gap

Cause: found in review. The total need was recorded only while work arrived. One job of a long declared duration kept all later arrivals in the history.

Change: the history begins anew after a gap, and is recorded while anything runs; arrivals that no figure needs are dropped wherever they stand.

--- a/packages/peridotsill_scheduler/src/peridotsill_scheduler/_arrivals.py
+++ b/packages/peridotsill_scheduler/src/peridotsill_scheduler/_arrivals.py
@@ -15,6 +15,8 @@
 _EARLIER_AFTER_SECONDS = 4.0
 # Earlier rates are forgotten after this time.
 _RETENTION_SECONDS = 60.0
+# Smallest number of arrivals from which on ended ones are dropped.
+_MIN_CLEANUP = 64
 
 
 @attrs.frozen(kw_only=True)
@@ -57,7 +59,8 @@
     """What has arrived for a pool."""
 
     def __init__(self) -> None:
-        self._arrivals: collections.deque[Arrival] = collections.deque()
+        self._arrivals: list[Arrival] = []
+        self._next_cleanup_length = _MIN_CLEANUP
         # Times and rates that are not yet those of an earlier peak.
         self._latest: collections.deque[tuple[float, float]] = (
             collections.deque()
@@ -76,8 +79,7 @@
         recent = previous = remaining = weighted_seconds = 0.0
         oldest = now - 2 * RATE_WINDOW_SECONDS
         usable_at = now + MOVE_SECONDS
-        while self._arrivals and self._is_over(self._arrivals[0], now):
-            self._arrivals.popleft()
+        self._forget_ended(now)
         for each in self._arrivals:
             if each.at > now - RATE_WINDOW_SECONDS:
                 recent += each.work
@@ -96,10 +98,17 @@
             mean_seconds=weighted_seconds / recent if recent else 0.0,
         )
 
-    @staticmethod
-    def _is_over(arrival: Arrival, now: float) -> bool:
-        age = now - arrival.at
-        return age >= max(2 * RATE_WINDOW_SECONDS, arrival.seconds)
+    def _forget_ended(self, now: float) -> None:
+        """Drop arrivals that no figure needs, once they are half of all."""
+        if len(self._arrivals) < self._next_cleanup_length:
+            return
+        oldest = now - 2 * RATE_WINDOW_SECONDS
+        self._arrivals = [
+            each
+            for each in self._arrivals
+            if each.at > oldest or each.at + each.seconds > now
+        ]
+        self._next_cleanup_length = 2 * len(self._arrivals) + _MIN_CLEANUP
 
     def _remember(self, now: float, rate: float) -> None:
         self._latest.append((now, rate))
--- a/packages/peridotsill_scheduler/src/peridotsill_scheduler/_returns.py
+++ b/packages/peridotsill_scheduler/src/peridotsill_scheduler/_returns.py
@@ -20,18 +20,21 @@
     """The highest total need of all pools, in VMs, over a sliding window.
 
     A scheduler that has just begun knows nothing of the time before, so there
-    is no peak until its history covers the window.
+    is no peak until its history covers the window. The same holds after a
+    gap in which nothing was recorded.
     """
 
     def __init__(self) -> None:
-        self._first_at: float | None = None
+        self._first_at = float("inf")
+        self._latest_at = float("-inf")
         # Times and needs; the needs fall from the first to the last.
         self._peaks: collections.deque[tuple[float, int]] = collections.deque()
 
     def record(self, now: float, need: int) -> None:
         """Record the total need; ``now`` is in monotonic seconds."""
-        if self._first_at is None:
+        if self._latest_at < now - _NEED_WINDOW_SECONDS:
             self._first_at = now
+        self._latest_at = now
         while self._peaks and self._peaks[-1][1] <= need:
             self._peaks.pop()
         self._peaks.append((now, need))
@@ -40,8 +43,7 @@
 
     def peak(self, now: float) -> int | None:
         """Return the highest need in the window, None if it isn't covered."""
-        first_at = self._first_at
-        if first_at is None or now - first_at < _NEED_WINDOW_SECONDS:
+        if now - self._first_at < _NEED_WINDOW_SECONDS:
             return None
         while self._peaks and self._peaks[0][0] < now - _NEED_WINDOW_SECONDS:
             self._peaks.popleft()
@@ -83,11 +85,11 @@
     Args:
         policy: Name of the policy.
         pools: All pools, as they are after the moves that were planned.
-        history: Gets the present total need if any work arrives. Before the
-            first jobs nothing is known of the need.
+        history: Gets the present total need if any work arrives or runs.
+            Otherwise nothing is known of the need.
         now: Seconds of the monotonic clock.
     """
-    if any(pool.demand.rate for pool in pools):
+    if any(pool.demand.rate or pool.demand.running for pool in pools):
         need = sum(_demand.usable_vms(pool) for pool in pools)
         history.record(now, need)
     return _policies[policy](pools, history, now)
--- a/tests/features/pool_sizes.feature
+++ b/tests/features/pool_sizes.feature
@@ -60,6 +60,19 @@
     When the need has been the same for 20 s
     Then no VM moves to standby
 
+  # Guards against returning nearly all VMs at the first job after a gap, when
+  # the history had a single, small need in it.
+  Scenario: The first job after a gap in which nothing ran
+    Given pool "a" with 20 VMs, 18 of them idle, that needs 4
+    And a standby pool with 9 VMs
+    When the need has been known for 10 s, then nothing ran for 10 s
+    Then the first job afterwards returns no VM
+
+  # Guards against a history that grows with the longest job of a queue.
+  Scenario: Many short jobs behind a very long one
+    When a job of 36000 s arrives, then 5000 jobs of 1 s in 500 s
+    Then at most 1000 arrivals are kept
+
   # Guards against a pool that is left with fewer VMs than it needs.
   Scenario: Any pools, any needs
     Then drawn returns leave each pool its need, and take idle VMs only
--- a/tests/features/steps/pool_size_steps.py
+++ b/tests/features/steps/pool_size_steps.py
@@ -1,5 +1,6 @@
 """Steps on what pools need, and on VMs that go back to standby pools."""
 
+import attrs
 import behave
 import hypothesis
 from hypothesis import strategies
@@ -150,6 +151,44 @@
     return []
 
 
+@behave.when("the need has been known for 10 s, then nothing ran for 10 s")
+def _gap(context):
+    context.history = scheduler.NeedHistory()
+    silent = [
+        attrs.evolve(
+            pool, demand=attrs.evolve(pool.demand, rate=0.0, running=0.0)
+        )
+        for pool in context.pools
+    ]
+    for tick in range(100):
+        pools = context.pools if tick < 50 else silent
+        scheduler.plan_returns("never", pools, context.history, tick * 0.2)
+
+
+@behave.then("the first job afterwards returns no VM")
+def _check_after_gap(context):
+    moves = scheduler.plan_returns(
+        "unneeded", context.pools, context.history, 20.0
+    )
+    assert not moves, moves
+
+
+@behave.when("a job of 36000 s arrives, then 5000 jobs of 1 s in 500 s")
+def _long_job_first(context):
+    context.history = scheduler.ArrivalHistory()
+    context.history.record(scheduler.Arrival(at=0.0, work=1.0, seconds=36e3))
+    for number in range(5000):
+        at = number * 0.1
+        arrival = scheduler.Arrival(at=at, work=1.0, seconds=1.0)
+        context.history.record(arrival)
+        context.history.rates(at)
+
+
+@behave.then("at most {count:d} arrivals are kept")
+def _check_kept(context, count):
+    assert len(context.history._arrivals) <= count
+
+
 @behave.then('{count:d} VMs move from "{source}" to "{target}"')
 def _check_moves(context, count, source, target):
     assert len(context.moves) == count, context.moves
