--- a/packages/peridotsill/src/peridotsill/_http_request.py
+++ b/packages/peridotsill/src/peridotsill/_http_request.py
@@ -254,8 +254,9 @@
         "ran": ran,
     }
     body = _codec.encode(problem)
+    retry = "Retry-After: 1\r\n" if code == "503" else ""
     header = (
-        f"HTTP/1.1 {status}\r\nContent-Type: application/problem+json"
-        f"\r\nContent-Length: {len(body)}\r\nConnection: close\r\n\r\n"
+        f"HTTP/1.1 {status}\r\nContent-Type: application/problem+json\r\n"
+        f"Content-Length: {len(body)}\r\n{retry}Connection: close\r\n\r\n"
     )
     return header.encode("latin-1") + body
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_app.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_app.py
@@ -132,7 +132,8 @@
             _logs.log("job:invalid", job=job_id, problems=error.problems)
             return "submit", 400, {"error": str(error)}, False
         except peridotsill.HttpProblem as error:
-            return "submit", error.status, {"error": error.detail}, False
+            retry = error.status == http.HTTPStatus.SERVICE_UNAVAILABLE
+            return "submit", error.status, {"error": error.detail}, retry
         if not self._catalog.reachable:
             self._log("job:refused", queue, job_id, "the table is away")
             return "submit", 503, {"error": "the store is away"}, True
