Bound counts of tasks before they become integers

Change: startable_count divides only if the room is short of what all tasks need, and _count_that_fit takes no more than the step's tasks. A demand of 0 or less is not divided by, so that stored rows raise nothing either.

--- a/packages/peridotsill_scheduler/src/peridotsill_scheduler/_quotas.py
+++ b/packages/peridotsill_scheduler/src/peridotsill_scheduler/_quotas.py
@@ -163,9 +163,11 @@
                 demand.accelerators,
             ),
         ):
-            if limit and each:
+            if limit and each > 0:
                 room = limit - used + _ROUNDING_MARGIN
-                most = min(most, max(0, int(room / each)))
+                # Over a tiny demand the quotient would be infinite.
+                if room < each * most:
+                    most = max(0, int(room / each))
         return most
 
     def startable_steps(
--- a/packages/peridotsill_scheduler/src/peridotsill_scheduler/_reservations.py
+++ b/packages/peridotsill_scheduler/src/peridotsill_scheduler/_reservations.py
@@ -202,7 +202,8 @@
     """Return how many tasks of a step some resources are enough for."""
     reserved = step.reserved
     counts = [
-        int((there + 1e-9) / each)
+        # Over a tiny demand the quotient may be infinite.
+        int(min((there + 1e-9) / each, step.task_count))
         for there, each in (
             (room.cores, reserved.cores),
             (room.memory_mib, reserved.memory_mib),
--- a/tests/features/steps/team_share_steps.py
+++ b/tests/features/steps/team_share_steps.py
@@ -24,6 +24,7 @@
 from peridotsill_jobs import _workers
 import peridotsill_scheduler as scheduler
 from peridotsill_scheduler import _order
+from peridotsill_scheduler import _reservations
 from peridotsill_scheduler import _team_order
 
 _NOW = 100.0
@@ -190,6 +191,38 @@
     assert {team: len(keys) for team, keys in held.items()} == {"b": count}
 
 
+@when('"b" sends a job of 3 tasks and one gang of 3, of 1e-309 cores each')
+def _send_tiny(context):
+    demand = scheduler.Resources(cores=1e-309, memory_mib=1e-309)
+    context.jobs = [
+        _job("tiny", "b", 3, demand=demand),
+        _job("gang", "b", 3, demand=demand, gang=True),
+    ]
+    for job in context.jobs:
+        job.rate_class = _RateClass.WITHIN
+
+
+@then("all 6 tasks start, and count in the pool's demand")
+def _check_tiny(context):
+    starts = _plan(context.jobs, _vms(context.cores), _quotas(context))
+    assert len(starts) == 6, starts
+    work = scheduler.StartableWork(quotas=_quotas(context))
+    counts = [work.count(job, job.spec.steps[0], 3) for job in context.jobs]
+    assert counts == [3, 3], counts
+
+
+@then("as many fit in the capacity that is forecast")
+def _check_tiny_forecast(context):
+    forecast = _reservations.Forecast(
+        now=_NOW, estimator=scheduler.Estimator(), runs_of=lambda vm: ()
+    )
+    vm = _vms(4)[0]
+    for job in context.jobs:
+        step = job.spec.steps[0]
+        count = _reservations._count_that_fit(forecast.room_at(vm, _NOW), step)
+        assert count == step.task_count, count
+
+
 @then("what starts is the {kind}")
 def _check_gang(context, kind):
     starts = _plan(context.jobs, _vms(context.cores), _quotas(context))
--- a/tests/features/team_shares.feature
+++ b/tests/features/team_shares.feature
@@ -42,6 +42,15 @@
     Given "b" may have 2 cores, and 1 are in use
     Then 0 jobs of "a" and 1 jobs of "b" start
 
+  # Guards against rounds that end at a caller's number: the quotient of an
+  # amount and a tiny demand is infinite, and has no integer.
+  Scenario: A tiny demand of a job ends no round
+    Given VMs of 8 cores in all, and teams "a" of weight 5 and "b" of weight 5
+    And "b" may have 2 cores, and 1 are in use
+    When "b" sends a job of 3 tasks and one gang of 3, of 1e-309 cores each
+    Then all 6 tasks start, and count in the pool's demand
+    And as many fit in the capacity that is forecast
+
   # Guards against half a gang, and against a gang that blocks its team.
   Scenario: A gang that is wider than what is left of a quota waits as a whole
     Given VMs of 8 cores in all, and teams "a" of weight 5 and "b" of weight 5
