Refuse steps with negative or too large demands

Cause: a step with a negative demand was accepted, and so added to what is free as it started; an entry of `after` that is no integer raised a TypeError or ValueError out of the application.

A platform's document with a demand above 2^53 is refused, too.

--- a/tests/features/odd_entries.feature
+++ b/tests/features/odd_entries.feature
@@ -89,6 +89,22 @@
     When jobs with numbers beyond 64 bits are submitted
     Then each was answered with 400
 
+  # Guards against a job that frees capacity and allowance as it starts, and
+  # against an error of the node in place of a refusal.
+  Scenario Outline: A step with <field> of <value> is refused
+    When a step with <field> of <value> is submitted
+    Then the submission is refused, and <field> is named
+
+    Examples:
+      | field  | value            |
+      | cpu    | -1               |
+      | mem_mb | -0.5             |
+      | gpu    | -1               |
+      | cpu    | 9007199254740994 |
+      | after  | [null]           |
+      | after  | ["x"]            |
+      | after  | [{}]             |
+
   # Guards against LOST: fleet nodes that follow the table no more since one
   # of them was given a VM that can't be called.
   Scenario: A VM with an address that is none stops no fleet node
--- a/tests/features/steps/odd_entry_steps.py
+++ b/tests/features/steps/odd_entry_steps.py
@@ -536,6 +536,24 @@
     assert set(context.statuses.values()) == {400}, context.statuses
 
 
+@when("a step with {field} of {value} is submitted")
+def _submit_odd_step(context, field, value):
+    body = f'{{"spec": "", "steps": [{{"{field}": {value}}}]}}'.encode()
+    documents = _documents.PlatformDocuments(
+        unreadable_rows=_unreadable.UnreadableRows()
+    )
+    context.problems = ()
+    try:
+        documents.job(_POOL, _JOB, body)
+    except peridotsill.exceptions.InvalidResource as error:
+        context.problems = error.problems
+
+
+@then("the submission is refused, and {field} is named")
+def _refused_with_field(context, field):
+    assert any(field in each for each in context.problems), context.problems
+
+
 _VM = {"domain": "dc1", "rack": "rack0", "pool": _POOL}
 
 
