Count arrivals in the future as arrivals now

Cause: TeamTracker classified jobs from the rows by the time of the node that accepted them. A job from a node whose clock was ahead set its team's latest arrival to the future, and the team got no tokens until then.

Change: arrivals are decided on in their order, but none as later than now. There is no lower bound, as rows may be old.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_team_usage.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_team_usage.py
@@ -113,15 +113,24 @@
         """Decide on a job that was just read for the first time."""
         if job.team:
             arrived_ms = peridotsill_scheduler.plausible_arrival_ms(
-                job.arrived_ms,
-                self._unix_offset_ms + _clock.monotonic_seconds() * 1000.0,
+                job.arrived_ms, self._now_ms()
             )
             job.rate_class = self._rates.classify(job.team, arrived_ms)
 
+    def _now_ms(self) -> float:
+        """Return the time in Unix milliseconds; it is never set back."""
+        return self._unix_offset_ms + _clock.monotonic_seconds() * 1000.0
+
     def _classify(self, arrivals: list[_Arrival]) -> None:
+        """Decide on jobs in order of arrival.
+
+        An arrival after now, by the clock of another node, counts as one now:
+        its team would get no tokens until then.
+        """
+        now_ms = self._now_ms()
         arrivals.sort(key=lambda each: each[0])
         for arrived_ms, team, job in arrivals:
-            rate_class = self._rates.classify(team, arrived_ms)
+            rate_class = self._rates.classify(team, min(arrived_ms, now_ms))
             if job is not None:
                 job.rate_class = rate_class
 
--- a/tests/features/steps/team_share_steps.py
+++ b/tests/features/steps/team_share_steps.py
@@ -526,6 +526,31 @@
     context.tracker._catalog.config = None
 
 
+@when('it adopts {which} job of team "a" that arrives in an hour')
+def _adopt_future(context, which):
+    config = types.SimpleNamespace(
+        teams=_entries(scheduler.Team(name="a", weight=1.0))
+    )
+    context.tracker._catalog.config = config
+    job = _job("future", "a")
+    job.arrived_ms = _clock.unix_ms() + 3.6e6
+    if which == "an open":
+        context.tracker.adopt([job])
+        assert job.rate_class is _RateClass.WITHIN
+    else:
+        context.tracker.adopt([], [(job.arrived_ms, "a")])
+
+
+@then('the next job of team "a", {seconds:d} s from now, is within its rate')
+def _check_after_future(context, seconds):
+    at = _clock.monotonic_seconds() + seconds
+    job = _job("next", "a")
+    job.arrived_ms = _clock.unix_ms() + seconds * 1000.0
+    with unittest.mock.patch.object(_clock, "monotonic_seconds", lambda: at):
+        context.tracker.see(job)
+    assert job.rate_class is _RateClass.WITHIN, job.rate_class
+
+
 @when('it has adopted a job of team "a" and one without a team')
 def _adopt(context):
     context.jobs = [_job("j", "a"), _job("other", "")]
--- a/tests/features/team_shares.feature
+++ b/tests/features/team_shares.feature
@@ -89,6 +89,18 @@
     Then no more jobs are within the rate than in time and burst
     And after a clock was set back by an hour, jobs count as before within 6 s
 
+  # Guards against a team that is beyond its rate for an hour, as the clock of
+  # a node that accepted one of its jobs was ahead by as much.
+  Scenario Outline: An arrival in the future stops no team's tokens (<which>)
+    Given a tracker of teams that has no configuration yet
+    When it adopts <which> job of team "a" that arrives in an hour
+    Then the next job of team "a", 2 s from now, is within its rate
+
+    Examples:
+      | which    |
+      | an open  |
+      | an ended |
+
   # Guards against a dropped team's queue that goes before the others, and
   # against jobs of a new team that count as beyond its rate for good.
   Scenario: Teams come and go with the configuration
