Try no jobs beyond their rates for late reservations

Cause: pop_deferred listed jobs beyond their team's rate as jobs that need a reservation, though _try_reserve never makes one for them. If they arrived first, they took all places of the late jobs that are tried in a round.

Change: such jobs are in neither list without room. The list is named without_room, and the class says that these jobs get no reservation.

--- a/packages/peridotsill_scheduler/src/peridotsill_scheduler/_reserving.py
+++ b/packages/peridotsill_scheduler/src/peridotsill_scheduler/_reserving.py
@@ -64,7 +64,11 @@
 
     Jobs that are too late to earn anything rank last. The one of them that
     has waited for the longest gets every other reservation, one at a time and
-    also for a task that isn't large, so that none waits for ever.
+    also for a task that isn't large, so that none of them waits for ever.
+
+    All this holds for jobs within their team's rate. Jobs beyond it get no
+    reservation, as they use what others leave: a large task of one may wait
+    for as long as small ones arrive.
     """
 
     def __init__(
@@ -241,28 +245,29 @@
     def pop_deferred(self) -> list[_Noted]:
         """Return the jobs that may get room or a reservation."""
         ranked: list[_Noted] = []
-        needy: list[tuple[float, int, _Noted]] = []
+        without_room: list[tuple[float, int, _Noted]] = []
         large_without_room: list[tuple[float, int, _Noted]] = []
         may_reserve = self._has_slot(gang=False) or self._has_slot(gang=True)
         for job, steps in self._noted.values():
             need = _Need.NEVER
+            may_need = may_reserve and not self._quotas.is_beyond_rate(job)
             for step in steps:
                 shape = _placement.resource_shape(step)
                 has_room = self._may_place(job, step, shape)
-                if may_reserve and (step.gang or not has_room):
+                if may_need and (step.gang or not has_room):
                     need = max(need, self._need(job, step, shape))
                 if has_room:
                     ranked.append((job, steps))
                     break
             if need:
-                entry = (job.arrived_at, len(needy), (job, steps))
-                needy.append(entry)
+                entry = (job.arrived_at, len(without_room), (job, steps))
+                without_room.append(entry)
                 if not has_room and need is _Need.ALWAYS:
                     large_without_room.append(entry)
         if may_reserve:
             self._eligible.update(job.key for job, _ in ranked)
             ranked += self._choose_to_rank(large_without_room)
-            self._take_turn_of_late(needy)
+            self._take_turn_of_late(without_room)
         self._is_ranking = True
         return ranked
 
@@ -337,7 +342,7 @@
             yield noted
 
     def _take_turn_of_late(
-        self, needy: list[tuple[float, int, _Noted]]
+        self, without_room: list[tuple[float, int, _Noted]]
     ) -> None:
         """Reserve for the late job that has waited for the longest.
 
@@ -350,7 +355,7 @@
             return
         if any(each.late for each in self._memory.standing.values()):
             return
-        for _, _, (job, _) in heapq.nsmallest(_MAX_LATE_TRIED, needy):
+        for _, _, (job, _) in heapq.nsmallest(_MAX_LATE_TRIED, without_room):
             if self._is_late(job) and self._reserve_for_late(job):
                 return
 
--- a/tests/benches/placement.py
+++ b/tests/benches/placement.py
@@ -52,6 +52,7 @@
         self.starts = collections.defaultdict(list)
         self.ended_at = {}
         self.changes = []
+        self.teams = ()
         self._order = order
         self._seconds = {}
         self._arrivals = collections.deque()
@@ -168,6 +169,7 @@
             vms=[self._view(vm) for vm in self.vms],
             now=self.now,
             estimator=self.estimator,
+            quotas=scheduler.Quotas(teams=self.teams),
             placement=scheduler.Placement(
                 policy=self.policy,
                 memory=self.memory,
--- a/tests/features/reservations.feature
+++ b/tests/features/reservations.feature
@@ -128,6 +128,13 @@
     Then capacity is reserved on at most 2 VMs in each round of 20 s
     And all of them have started after 60 s
 
+  # Guards against late jobs that can get no reservation, but are tried in
+  # place of those that can.
+  Scenario: Late jobs beyond their team's rate keep no reservation from others
+    Given a VM of 8 cores with a task of 4 cores that takes 4 s
+    When 5 late jobs beyond their team's rate wait, and then one within it
+    Then capacity is reserved for the one within the rate after 1 s
+
   # Guards against any mix in which a task waits for ever behind small ones.
   Scenario: No task waits for ever behind small ones
     Given drawn pools that are always full of small tasks, of drawn estimates
--- a/tests/features/steps/reservation_steps.py
+++ b/tests/features/steps/reservation_steps.py
@@ -329,6 +329,24 @@
     context.pool.submit("gang", cores=8.0, seconds=1.0, gang=True)
 
 
+@when("5 late jobs beyond their team's rate wait, and then one within it")
+def _late_wait(context):
+    context.pool.teams = (scheduler.Team(name="a", weight=1.0),)
+    names = [*(f"beyond-{number}" for number in range(5)), "within"]
+    for number, name in enumerate(names):
+        job = context.pool.submit(name, cores=8.0, seconds=1.0)
+        job.team = "a"
+        job.arrived_at = number - 1000.0
+        job.rate_class = scheduler.RateClass(name.partition("-")[0])
+
+
+@then("capacity is reserved for the one within the rate after {seconds:d} s")
+def _reserved_within(context, seconds):
+    context.pool.run_until(seconds)
+    jobs = [key[1] for key in context.pool.memory.standing]
+    assert jobs == ["within"], jobs
+
+
 @when("the second VM is lost")
 def _lose_second(context):
     context.pool.lose(context.pool.vms[1])
