Keep jobs of a dropped team within their rate

Cause: all jobs of a team that the configuration had dropped counted as beyond its rate, so that jobs it was owed waited behind all others, without VMs fetched for them.

Change: a job that was decided on keeps its class; an undecided one is beyond, as before.

--- a/packages/peridotsill_scheduler/src/peridotsill_scheduler/_quotas.py
+++ b/packages/peridotsill_scheduler/src/peridotsill_scheduler/_quotas.py
@@ -190,11 +190,12 @@
     def is_beyond_rate(self, job: _progress.Job) -> bool:
         """Tell whether a job is beyond its team's rate.
 
-        A team that the configuration lacks has no rate. Jobs without a team
-        and those of a configuration without teams are within theirs.
+        A job stays what it was decided to be if the configuration drops its
+        team; one that is undecided is beyond. Jobs without a team and those
+        of a configuration without teams are within theirs.
         """
-        if job.team not in self._weights:
-            return bool(job.team and self._weights)
+        if not job.team or not self._weights:
+            return False
         return job.rate_class is not _team_rates.RateClass.WITHIN
 
     def weighted_share(
--- a/tests/features/steps/team_share_steps.py
+++ b/tests/features/steps/team_share_steps.py
@@ -484,7 +484,7 @@
     _set_teams(context, context.other)
 
 
-@then("its job may start without limit, after those of other teams")
+@then("its undecided job may start without limit, after those of other teams")
 def _check_dropped(context):
     wide, other = _job("wide", "a", 8), _job("o", "o")
     other.rate_class = _RateClass.BEYOND
@@ -493,6 +493,15 @@
     assert [start.job.team for start in starts] == ["o"] + ["a"] * 8
 
 
+@then("its job that was within its rate starts before those beyond theirs")
+def _check_dropped_within(context):
+    other = _job("o", "o")
+    other.rate_class = _RateClass.BEYOND
+    quotas = _begin_round(context.tracker, [context.job])
+    starts = _plan([other, context.job], _vms(8), quotas)
+    assert [start.job.team for start in starts] == ["a"] * 4 + ["o"]
+
+
 @when('the configuration has team "a" again, after a job of team "c" came')
 def _restore_team(context):
     context.new_job = _job("c", "c")
--- a/tests/features/team_shares.feature
+++ b/tests/features/team_shares.feature
@@ -101,12 +101,14 @@
       | an open  |
       | an ended |
 
-  # Guards against a dropped team's queue that goes before the others, and
-  # against jobs of a new team that count as beyond its rate for good.
+  # Guards against a dropped team's queue that goes before the others, against
+  # one whose jobs within its rate wait behind all others, and against jobs of
+  # a new team that count as beyond its rate for good.
   Scenario: Teams come and go with the configuration
     Given a tracker of teams, and a job of team "a" with 4 tasks
     When the configuration drops team "a"
-    Then its job may start without limit, after those of other teams
+    Then its undecided job may start without limit, after those of other teams
+    And its job that was within its rate starts before those beyond theirs
     When the configuration has team "a" again, after a job of team "c" came
     Then the job is within its rate again
     When the configuration has team "c" as well
