--- a/tests/features/steps/team_share_steps.py
+++ b/tests/features/steps/team_share_steps.py
@@ -24,6 +24,7 @@
 from peridotsill_jobs import _workers
 import peridotsill_scheduler as scheduler
 from peridotsill_scheduler import _order
+from peridotsill_scheduler import _reservations
 from peridotsill_scheduler import _team_order
 
 _NOW = 100.0
@@ -190,6 +191,38 @@
     assert {team: len(keys) for team, keys in held.items()} == {"b": count}
 
 
+@when('"b" sends a job of 3 tasks and one gang of 3, of 1e-309 cores each')
+def _send_tiny(context):
+    demand = scheduler.Resources(cores=1e-309, memory_mib=1e-309)
+    context.jobs = [
+        _job("tiny", "b", 3, demand=demand),
+        _job("gang", "b", 3, demand=demand, gang=True),
+    ]
+    for job in context.jobs:
+        job.rate_class = _RateClass.WITHIN
+
+
+@then("all 6 tasks start, and count in the pool's demand")
+def _check_tiny(context):
+    starts = _plan(context.jobs, _vms(context.cores), _quotas(context))
+    assert len(starts) == 6, starts
+    work = scheduler.StartableWork(quotas=_quotas(context))
+    counts = [work.count(job, job.spec.steps[0], 3) for job in context.jobs]
+    assert counts == [3, 3], counts
+
+
+@then("as many fit in the capacity that is forecast")
+def _check_tiny_forecast(context):
+    forecast = _reservations.Forecast(
+        now=_NOW, estimator=scheduler.Estimator(), runs_of=lambda vm: ()
+    )
+    vm = _vms(4)[0]
+    for job in context.jobs:
+        step = job.spec.steps[0]
+        count = _reservations._count_that_fit(forecast.room_at(vm, _NOW), step)
+        assert count == step.task_count, count
+
+
 @then("what starts is the {kind}")
 def _check_gang(context, kind):
     starts = _plan(context.jobs, _vms(context.cores), _quotas(context))
@@ -451,7 +484,7 @@
     _set_teams(context, context.other)
 
 
-@then("its job may start without limit, after those of other teams")
+@then("its undecided job may start without limit, after those of other teams")
 def _check_dropped(context):
     wide, other = _job("wide", "a", 8), _job("o", "o")
     other.rate_class = _RateClass.BEYOND
@@ -460,6 +493,15 @@
     assert [start.job.team for start in starts] == ["o"] + ["a"] * 8
 
 
+@then("its job that was within its rate starts before those beyond theirs")
+def _check_dropped_within(context):
+    other = _job("o", "o")
+    other.rate_class = _RateClass.BEYOND
+    quotas = _begin_round(context.tracker, [context.job])
+    starts = _plan([other, context.job], _vms(8), quotas)
+    assert [start.job.team for start in starts] == ["a"] * 4 + ["o"]
+
+
 @when('the configuration has team "a" again, after a job of team "c" came')
 def _restore_team(context):
     context.new_job = _job("c", "c")
@@ -493,6 +535,31 @@
     context.tracker._catalog.config = None
 
 
+@when('it adopts {which} job of team "a" that arrives in an hour')
+def _adopt_future(context, which):
+    config = types.SimpleNamespace(
+        teams=_entries(scheduler.Team(name="a", weight=1.0))
+    )
+    context.tracker._catalog.config = config
+    job = _job("future", "a")
+    job.arrived_ms = _clock.unix_ms() + 3.6e6
+    if which == "an open":
+        context.tracker.adopt([job])
+        assert job.rate_class is _RateClass.WITHIN
+    else:
+        context.tracker.adopt([], [(job.arrived_ms, "a")])
+
+
+@then('the next job of team "a", {seconds:d} s from now, is within its rate')
+def _check_after_future(context, seconds):
+    at = _clock.monotonic_seconds() + seconds
+    job = _job("next", "a")
+    job.arrived_ms = _clock.unix_ms() + seconds * 1000.0
+    with unittest.mock.patch.object(_clock, "monotonic_seconds", lambda: at):
+        context.tracker.see(job)
+    assert job.rate_class is _RateClass.WITHIN, job.rate_class
+
+
 @when('it has adopted a job of team "a" and one without a team')
 def _adopt(context):
     context.jobs = [_job("j", "a"), _job("other", "")]
--- a/tests/features/team_shares.feature
+++ b/tests/features/team_shares.feature
@@ -42,6 +42,15 @@
     Given "b" may have 2 cores, and 1 are in use
     Then 0 jobs of "a" and 1 jobs of "b" start
 
+  # Guards against rounds that end at a caller's number: the quotient of an
+  # amount and a tiny demand is infinite, and has no integer.
+  Scenario: A tiny demand of a job ends no round
+    Given VMs of 8 cores in all, and teams "a" of weight 5 and "b" of weight 5
+    And "b" may have 2 cores, and 1 are in use
+    When "b" sends a job of 3 tasks and one gang of 3, of 1e-309 cores each
+    Then all 6 tasks start, and count in the pool's demand
+    And as many fit in the capacity that is forecast
+
   # Guards against half a gang, and against a gang that blocks its team.
   Scenario: A gang that is wider than what is left of a quota waits as a whole
     Given VMs of 8 cores in all, and teams "a" of weight 5 and "b" of weight 5
@@ -80,12 +89,26 @@
     Then no more jobs are within the rate than in time and burst
     And after a clock was set back by an hour, jobs count as before within 6 s
 
-  # Guards against a dropped team's queue that goes before the others, and
-  # against jobs of a new team that count as beyond its rate for good.
+  # Guards against a team that is beyond its rate for an hour, as the clock of
+  # a node that accepted one of its jobs was ahead by as much.
+  Scenario Outline: An arrival in the future stops no team's tokens (<which>)
+    Given a tracker of teams that has no configuration yet
+    When it adopts <which> job of team "a" that arrives in an hour
+    Then the next job of team "a", 2 s from now, is within its rate
+
+    Examples:
+      | which    |
+      | an open  |
+      | an ended |
+
+  # Guards against a dropped team's queue that goes before the others, against
+  # one whose jobs within its rate wait behind all others, and against jobs of
+  # a new team that count as beyond its rate for good.
   Scenario: Teams come and go with the configuration
     Given a tracker of teams, and a job of team "a" with 4 tasks
     When the configuration drops team "a"
-    Then its job may start without limit, after those of other teams
+    Then its undecided job may start without limit, after those of other teams
+    And its job that was within its rate starts before those beyond theirs
     When the configuration has team "a" again, after a job of team "c" came
     Then the job is within its rate again
     When the configuration has team "c" as well
