Give the responses of runners a memory budget of their own

Cause: calls to runners, the table, the VM service and siblings charged one budget (32 MiB), so that a few runners with stalled responses made every call to the table fail. Such a failure also replaced the connection pool, although the connections were sound. Change: runner_responses_memory_bytes (16 MiB, 64 KiB to 16 GiB) limits the responses of runners; responses_memory_bytes those of blocking calls. The pool is kept if the budget was exceeded. The test settings give runners the 4 MiB that they had.

--- a/packages/peridotsill/src/peridotsill/_json_http.py
+++ b/packages/peridotsill/src/peridotsill/_json_http.py
@@ -116,7 +116,9 @@
             OSError,
             exceptions.MemoryBudgetExceeded,
         ) as error:
-            self._replace_pool(pool)
+            # The budget says nothing about the other connections.
+            if not isinstance(error, exceptions.MemoryBudgetExceeded):
+                self._replace_pool(pool)
             raise exceptions.PeerUnavailable(
                 f"{self._base}{path}: {type(error).__name__}",
                 sent=not isinstance(error, _NOT_SENT_ERRORS),
--- a/packages/peridotsill/src/peridotsill/_peer_limits.py
+++ b/packages/peridotsill/src/peridotsill/_peer_limits.py
@@ -29,8 +29,9 @@
     ``response_bytes`` is the largest body of a response to a blocking call,
     ``runner_response_bytes`` that of one to a call to a runner, and
     ``response_header_bytes`` the largest header of both.
-    ``responses_memory_bytes`` is what the bodies of all responses may hold
-    at once. ``job_steps`` is the largest number of steps of a job.
+    ``responses_memory_bytes`` is what the bodies of all responses to blocking
+    calls may hold at once, and ``runner_responses_memory_bytes`` the same for
+    calls to runners. ``job_steps`` is the largest number of steps of a job.
     """
 
     line_bytes: int = _codec.bounded(
@@ -70,4 +71,7 @@
     responses_memory_bytes: int = _codec.bounded(
         minimum=65536, maximum=1 << 34, default=32 << 20
     )
+    runner_responses_memory_bytes: int = _codec.bounded(
+        minimum=65536, maximum=1 << 34, default=16 << 20
+    )
     job_steps: int = _codec.bounded(minimum=1, maximum=1 << 20, default=4096)
--- a/packages/peridotsill/src/peridotsill/_response_limits.py
+++ b/packages/peridotsill/src/peridotsill/_response_limits.py
@@ -20,11 +20,9 @@
 
 
 @functools.cache
-def _shared_memory(limit_bytes: int) -> _memory_budget.MemoryBudget:
-    """Return the budget that all clients of the process share."""
-    return _memory_budget.MemoryBudget(
-        name="responses_memory_bytes", limit_bytes=limit_bytes
-    )
+def _shared_memory(name: str, limit_bytes: int) -> _memory_budget.MemoryBudget:
+    """Return the budget that all clients with this limit share."""
+    return _memory_budget.MemoryBudget(name=name, limit_bytes=limit_bytes)
 
 
 @attrs.frozen(kw_only=True)
@@ -32,7 +30,8 @@
     """Limits on the responses to a client's calls.
 
     ``body_bytes`` and ``header_bytes`` limit one response, and ``memory`` the
-    bodies of all that are being received.
+    bodies of all that are being received. Calls to runners have a budget of
+    their own, so that slow runners don't make calls to the table fail.
     """
 
     body_bytes: int
@@ -48,7 +47,9 @@
         return cls(
             body_bytes=limits.response_bytes,
             header_bytes=limits.response_header_bytes,
-            memory=_shared_memory(limits.responses_memory_bytes),
+            memory=_shared_memory(
+                "responses_memory_bytes", limits.responses_memory_bytes
+            ),
         )
 
     @classmethod
@@ -57,6 +58,11 @@
     ) -> "ResponseLimits":
         """Return the limits of calls to runners; the process's by default."""
         limits = limits or _process_limits
-        return attrs.evolve(
-            cls.for_calls(limits), body_bytes=limits.runner_response_bytes
+        return cls(
+            body_bytes=limits.runner_response_bytes,
+            header_bytes=limits.response_header_bytes,
+            memory=_shared_memory(
+                "runner_responses_memory_bytes",
+                limits.runner_responses_memory_bytes,
+            ),
         )
--- a/tests/features/client_limits.feature
+++ b/tests/features/client_limits.feature
@@ -126,3 +126,15 @@
     Then each of the crowd was answered
     And an ordinary request is answered
     And the process stayed within its memory and descriptors
+
+  # Guards against runners whose stalled responses make the calls to the
+  # table fail, and against idle connections that are dropped with a call
+  # for which there is no memory.
+  Scenario Outline: Stalled responses and calls to other peers
+    When stalled responses hold the whole budget of <kind> responses
+    Then a blocking call is <outcome>
+
+    Examples:
+      | kind     | outcome  |
+      | runner   | answered |
+      | blocking | given up |
--- a/tests/features/steps/client_limits_steps.py
+++ b/tests/features/steps/client_limits_steps.py
@@ -13,6 +13,7 @@
 from behave import when
 from emulator import nodes
 from emulator import wire
+import peridotsill
 import psutil
 from standins import fleet
 
@@ -52,6 +53,7 @@
         "internal_connections": 16,
         "response_bytes": 1 << 20,
         "responses_memory_bytes": 4 << 20,
+        "runner_responses_memory_bytes": 4 << 20,
     },
 }
 
@@ -494,3 +496,52 @@
 @then("its readiness is answered")
 def _then_ready(context):
     assert context.cluster.ready(context.cluster.nodes[0])
+
+
+# Budgets of one process.
+
+
+def _small_limits(kind):
+    limits = peridotsill.PeerLimits(
+        responses_memory_bytes=_PIECE_BYTES,
+        runner_responses_memory_bytes=_PIECE_BYTES,
+    )
+    if kind == "runner":
+        return peridotsill.ResponseLimits.for_runners(limits)
+    return peridotsill.ResponseLimits.for_calls(limits)
+
+
+@when("stalled responses hold the whole budget of {kind} responses")
+def _when_budget_is_held(context, kind):
+    charge = _small_limits(kind).memory.charge()
+    charge.add(_PIECE_BYTES)
+    context.stack.callback(charge.release)
+
+
+@then("a blocking call is {outcome}")
+def _then_blocking_call(context, outcome):
+    listener = context.stack.enter_context(
+        socket.create_server(("127.0.0.1", 0))
+    )
+    answer = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
+
+    def serve():
+        connection, _ = listener.accept()
+        with connection:
+            connection.recv(_PIECE_BYTES)
+            connection.sendall(answer)
+
+    threading.Thread(target=serve, daemon=True).start()
+    client = peridotsill.JsonClient(
+        base=f"http://127.0.0.1:{listener.getsockname()[1]}",
+        limits=_small_limits("blocking"),
+    )
+    context.stack.callback(client.close)
+    pool = client._pool
+    try:
+        assert client.call("GET", "/") == {}
+        observed = "answered"
+    except peridotsill.exceptions.PeerUnavailable:
+        observed = "given up"
+    assert observed == outcome, observed
+    assert client._pool is pool, "the connections were replaced"
