Charge a response as it arrives and not as declared

Cause: a declared Content-Length was charged to the memory budget before any of the body had arrived, so that one peer which declared much and sent nothing made all other calls fail.

--- a/packages/peridotsill/src/peridotsill/_json_http.py
+++ b/packages/peridotsill/src/peridotsill/_json_http.py
@@ -134,27 +134,29 @@
         charge: _memory_budget.MemoryCharge,
     ) -> bytes:
         """Return a response's body; the time-out applies to the whole."""
+        length = response.length_remaining
         try:
-            length = response.length_remaining
             if length is None:
-                content = self._read_chunks(response, charge)
+                read = response.read1
             else:
                 self._check_size(length)
-                charge.add(length)
-                content = response.read(decode_content=False)
+                read = response.read
+            content = self._read_parts(read, charge)
         except BaseException:
             response.close()
             raise
         response.release_conn()
         return content
 
-    def _read_chunks(
+    def _read_parts(
         self,
-        response: urllib3.BaseHTTPResponse,
+        read: collections.abc.Callable[..., bytes],
         charge: _memory_budget.MemoryCharge,
     ) -> bytes:
+        # Charged as it arrives: a peer that declares a large body and sends
+        # nothing would hold the budget otherwise.
         content = bytearray()
-        while part := response.read1(_READ_BYTES, decode_content=False):
+        while part := read(_READ_BYTES, decode_content=False):
             self._check_size(len(content) + len(part))
             charge.add(len(part))
             content += part
--- a/tests/features/client_limits.feature
+++ b/tests/features/client_limits.feature
@@ -138,3 +138,9 @@
       | kind     | outcome  |
       | runner   | answered |
       | blocking | given up |
+
+  # Guards against a budget that is charged with the declared length of a
+  # body before any of it has arrived.
+  Scenario: A declared body that never arrives
+    When a peer declares a body of the whole budget and sends nothing
+    Then a blocking call is answered
--- a/tests/features/steps/client_limits_steps.py
+++ b/tests/features/steps/client_limits_steps.py
@@ -518,6 +518,33 @@
     context.stack.callback(charge.release)
 
 
+@when("a peer declares a body of the whole budget and sends nothing")
+def _when_declared_only(context):
+    listener = context.stack.enter_context(
+        socket.create_server(("127.0.0.1", 0))
+    )
+    client = peridotsill.JsonClient(
+        base=f"http://127.0.0.1:{listener.getsockname()[1]}",
+        limits=_small_limits("blocking"),
+    )
+
+    def call():
+        with contextlib.suppress(peridotsill.exceptions.PeerUnavailable):
+            client.call("GET", "/", timeout_seconds=_SOCKET_SECONDS)
+
+    caller = threading.Thread(target=call, daemon=True)
+    caller.start()
+    connection, _ = listener.accept()
+    context.stack.callback(caller.join)
+    context.stack.enter_context(connection)
+    connection.recv(_PIECE_BYTES)
+    connection.sendall(
+        b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % _PIECE_BYTES
+    )
+    # Until the client has read the header.
+    time.sleep(0.2)
+
+
 @then("a blocking call is {outcome}")
 def _then_blocking_call(context, outcome):
     listener = context.stack.enter_context(
