Keep places for new callers beside idle connections

Cause: idle connections that were kept after a response could take every place of a listener (2,000). They are not in the gate, which evicts only those without a complete header, so new callers got 503. Change: at most nine tenths of the connections are kept between requests. Result: with 20 connections and 20 idle clients a new caller got 503 before and gets 200 now.

--- a/packages/peridotsill/src/peridotsill/_listener.py
+++ b/packages/peridotsill/src/peridotsill/_listener.py
@@ -28,6 +28,9 @@
 
 # While a large body arrives, so that a distant client can send it in time.
 _LARGE_RECEIVE_BUFFER_BYTES = 262144
+# The largest share of a listener's connections that are kept between two
+# requests. They are not evicted, so new callers need the others.
+_KEEP_ALIVE_SHARE = 0.9
 _NOT_ACCEPTED = _http_request.problem_response(
     "503 Service Unavailable", "too many connections are open"
 )
@@ -229,7 +232,9 @@
         self._server.body_seconds = options.body_seconds
         self._server.max_request_header_size = options.header_bytes
         self._server.max_request_body_size = options.body_bytes
-        self._server.keep_alive_conn_limit = options.connections
+        self._server.keep_alive_conn_limit = int(
+            options.connections * _KEEP_ALIVE_SHARE
+        )
         self._server.open_requests = OpenRequests()
         self._server.open_connections = OpenRequests()
         self._server.max_connections = options.connections
--- a/tests/features/client_limits.feature
+++ b/tests/features/client_limits.feature
@@ -144,3 +144,9 @@
   Scenario: A declared body that never arrives
     When a peer declares a body of the whole budget and sends nothing
     Then a blocking call is answered
+
+  # Guards against idle connections that take every place of a listener.
+  Scenario: Idle connections that were kept after a response
+    Given a listener of 4 threads and 20 connections
+    When 20 clients keep their connections after a response
+    Then a client whose request is whole gets 200
--- a/tests/features/steps/client_limits_steps.py
+++ b/tests/features/steps/client_limits_steps.py
@@ -572,3 +572,75 @@
         observed = "given up"
     assert observed == outcome, observed
     assert client._pool is pool, "the connections were replaced"
+
+
+# A listener within this process.
+
+_HEADER_SECONDS = 1.0
+_SLOW_BODY_SECONDS = 0.6
+
+
+def _read_and_answer(environ, start_response):
+    environ["wsgi.input"].read(int(environ.get("CONTENT_LENGTH") or 0))
+    start_response("200 OK", [("Content-Length", "2")])
+    return [b"{}"]
+
+
+def _start_listener(context, *, threads, connections=20, **limits):
+    listener = peridotsill.Listener(
+        options=peridotsill.ListenerOptions(
+            host="127.0.0.1",
+            port=0,
+            threads=threads,
+            connections=connections,
+            header_seconds=_HEADER_SECONDS,
+            peer_limits=peridotsill.PeerLimits(**limits),
+        ),
+        app=_read_and_answer,
+    )
+    listener.start()
+    context.stack.callback(listener.stop, 1.0)
+    context.address = listener._server.bind_addr
+
+
+@given("a listener of {threads:d} threads and {connections:d} connections")
+def _given_listener(context, threads, connections):
+    _start_listener(context, threads=threads, connections=connections)
+
+
+def _get_status(context, *parts, pause_seconds=0.0):
+    """Send the parts of a request; return the status of its response."""
+    sock = socket.create_connection(context.address, timeout=_SOCKET_SECONDS)
+    context.stack.enter_context(sock)
+    for part in parts:
+        sock.sendall(part)
+        time.sleep(pause_seconds)
+    return int(sock.recv(_PIECE_BYTES).split()[1])
+
+
+@when("{count:d} clients keep their connections after a response")
+def _when_clients_keep(context, count):
+    request = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
+    for _ in range(count):
+        assert _get_status(context, request) == 200
+        # Until the worker has given the connection back.
+        time.sleep(0.02)
+
+
+@then("a client whose request is {kind} gets {status:d}")
+def _then_client_gets(context, kind, status):
+    head = b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n"
+    if kind == "whole":
+        observed = _get_status(context, head + b"\r\n{}")
+    elif kind == "slow":
+        observed = _get_status(
+            context,
+            head + b"\r\n{",
+            b"}",
+            pause_seconds=_SLOW_BODY_SECONDS,
+        )
+    else:
+        assert kind == "long", kind
+        field = b"X-Long: " + 15000 * b"x" + b"\r\n"
+        observed = _get_status(context, head + field + b"\r\n{}")
+    assert observed == status, observed
