Let at least one thread wait for slow clients

Cause: the share of a listener's threads that may wait for slow clients was rounded down, so that with one thread, or a small share, none could, and every body that paused for more than 0.2 s was refused. Change: at least one thread may wait, and the setting is at least 0.01. Result: a body that pauses for 0.6 s at a listener with one thread failed before and is served now.

--- a/packages/peridotsill/src/peridotsill/_listener.py
+++ b/packages/peridotsill/src/peridotsill/_listener.py
@@ -241,7 +241,7 @@
         limits = options.peer_limits
         self._server.peer_limits = limits
         self._server.peer_waits = _peer_stream.PeerWaits(
-            limit=int(options.threads * limits.waiting_share)
+            limit=max(1, int(options.threads * limits.waiting_share))
         )
         self._server.body_memory = _memory_budget.MemoryBudget(
             name="body_memory_bytes",
--- a/packages/peridotsill/src/peridotsill/_peer_limits.py
+++ b/packages/peridotsill/src/peridotsill/_peer_limits.py
@@ -22,7 +22,7 @@
 
     ``connections`` may be open at the callers' listener at once, and
     ``internal_connections`` at each other one. ``waiting_share`` is the share
-    of a listener's threads that may wait for slow clients, and
+    of a listener's threads that may wait for slow clients, at least one, and
     ``response_seconds`` is how long a client may keep a response waiting,
     beside a second for each 16 KiB that it has read.
 
@@ -54,7 +54,7 @@
         minimum=8, maximum=100000, default=256
     )
     waiting_share: float = _codec.bounded(
-        minimum=0.0, maximum=0.95, default=0.67
+        minimum=0.01, maximum=0.95, default=0.67
     )
     response_seconds: float = _codec.bounded(
         minimum=0.1, maximum=3600, default=60.0
--- a/tests/features/client_limits.feature
+++ b/tests/features/client_limits.feature
@@ -150,3 +150,9 @@
     Given a listener of 4 threads and 20 connections
     When 20 clients keep their connections after a response
     Then a client whose request is whole gets 200
+
+  # Guards against a share of few threads that is rounded down to none, so
+  # that every slow body is refused.
+  Scenario: A slow body at a listener with one thread
+    Given a listener of 1 threads and 20 connections
+    Then a client whose request is slow gets 200
