--- a/packages/peridotsill/src/peridotsill/_peer_limits.py
+++ b/packages/peridotsill/src/peridotsill/_peer_limits.py
@@ -8,6 +8,10 @@
 
 from peridotsill import _codec
 
+# What a receive buffer takes beside the largest header, as the kernel counts
+# its own overhead as well.
+_RECEIVE_OVERHEAD_BYTES = 4096
+
 
 @attrs.frozen(kw_only=True)
 class PeerLimits:
@@ -18,19 +22,21 @@
     bodies of all requests to a listener may hold at once; one body of the
     allowed size always fits. ``receive_buffer_bytes`` and
     ``send_buffer_bytes`` are the sizes of a connection's buffers in the
-    kernel, which doubles them; 0 leaves them to the kernel.
+    kernel, which doubles them; 0 leaves them to the kernel. A receive buffer
+    has at least 4 KiB beside the largest header.
 
     ``connections`` may be open at the callers' listener at once, and
     ``internal_connections`` at each other one. ``waiting_share`` is the share
-    of a listener's threads that may wait for slow clients, and
+    of a listener's threads that may wait for slow clients, at least one, and
     ``response_seconds`` is how long a client may keep a response waiting,
     beside a second for each 16 KiB that it has read.
 
     ``response_bytes`` is the largest body of a response to a blocking call,
     ``runner_response_bytes`` that of one to a call to a runner, and
     ``response_header_bytes`` the largest header of both.
-    ``responses_memory_bytes`` is what the bodies of all responses may hold
-    at once. ``job_steps`` is the largest number of steps of a job.
+    ``responses_memory_bytes`` is what the bodies of all responses to blocking
+    calls may hold at once, and ``runner_responses_memory_bytes`` the same for
+    calls to runners. ``job_steps`` is the largest number of steps of a job.
     """
 
     line_bytes: int = _codec.bounded(
@@ -53,7 +59,7 @@
         minimum=8, maximum=100000, default=256
     )
     waiting_share: float = _codec.bounded(
-        minimum=0.0, maximum=0.95, default=0.67
+        minimum=0.01, maximum=0.95, default=0.67
     )
     response_seconds: float = _codec.bounded(
         minimum=0.1, maximum=3600, default=60.0
@@ -70,4 +76,20 @@
     responses_memory_bytes: int = _codec.bounded(
         minimum=65536, maximum=1 << 34, default=32 << 20
     )
+    runner_responses_memory_bytes: int = _codec.bounded(
+        minimum=65536, maximum=1 << 34, default=16 << 20
+    )
     job_steps: int = _codec.bounded(minimum=1, maximum=1 << 20, default=4096)
+
+    def with_header_space(self, header_bytes: int) -> "PeerLimits":
+        """Return these limits with receive buffers that hold a whole header.
+
+        A listener's thread gets a connection once its header is complete in
+        the kernel; one that does not fit would time out.
+        """
+        if not self.receive_buffer_bytes:
+            return self
+        size = max(
+            self.receive_buffer_bytes, header_bytes + _RECEIVE_OVERHEAD_BYTES
+        )
+        return attrs.evolve(self, receive_buffer_bytes=size)
--- a/tests/features/client_limits.feature
+++ b/tests/features/client_limits.feature
@@ -126,3 +126,39 @@
     Then each of the crowd was answered
     And an ordinary request is answered
     And the process stayed within its memory and descriptors
+
+  # Guards against runners whose stalled responses make the calls to the
+  # table fail, and against idle connections that are dropped with a call
+  # for which there is no memory.
+  Scenario Outline: Stalled responses and calls to other peers
+    When stalled responses hold the whole budget of <kind> responses
+    Then a blocking call is <outcome>
+
+    Examples:
+      | kind     | outcome  |
+      | runner   | answered |
+      | blocking | given up |
+
+  # Guards against a budget that is charged with the declared length of a
+  # body before any of it has arrived.
+  Scenario: A declared body that never arrives
+    When a peer declares a body of the whole budget and sends nothing
+    Then a blocking call is answered
+
+  # Guards against idle connections that take every place of a listener.
+  Scenario: Idle connections that were kept after a response
+    Given a listener of 4 threads and 20 connections
+    When 20 clients keep their connections after a response
+    Then a client whose request is whole gets 200
+
+  # Guards against a share of few threads that is rounded down to none, so
+  # that every slow body is refused.
+  Scenario: A slow body at a listener with one thread
+    Given a listener of 1 threads and 20 connections
+    Then a client whose request is slow gets 200
+
+  # Guards against a receive buffer that is too small for an allowed header,
+  # which is then never complete and times out.
+  Scenario: A long header at a listener with a small receive buffer
+    Given a listener with a receive buffer of 2048 bytes
+    Then a client whose request is long gets 200
--- a/tests/features/steps/client_limits_steps.py
+++ b/tests/features/steps/client_limits_steps.py
@@ -13,6 +13,7 @@
 from behave import when
 from emulator import nodes
 from emulator import wire
+import peridotsill
 import psutil
 from standins import fleet
 
@@ -52,6 +53,7 @@
         "internal_connections": 16,
         "response_bytes": 1 << 20,
         "responses_memory_bytes": 4 << 20,
+        "runner_responses_memory_bytes": 4 << 20,
     },
 }
 
@@ -494,3 +496,159 @@
 @then("its readiness is answered")
 def _then_ready(context):
     assert context.cluster.ready(context.cluster.nodes[0])
+
+
+# Budgets of one process.
+
+
+def _small_limits(kind):
+    limits = peridotsill.PeerLimits(
+        responses_memory_bytes=_PIECE_BYTES,
+        runner_responses_memory_bytes=_PIECE_BYTES,
+    )
+    if kind == "runner":
+        return peridotsill.ResponseLimits.for_runners(limits)
+    return peridotsill.ResponseLimits.for_calls(limits)
+
+
+@when("stalled responses hold the whole budget of {kind} responses")
+def _when_budget_is_held(context, kind):
+    charge = _small_limits(kind).memory.charge()
+    charge.add(_PIECE_BYTES)
+    context.stack.callback(charge.release)
+
+
+@when("a peer declares a body of the whole budget and sends nothing")
+def _when_declared_only(context):
+    listener = context.stack.enter_context(
+        socket.create_server(("127.0.0.1", 0))
+    )
+    client = peridotsill.JsonClient(
+        base=f"http://127.0.0.1:{listener.getsockname()[1]}",
+        limits=_small_limits("blocking"),
+    )
+
+    def call():
+        with contextlib.suppress(peridotsill.exceptions.PeerUnavailable):
+            client.call("GET", "/", timeout_seconds=_SOCKET_SECONDS)
+
+    caller = threading.Thread(target=call, daemon=True)
+    caller.start()
+    connection, _ = listener.accept()
+    context.stack.callback(caller.join)
+    context.stack.enter_context(connection)
+    connection.recv(_PIECE_BYTES)
+    connection.sendall(
+        b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % _PIECE_BYTES
+    )
+    # Until the client has read the header.
+    time.sleep(0.2)
+
+
+@then("a blocking call is {outcome}")
+def _then_blocking_call(context, outcome):
+    listener = context.stack.enter_context(
+        socket.create_server(("127.0.0.1", 0))
+    )
+    answer = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
+
+    def serve():
+        connection, _ = listener.accept()
+        with connection:
+            connection.recv(_PIECE_BYTES)
+            connection.sendall(answer)
+
+    threading.Thread(target=serve, daemon=True).start()
+    client = peridotsill.JsonClient(
+        base=f"http://127.0.0.1:{listener.getsockname()[1]}",
+        limits=_small_limits("blocking"),
+    )
+    context.stack.callback(client.close)
+    pool = client._pool
+    try:
+        assert client.call("GET", "/") == {}
+        observed = "answered"
+    except peridotsill.exceptions.PeerUnavailable:
+        observed = "given up"
+    assert observed == outcome, observed
+    assert client._pool is pool, "the connections were replaced"
+
+
+# A listener within this process.
+
+_HEADER_SECONDS = 1.0
+_SLOW_BODY_SECONDS = 0.6
+
+
+def _read_and_answer(environ, start_response):
+    environ["wsgi.input"].read(int(environ.get("CONTENT_LENGTH") or 0))
+    start_response("200 OK", [("Content-Length", "2")])
+    return [b"{}"]
+
+
+def _start_listener(context, *, threads, connections=20, **limits):
+    listener = peridotsill.Listener(
+        options=peridotsill.ListenerOptions(
+            host="127.0.0.1",
+            port=0,
+            threads=threads,
+            connections=connections,
+            header_seconds=_HEADER_SECONDS,
+            peer_limits=peridotsill.PeerLimits(**limits),
+        ),
+        app=_read_and_answer,
+    )
+    listener.start()
+    context.stack.callback(listener.stop, 1.0)
+    context.address = listener._server.bind_addr
+
+
+@given("a listener of {threads:d} threads and {connections:d} connections")
+def _given_listener(context, threads, connections):
+    _start_listener(context, threads=threads, connections=connections)
+
+
+@given("a listener with a receive buffer of {size:d} bytes")
+def _given_small_buffer(context, size):
+    _start_listener(context, threads=4, receive_buffer_bytes=size)
+
+
+def _get_status(context, *parts, pause_seconds=0.0):
+    """Send the parts of a request; return the status of its response."""
+    sock = socket.create_connection(context.address, timeout=_SOCKET_SECONDS)
+    context.stack.enter_context(sock)
+    for part in parts:
+        sock.sendall(part)
+        time.sleep(pause_seconds)
+    return int(sock.recv(_PIECE_BYTES).split()[1])
+
+
+@when("{count:d} clients keep their connections after a response")
+def _when_clients_keep(context, count):
+    request = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
+    for _ in range(count):
+        assert _get_status(context, request) == 200
+        # Until the worker has given the connection back.
+        time.sleep(0.02)
+
+
+@then("a client whose request is {kind} gets {status:d}")
+def _then_client_gets(context, kind, status):
+    head = b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n"
+    if kind == "whole":
+        observed = _get_status(context, head + b"\r\n{}")
+    elif kind == "slow":
+        observed = _get_status(
+            context,
+            head + b"\r\n{",
+            b"}",
+            pause_seconds=_SLOW_BODY_SECONDS,
+        )
+    else:
+        assert kind == "long", kind
+        # One segment would be received whatever the buffer's size.
+        field = b"X-Long: " + 1000 * b"x" + b"\r\n"
+        observed = _get_status(
+            context, head, *[field] * 15, b"\r\n{}", pause_seconds=0.01
+        )
+    assert observed == status, observed
