Keep VMs for late jobs, and fetch them one at a time

Cause: found in review. What late jobs wait for counted as no need, and since idle VMs go back, a pool could become too small for a late gang, which then waited for ever.

Change: a pool keeps the VMs that its late jobs can use, and gets one VM at a time from standby for them; they take none from other pools.

--- a/packages/peridotsill_scheduler/src/peridotsill_scheduler/_demand.py
+++ b/packages/peridotsill_scheduler/src/peridotsill_scheduler/_demand.py
@@ -50,7 +50,8 @@
     falls. ``waiting`` is the work, in core-seconds, of waiting tasks whose
     jobs are not late, without long-lived ones. ``ready`` is what those of
     them would reserve whose preceding steps are done. A job counts as late
-    once its objective time has passed or it has ended. ``earlier_peak`` is
+    once its objective time has passed or it has ended; ``late_ready`` is
+    what the ready tasks of such jobs would reserve. ``earlier_peak`` is
     the highest rate of earlier peaks, 0 if there was none, and
     ``remaining_cores`` and ``mean_seconds`` are as in `ArrivalRates`.
     """
@@ -62,6 +63,7 @@
     late_running: float = 0.0
     rate_growth: float = 0.0
     ready: float = 0.0
+    late_ready: float = 0.0
     earlier_peak: float = 0.0
     remaining_cores: float = 0.0
     mean_seconds: float = 0.0
@@ -108,6 +110,12 @@
             running + self.ready, self.remaining_cores + arriving
         )
 
+    @property
+    def cores_with_late_jobs(self) -> float:
+        """As `usable_cores`, and at least what all jobs can use now."""
+        startable = self.running + self.ready + self.late_ready
+        return max(self.usable_cores, self.long_lived + startable)
+
     @property
     def _rate_forecast(self) -> float:
         """Arrival rate, in cores, while a requested VM is on its way.
@@ -174,6 +182,7 @@
         late_running=totals.late_running,
         rate_growth=rates.growth,
         ready=totals.ready,
+        late_ready=totals.late_ready,
         earlier_peak=rates.earlier_peak,
         remaining_cores=rates.remaining_cores,
         mean_seconds=rates.mean_seconds,
@@ -189,6 +198,7 @@
     waiting: float = 0.0
     late_running: float = 0.0
     ready: float = 0.0
+    late_ready: float = 0.0
 
 
 # A step with waiting tasks: their number, the cores that one reserves, the
@@ -242,6 +252,7 @@
         return
     if _estimates.is_late(job, now, estimator):
         totals.late_running += figures.running
+        totals.late_ready += ready
     else:
         totals.waiting += waiting
         totals.ready += ready
@@ -303,6 +314,11 @@
     return vms_for(pool, pool.demand.usable_cores)
 
 
+def vms_with_late_jobs(pool: PoolSupply) -> int:
+    """Return how many VMs a pool's work can use, with late jobs."""
+    return vms_for(pool, pool.demand.cores_with_late_jobs)
+
+
 def vms_for(pool: PoolSupply, cores: float) -> int:
     """Return how many of a pool's VMs are needed for this many cores."""
     if pool.standby:
--- a/packages/peridotsill_scheduler/src/peridotsill_scheduler/_lending.py
+++ b/packages/peridotsill_scheduler/src/peridotsill_scheduler/_lending.py
@@ -250,6 +250,9 @@
     twice, as arriving and as waiting; and it extrapolates a rise no further
     than to somewhat above earlier peaks. Idle VMs of other pools are moved
     before those of standby pools, which are not billed.
+
+    Late jobs take no VM from other pools and get one at a time from standby
+    pools, so that none waits for ever in a pool that has become small.
     """
     wanted = {each.name: _demand.usable_vms(each) for each in pools}
     billed = [each for each in pools if not each.standby]
@@ -257,9 +260,28 @@
         billed, wanted, {each.name: each.idle for each in billed}
     )
     rest = after_moves(pools, moves)
-    return moves + _plan_transfers(
+    moves += _plan_transfers(
         rest, wanted, {each.name: each.idle + each.busy for each in rest}
     )
+    return moves + _fetch_for_late_jobs(after_moves(pools, moves))
+
+
+def _fetch_for_late_jobs(
+    pools: collections.abc.Sequence[_demand.PoolSupply],
+) -> list[Move]:
+    """Move one standby VM to the pool whose late jobs lack the most."""
+    source = next((each for each in pools if each.standby and each.idle), None)
+    target = max(
+        (each for each in pools if not each.standby),
+        key=lambda pool: _demand.vms_with_late_jobs(pool) - pool.size,
+        default=None,
+    )
+    if source is None or target is None:
+        return []
+    if _demand.vms_with_late_jobs(target) <= target.size:
+        return []
+    vm = source.idle[0]
+    return [Move(vm=vm, source=source.name, target=target.name)]
 
 
 def _plan_transfers(
--- a/packages/peridotsill_scheduler/src/peridotsill_scheduler/_returns.py
+++ b/packages/peridotsill_scheduler/src/peridotsill_scheduler/_returns.py
@@ -127,7 +127,7 @@
     surplus = {
         pool.name: min(
             len(pool.idle),
-            pool.size - _demand.usable_vms(pool) - _POOL_RESERVE_VMS,
+            pool.size - _demand.vms_with_late_jobs(pool) - _POOL_RESERVE_VMS,
         )
         for pool in pools
         if not pool.standby
--- a/tests/features/pool_sizes.feature
+++ b/tests/features/pool_sizes.feature
@@ -60,6 +60,16 @@
     When the need has been the same for 20 s
     Then no VM moves to standby
 
+  # Guards against a late gang that waits for ever in a pool that has become
+  # small, as late work fetched no VM and its idle ones went back.
+  Scenario: A late job that needs more VMs than its pool has
+    Given pool "a" with 6 VMs, 6 of them idle, whose late jobs need 9
+    And a standby pool with 9 VMs
+    When the need has been the same for 2 s
+    Then no VM moves to standby
+    When VMs are moved for what work can use
+    Then 1 VMs move from "standby" to "a"
+
   # Guards against returning nearly all VMs at the first job after a gap, when
   # the history had a single, small need in it.
   Scenario: The first job after a gap in which nothing ran
--- a/tests/features/steps/pool_size_steps.py
+++ b/tests/features/steps/pool_size_steps.py
@@ -127,6 +127,17 @@
     ]
 
 
+@behave.given(
+    'pool "{name}" with {size:d} VMs, {idle:d} of them idle, whose late jobs '
+    "need {need:d}"
+)
+def _add_late_pool(context, name, size, idle, need):
+    pool = _pool(name, size, idle, 0)
+    late_ready = need * _USABLE_CORES * 0.999
+    demand = attrs.evolve(pool.demand, rate=1.0, late_ready=late_ready)
+    context.pools = [attrs.evolve(pool, demand=demand)]
+
+
 @behave.given("a standby pool with {size:d} VMs")
 def _add_standby(context, size):
     context.pools.append(_pool("standby", size, size, 0, standby=True))
--- a/tests/features/steps/tally_steps.py
+++ b/tests/features/steps/tally_steps.py
@@ -188,7 +188,7 @@
 def _demand(job, estimator):
     objective = scheduler.objective_seconds(job, estimator)
     in_time = not job.final and _NOW - job.arrived_at < objective
-    long_lived = running = waiting = ready = 0.0
+    long_lived = running = waiting = ready = late_ready = 0.0
     unfinished = {
         task.step.index for task in job.tasks if task.phase is not _Phase.DONE
     }
@@ -206,8 +206,11 @@
         if in_time:
             seconds = estimator.task_seconds("q", step)
             waiting += cores * seconds * phases[_Phase.WAITING]
-            if unfinished.isdisjoint(step.after):
+        if unfinished.isdisjoint(step.after) and not job.final:
+            if in_time:
                 ready += cores * phases[_Phase.WAITING]
+            else:
+                late_ready += cores * phases[_Phase.WAITING]
     return scheduler.PoolDemand(
         long_lived=long_lived,
         running=running,
@@ -215,6 +218,7 @@
         waiting=waiting,
         late_running=0.0 if in_time else running,
         ready=ready,
+        late_ready=late_ready,
     )
 
 
