Extend the time of a response by what arrives

Change: each 16 KiB that arrive extend the deadline by 1 s, by 30 s at most. A peer that sends a byte at a time is given up as before.

--- a/packages/peridotsill/src/peridotsill/_bounded_connection.py
+++ b/packages/peridotsill/src/peridotsill/_bounded_connection.py
@@ -18,18 +18,28 @@
 _READ_AHEAD_BYTES = 8192
 
 
+# What arrives extends the deadline of a response at this rate, so that large
+# rows pass on a slow link: a configuration of 1,600 queues takes seconds at
+# 5 Mbit/s. A peer that sends a byte at a time gains nothing by it.
+_LEAST_BYTES_PER_SECOND = 16384
+_MAX_EXTENSION_SECONDS = 30.0
+
+
 class BoundedSocket(socket.socket):
     """A socket whose reads share a deadline and a number of bytes.
 
-    ``deadline`` is in monotonic seconds, and ``allowed_bytes`` counts down.
+    ``deadline`` is in monotonic seconds, ``extension_seconds`` is by how much
+    received bytes may still extend it, and ``allowed_bytes`` counts down.
     """
 
     deadline = float("inf")
+    extension_seconds = 0.0
     allowed_bytes = float("inf")
 
     def limit_reads(self, *, seconds: float, size: float) -> None:
         """Let all further reads take at most this time, and bytes."""
         self.deadline = time.monotonic() + seconds
+        self.extension_seconds = _MAX_EXTENSION_SECONDS
         self.allowed_bytes = size
 
     def recv_into(self, *args: typing.Any, **kwargs: typing.Any) -> int:
@@ -45,6 +55,11 @@
                 raise TimeoutError("timed out")
             self.settimeout(min(remaining_seconds, 3600.0))
         count = super().recv_into(*args, **kwargs)
+        extension = min(
+            count / _LEAST_BYTES_PER_SECOND, self.extension_seconds
+        )
+        self.extension_seconds -= extension
+        self.deadline += extension
         self.allowed_bytes -= count
         if self.allowed_bytes < 0:
             _limit_hits.record("response_header_bytes")
--- a/tests/features/calls.feature
+++ b/tests/features/calls.feature
@@ -173,6 +173,13 @@
     Then call 1 failed, and the peer may have received it
     And it was given up within 1 s
 
+  # Guards against CONFIG: a large configuration could not be read over a slow
+  # link, as the time for the whole answer had passed, again and again.
+  Scenario: A blocking client reads a large answer over a slow link
+    Given a peer whose answer of 400 KiB takes 2 s to arrive
+    When a blocking client calls it 1 times
+    Then call 1 was answered
+
   # Guards against LOST: an odd address in another writer's row ends a thread.
   Scenario Outline: A blocking client of an odd address sends nothing (<base>)
     When a blocking client of "<base>" is called
--- a/tests/features/steps/calls_steps.py
+++ b/tests/features/steps/calls_steps.py
@@ -443,6 +443,24 @@
     _start_peer(context, serve)
 
 
+@given("a peer whose answer of {size:d} KiB takes {seconds:d} s to arrive")
+def _given_slow_link(context, size, seconds):
+    content = b'{"a": 1' + b" " * (size * 1024) + b"}"
+    parts = 20
+
+    def serve(sock, number):
+        if not _read_request(sock):
+            return
+        header = f"HTTP/1.1 200 OK\r\nContent-Length: {len(content)}\r\n\r\n"
+        sock.sendall(header.encode())
+        step = len(content) // parts + 1
+        for start in range(0, len(content), step):
+            time.sleep(seconds / parts)
+            sock.sendall(content[start : start + step])
+
+    _start_peer(context, serve)
+
+
 @given("a peer that ends each answer by closing the connection")
 def _given_peer_without_lengths(context):
     def serve(sock, number):
