Work out the growth of a rate once, and record a need where it is used

The forecast of usable cores had a copy of the growth of cores_forecast, with a factor of 1.0; the history of the need was recorded under the policy never as well, which every deployment without teams has, and was cleared in two places; the comment on its window described an earlier value.

Change: one property for the growth, one method that forgets old needs, and the need is recorded by the policy that reads it. The step that plays a gap uses that policy; its assertion stands.

--- a/packages/peridotsill_scheduler/src/peridotsill_scheduler/_demand.py
+++ b/packages/peridotsill_scheduler/src/peridotsill_scheduler/_demand.py
@@ -16,8 +16,6 @@
 _FORECAST_SECONDS = _arrivals.RATE_WINDOW_SECONDS / 2 + 1.5
 # A rise is extrapolated to this multiple of earlier peaks, and not beyond.
 _PEAK_MARGIN_FACTOR = 1.25
-# Largest extrapolated growth, as a share of the present rate.
-_MAX_GROWTH = 1.0
 # Waiting work should be started within this time, which is about the slack
 # that an objective leaves.
 _BACKLOG_START_SECONDS = 1.2
@@ -87,9 +85,8 @@
         jobs in a window are a weak basis for a trend.
         """
         running = self.running - self.late_running
-        forecast_growth = min(self.rate_growth * _FORECAST_SECONDS, self.rate)
         return self.long_lived + max(
-            running, self._unstarted_work_cores + forecast_growth
+            running, self._unstarted_work_cores + self._forecast_growth
         )
 
     @property
@@ -123,13 +120,14 @@
         Of a rise in one step the window shows a growth that goes on when the
         rate no longer rises, so that the extrapolation has bounds.
         """
-        growth = min(
-            self.rate_growth * _FORECAST_SECONDS, self.rate * _MAX_GROWTH
-        )
         bound = self.earlier_peak * _PEAK_MARGIN_FACTOR
-        forecast = self.rate + growth
+        forecast = self.rate + self._forecast_growth
         return min(forecast, bound) if self.rate <= bound else forecast
 
+    @property
+    def _forecast_growth(self) -> float:
+        return min(self.rate_growth * _FORECAST_SECONDS, self.rate)
+
     @property
     def _unstarted_work_cores(self) -> float:
         return self.rate + self.waiting / _BACKLOG_START_SECONDS
--- a/packages/peridotsill_scheduler/src/peridotsill_scheduler/_returns.py
+++ b/packages/peridotsill_scheduler/src/peridotsill_scheduler/_returns.py
@@ -6,8 +6,8 @@
 from peridotsill_scheduler import _demand
 from peridotsill_scheduler import _lending
 
-# The total need of the pools is looked back on for this long: longer than a
-# turn of a demand that goes round, so that VMs stay for its next peak.
+# The total need of the pools is looked back on for this long, so that a short
+# lull returns nothing.
 _NEED_WINDOW_SECONDS = 1.5
 # What is kept, as a multiple of the highest total need in the window. A VM
 # that was returned and is needed again is missing for two moves.
@@ -38,16 +38,18 @@
         while self._peaks and self._peaks[-1][1] <= need:
             self._peaks.pop()
         self._peaks.append((now, need))
-        while self._peaks and self._peaks[0][0] < now - _NEED_WINDOW_SECONDS:
-            self._peaks.popleft()
+        self._forget_old(now)
 
     def peak(self, now: float) -> int | None:
         """Return the highest need in the window, None if it isn't covered."""
         if now - self._first_at < _NEED_WINDOW_SECONDS:
             return None
+        self._forget_old(now)
+        return self._peaks[0][1] if self._peaks else None
+
+    def _forget_old(self, now: float) -> None:
         while self._peaks and self._peaks[0][0] < now - _NEED_WINDOW_SECONDS:
             self._peaks.popleft()
-        return self._peaks[0][1] if self._peaks else None
 
 
 ReturnPolicy = collections.abc.Callable[
@@ -85,13 +87,9 @@
     Args:
         policy: Name of the policy.
         pools: All pools, as they are after the moves that were planned.
-        history: Gets the present total need if any work arrives or runs.
-            Otherwise nothing is known of the need.
+        history: What the policy remembers from one decision to the next.
         now: Seconds of the monotonic clock.
     """
-    if any(pool.demand.rate or pool.demand.running for pool in pools):
-        need = sum(_demand.usable_vms(pool) for pool in pools)
-        history.record(now, need)
     return _policies[policy](pools, history, now)
 
 
@@ -117,7 +115,11 @@
     reserve: a move from there takes as long as one from standby, and costs
     one move less. So the sum over all pools decides how many are kept, and
     deployments that need nearly all of their VMs return none.
+
+    While no work arrives or runs, nothing is known of the need.
     """
+    if any(pool.demand.rate or pool.demand.running for pool in pools):
+        history.record(now, sum(_demand.usable_vms(pool) for pool in pools))
     target = next((pool for pool in pools if pool.standby), None)
     peak = history.peak(now)
     if target is None or peak is None:
--- a/tests/features/steps/pool_size_steps.py
+++ b/tests/features/steps/pool_size_steps.py
@@ -173,7 +173,7 @@
     ]
     for tick in range(100):
         pools = context.pools if tick < 50 else silent
-        scheduler.plan_returns("never", pools, context.history, tick * 0.2)
+        scheduler.plan_returns("unneeded", pools, context.history, tick * 0.2)
 
 
 @behave.then("the first job afterwards returns no VM")
