Limit repeated log lines in one place

Three parts of it each had a dictionary of times and a count of the lines left out: the limits on peers, refused calls and reservations.

Change: LogLimiter, which all three use. What is logged is the same.

--- a/packages/peridotsill/src/peridotsill/__init__.py
+++ b/packages/peridotsill/src/peridotsill/__init__.py
@@ -30,6 +30,7 @@
 from peridotsill._limit_hits import record as record_limit
 from peridotsill._listener import Listener
 from peridotsill._listener import ListenerOptions
+from peridotsill._log_limiter import LogLimiter
 from peridotsill._model import Config
 from peridotsill._model import CONFIG_HISTORY_PREFIX
 from peridotsill._model import CONFIG_KEY
@@ -117,6 +118,7 @@
     "Limits",
     "Listener",
     "ListenerOptions",
+    "LogLimiter",
     "NodeRow",
     "OutcomeFuture",
     "Owner",
--- a/packages/peridotsill/src/peridotsill/_limit_hits.py
+++ b/packages/peridotsill/src/peridotsill/_limit_hits.py
@@ -10,13 +10,14 @@
 
 import eliot
 
+from peridotsill import _log_limiter
+
 # A peer may reach a limit thousands of times a second.
 _LOG_PERIOD_SECONDS = 10.0
 
 _lock = threading.Lock()
 _counts: collections.Counter[str] = collections.Counter()
-_logged_counts: collections.Counter[str] = collections.Counter()
-_next_log_at: dict[str, float] = {}
+_limiter = _log_limiter.LogLimiter(period_seconds=_LOG_PERIOD_SECONDS)
 
 
 def record(limit: str, detail: str = "") -> None:
@@ -26,16 +27,16 @@
         limit: The limit's name, such as ``connections``.
         detail: What is known of the peer or the size.
     """
-    now = time.monotonic()
     with _lock:
         _counts[limit] += 1
-        if now < _next_log_at.get(limit, 0.0):
-            return
-        _next_log_at[limit] = now + _LOG_PERIOD_SECONDS
-        count = _counts[limit] - _logged_counts[limit]
-        _logged_counts[limit] = _counts[limit]
+    left_out = _limiter.admit(limit, time.monotonic())
+    if left_out is None:
+        return
     eliot.log_message(
-        message_type="peer:limit", limit=limit, count=count, detail=detail
+        message_type="peer:limit",
+        limit=limit,
+        count=left_out + 1,
+        detail=detail,
     )
 
 
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_key_checks.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_key_checks.py
@@ -1,9 +1,7 @@
 """Decides by a call's key whether the call is served, and for which team."""
 
-import collections
 import collections.abc
 import http
-import threading
 import typing
 
 import attrs
@@ -87,7 +85,9 @@
         self._environ_key = f"HTTP_{key_header.upper().replace('-', '_')}"
         self._has_header = bool(key_header)
         self._revocation_seconds = revocation_seconds
-        self._log = _RefusalLog()
+        self._log_limiter = peridotsill.LogLimiter(
+            period_seconds=_LOG_PERIOD_SECONDS
+        )
         self.challenge = "ApiKey"
         if key_header:
             self.challenge = f'ApiKey header="{key_header}"'
@@ -152,32 +152,14 @@
     ) -> Refusal:
         """Count and log a refusal, and return it."""
         self._counters.add("calls_refused", reason=reason)
-        config = self._catalog.config
-        self._log.add(reason, queue.name, config.version if config else 0)
+        left_out = self._log_limiter.admit(reason, _clock.monotonic_seconds())
+        if left_out is not None:
+            config = self._catalog.config
+            _logs.log(
+                "call:refused",
+                reason=reason,
+                queue=queue.name,
+                config=config.version if config else 0,
+                left_out=left_out,
+            )
         return refusal
-
-
-class _RefusalLog:
-    """Logs refused calls, at most one in a period for each reason."""
-
-    def __init__(self) -> None:
-        self._logged_at: dict[str, float] = {}
-        self._left_out: collections.Counter[str] = collections.Counter()
-        self._lock = threading.Lock()
-
-    def add(self, reason: str, queue: str, config: int) -> None:
-        now = _clock.monotonic_seconds()
-        with self._lock:
-            last = self._logged_at.get(reason, float("-inf"))
-            if now - last < _LOG_PERIOD_SECONDS:
-                self._left_out[reason] += 1
-                return
-            self._logged_at[reason] = now
-            left_out = self._left_out.pop(reason, 0)
-        _logs.log(
-            "call:refused",
-            reason=reason,
-            queue=queue,
-            config=config,
-            left_out=left_out,
-        )
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_placements.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_placements.py
@@ -37,8 +37,9 @@
         self._workers = workers
         self._counters = counters
         self._memories: dict[str, peridotsill_scheduler.ReservationMemory] = {}
-        self._logged_at: dict[str, float] = {}
-        self._unlogged: dict[str, int] = {}
+        self._log_limiter = peridotsill.LogLimiter(
+            period_seconds=_LOG_PERIOD_SECONDS
+        )
 
     @contextlib.contextmanager
     def in_round(
@@ -93,10 +94,9 @@
         else:
             kind = "reserved"
             self._counters.add("reservations")
-        if now < self._logged_at.get(kind, -1e9) + _LOG_PERIOD_SECONDS:
-            self._unlogged[kind] = self._unlogged.get(kind, 0) + 1
+        unlogged = self._log_limiter.admit(kind, now)
+        if unlogged is None:
             return
-        self._logged_at[kind] = now
         queue, job, occurrence, step = change.key
         _logs.log(
             f"placement:{kind}",
@@ -108,5 +108,5 @@
             runners=sorted(runner for runner, _ in change.runners),
             wait_seconds=round(change.wait_seconds, 3),
             reason=change.reason,
-            unlogged=self._unlogged.pop(kind, 0),
+            unlogged=unlogged,
         )
