State the slowest transfer that counts as progress once

The rate below which a peer is given up stood twice, for responses that are sent and that are received; and the count of waiting threads still handled a limit of 0, which the listener no longer sets.

Change: one constant, and a plain semaphore.

--- a/packages/peridotsill/src/peridotsill/_bounded_connection.py
+++ b/packages/peridotsill/src/peridotsill/_bounded_connection.py
@@ -13,15 +13,14 @@
 import urllib3.connection
 
 from peridotsill import _limit_hits
+from peridotsill import _peer_limits
 
 # What `http.client` reads ahead of the part of a response that it parses.
 _READ_AHEAD_BYTES = 8192
 
-
-# What arrives extends the deadline of a response at this rate, so that large
-# rows pass on a slow link: a configuration of 1,600 queues takes seconds at
-# 5 Mbit/s. A peer that sends a byte at a time gains nothing by it.
-_LEAST_BYTES_PER_SECOND = 16384
+# By how much what arrives may extend the deadline of a response, so that
+# large rows pass on a slow link: a configuration of 1,600 queues takes
+# seconds at 5 Mbit/s.
 _MAX_EXTENSION_SECONDS = 30.0
 
 
@@ -56,7 +55,7 @@
             self.settimeout(min(remaining_seconds, 3600.0))
         count = super().recv_into(*args, **kwargs)
         extension = min(
-            count / _LEAST_BYTES_PER_SECOND, self.extension_seconds
+            count / _peer_limits.MIN_BYTES_PER_SECOND, self.extension_seconds
         )
         self.extension_seconds -= extension
         self.deadline += extension
--- a/packages/peridotsill/src/peridotsill/_peer_limits.py
+++ b/packages/peridotsill/src/peridotsill/_peer_limits.py
@@ -8,6 +8,9 @@
 
 from peridotsill import _codec
 
+# A peer that sends a response, or reads one, at least this fast is not given
+# up for its time. One that moves a byte at a time gains nothing by it.
+MIN_BYTES_PER_SECOND = 16384
 # What a receive buffer takes beside the largest header, as the kernel counts
 # its own overhead as well.
 _RECEIVE_OVERHEAD_BYTES = 4096
--- a/packages/peridotsill/src/peridotsill/_peer_stream.py
+++ b/packages/peridotsill/src/peridotsill/_peer_stream.py
@@ -15,13 +15,12 @@
 from cheroot import makefile
 
 from peridotsill import _limit_hits
+from peridotsill import _peer_limits
 from peridotsill import exceptions
 
 # How long a request may keep a thread waiting in all before it needs one of
 # the limited places. Parts of an ordinary request arrive within a round trip.
 _GRACE_SECONDS = 0.2
-# A client that reads a response at least this fast is not given up.
-_MIN_READ_BYTES_PER_SECOND = 16384
 _READ_BYTES = 65536
 
 
@@ -29,21 +28,19 @@
     """Counts the threads of a listener that wait for slow clients.
 
     Args:
-        limit: How many may wait at once.
+        limit: How many may wait at once; at least 1.
     """
 
     def __init__(self, *, limit: int) -> None:
-        self._places = threading.BoundedSemaphore(limit) if limit else None
+        self._places = threading.BoundedSemaphore(limit)
 
     def acquire(self) -> bool:
         """Take a place; return false if none is free."""
-        places = self._places
-        return places is not None and places.acquire(blocking=False)
+        return self._places.acquire(blocking=False)
 
     def release(self) -> None:
         """Give a place back."""
-        if self._places is not None:
-            self._places.release()
+        self._places.release()
 
 
 class PeerStream(io.RawIOBase):
@@ -118,7 +115,7 @@
     def _wait_for_reader(self) -> None:
         allowed_seconds = (
             self._response_seconds
-            + self._written_bytes / _MIN_READ_BYTES_PER_SECOND
+            + self._written_bytes / _peer_limits.MIN_BYTES_PER_SECOND
         )
         remaining_seconds = allowed_seconds - self._write_wait_seconds
         if remaining_seconds <= 0:
