Play a start that reaches an unknown lifetime as its scheduler is killed

Cause: no test had a next lifetime that neither rows nor registry name, on a runner that had been up for long.

--- a/tests/features/former_calls.feature
+++ b/tests/features/former_calls.feature
@@ -83,3 +83,15 @@
       | heard |
       | 0.3   |
       | 2.0   |
+
+  # Guards against TWICE: a start was open as the scheduler was killed, and had
+  # begun a run in a next lifetime that neither the rows nor the registry had.
+  # The next scheduler waited by the age of the former one.
+  Scenario: A runner starts again unheard of, and the scheduler is killed
+    Given 3 job nodes with 8 VMs in "trails" and 0 in standby
+    And its runners have been up for 24 s
+    When a runner crashes as it gets a start, starts again unheard of and carries it out
+    And the scheduler is killed and started again
+    And the cut ends after 13 s
+    Then all jobs are completed within 40 s
+    And no rule is broken
--- a/tests/features/steps/former_call_steps.py
+++ b/tests/features/steps/former_call_steps.py
@@ -349,16 +349,20 @@
     time.sleep(seconds)
 
 
-@when("a runner crashes as it gets a start, starts again and carries it out")
-def _crash_at_start(context):
+def _crash_at_start(context, start_again):
+    """Let the first runner that gets a start crash, and start a job.
+
+    ``start_again`` takes it, and returns the next lifetime of it.
+    """
     world = context.cluster.world
     context.reborn = []
     is_armed = threading.Lock()
 
     def restart(runner, body):
         time.sleep(0.1)
-        successor = world.restart(runner)
+        successor = start_again(world, runner)
         successor.start(body, delayed=True)
+        _cut_off(successor, successor.faults.unregistered)
         context.reborn.append(successor)
 
     def crash(runner):
@@ -386,6 +390,28 @@
     nodes.wait_for(lambda: context.reborn, 5.0, "a start that came late")
 
 
+def _cut_off(runner, is_cut_off):
+    runner.faults.silent = is_cut_off
+    runner.faults.unregistered = is_cut_off
+
+
+@when("a runner crashes as it gets a start, starts again and carries it out")
+def _restart_at_start(context):
+    _crash_at_start(context, lambda world, runner: world.restart(runner))
+
+
+@when(
+    "a runner crashes as it gets a start, starts again unheard of and carries "
+    "it out"
+)
+def _restart_unheard_of(context):
+    def restart(world, runner):
+        world.begin_restart(runner, is_silent=True)
+        return world.end_restart(runner, reaches_store=False)
+
+    _crash_at_start(context, restart)
+
+
 @when(
     "it is cut off {heard:g} s later, and the scheduler is killed and started "
     "again"
@@ -393,9 +419,13 @@
 def _cut_and_kill(context, heard):
     time.sleep(heard)
     (runner,) = context.reborn
-    runner.faults.silent = True
-    runner.faults.unregistered = True
+    _cut_off(runner, True)
     time.sleep(0.2)
+    _kill_scheduler(context)
+
+
+@when("the scheduler is killed and started again")
+def _kill_scheduler(context):
     node = context.cluster.scheduler()
     node.kill()
     node.process.wait()
@@ -406,5 +436,4 @@
 def _cut_ends(context, seconds):
     time.sleep(seconds)
     (runner,) = context.reborn
-    runner.faults.silent = False
-    runner.faults.unregistered = False
+    _cut_off(runner, False)
