Record which starts may be unanswered, for the next scheduler

Cause: only the killed scheduler knew that the start was unanswered. The next lifetime of the runner, which had executed it, was in no row and in no registry, so the next scheduler waited 3.9 s where the run may last 10 s.

Change: a checkpoint of unanswered starts, at most once a second, mostly in a commit that is made anyway. The next scheduler treats what it lists, and what was started since, like its own unanswered starts. A scheduler that leaves also hands over the wait for a start that is on its way.

--- a/packages/peridotsill/src/peridotsill/_counters.py
+++ b/packages/peridotsill/src/peridotsill/_counters.py
@@ -21,6 +21,7 @@
     "job_call_seconds": "Time from a job call to its answer.",
     "peer_limits": "Limits that peers reached, by the limit.",
     "starts": "Starts of tasks by outcome.",
+    "start_checkpoints": "Checkpoints of unanswered starts by outcome.",
     "ends": "Ends of runs by kind.",
     "team_starts": "Starts within and beyond the rates of their teams.",
     "tasks_lost": "Tasks that lost their run, by the reason.",
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_controller.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_controller.py
@@ -32,6 +32,7 @@
 from peridotsill_jobs import _links
 from peridotsill_jobs import _live_settings
 from peridotsill_jobs import _logs
+from peridotsill_jobs import _open_starts
 from peridotsill_jobs import _placements
 from peridotsill_jobs import _ports
 from peridotsill_jobs import _round_timing
@@ -99,6 +100,9 @@
             lease=parts.lease,
             counters=parts.counters,
             limits=parts.ports.table_limits,
+            get_open_starts=lambda: self._workers.open_starts(
+                self._max_lease_seconds
+            ),
         )
         self._call_loop = peridotsill.CallLoop(
             on_error=_log_failed_call,
@@ -266,6 +270,7 @@
                 if task.active:
                     self._workers.adopt(job, task)
             self._record_arrival(job)
+        self._adopt_open_starts(jobs)
         for job in self._job_store.cancelled:
             self._runs.cancel(job)
         self._suspects.adopt()
@@ -274,6 +279,23 @@
             "scheduler:began", epoch=self._parts.lease.epoch, jobs=len(jobs)
         )
 
+    def _adopt_open_starts(
+        self, jobs: tuple[peridotsill_scheduler.Job, ...]
+    ) -> None:
+        """Record which starts of earlier schedulers may be unanswered."""
+        sent_before = max(
+            _clock.monotonic_seconds(), self._parts.lease.earlier_grants_end_at
+        )
+        inherited = [
+            (task.runner, (job.spec.id, task.key, task.run))
+            for job in jobs
+            for task in job.tasks
+            if task.active and self._job_store.may_start_be_open(job, task)
+        ]
+        for runner, run in inherited:
+            self._workers.record_inherited_start(runner, run, sent_before)
+        _open_starts.log_inherited(inherited)
+
     def _compute_waits(self) -> dict[str, float]:
         max_lease_seconds = self._max_lease_seconds
         return _handed_over_waits.fit_waits(
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_former_calls.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_former_calls.py
@@ -7,11 +7,13 @@
 were started properly since.
 """
 
+import collections.abc
 import typing
 
 from peridotsill_jobs import _clock
 
 if typing.TYPE_CHECKING:
+    from peridotsill_jobs import _late_starts
     from peridotsill_jobs import _workers
 
 # A call that got no answer is taken to be executed within this time, if at
@@ -90,20 +92,49 @@
         worker: The runner.
         max_lease_seconds: The platform's longest lease of a run.
 
+    Returns:
+        The seconds, negative if all starts were answered, or long ago.
+    """
+    placed = tuple(worker.placed.values())
+    if any(worker.link.may_have_begun(each.name, each.run) for each in placed):
+        return effect_seconds(max_lease_seconds)
+    return open_seconds(
+        worker.late_starts, (each.id for each in placed), max_lease_seconds
+    )
+
+
+def open_seconds(
+    late_starts: "_late_starts.LateStarts",
+    runs: collections.abc.Iterable["_late_starts.RunId"],
+    max_lease_seconds: float,
+) -> float:
+    """Return how long runs may last by what is known of their starts.
+
+    Args:
+        late_starts: The unanswered starts of their runner.
+        runs: The runs.
+        max_lease_seconds: The platform's longest lease of a run.
+
     Returns:
         The seconds, negative if all starts were answered, or long ago.
     """
     newest_at = max(
-        (
-            worker.late_starts.unanswered_at(each.id)
-            for each in tuple(worker.placed.values())
-        ),
+        (late_starts.unanswered_at(each) for each in runs),
         default=float("-inf"),
     )
     ends_at = newest_at + effect_seconds(max_lease_seconds)
     return ends_at - _clock.monotonic_seconds()
 
 
+def may_last(
+    late_starts: "_late_starts.LateStarts",
+    run: "_late_starts.RunId",
+    max_lease_seconds: float,
+) -> bool:
+    """Tell whether a run may last whose start got no answer."""
+    return open_seconds(late_starts, (run,), max_lease_seconds) > 0
+
+
 def affected_runs(
     worker: "_workers.Worker", max_lease_seconds: float
 ) -> list["_workers.PlacedTask"]:
@@ -119,10 +150,8 @@
     runs = [*worker.placed.values(), *worker.abandoned.values()]
     if lease_seconds(worker, max_lease_seconds) >= 0:
         return runs
-    now = _clock.monotonic_seconds()
-    latest = now - effect_seconds(max_lease_seconds)
     return [
         each
         for each in runs
-        if worker.late_starts.unanswered_at(each.id) > latest
+        if may_last(worker.late_starts, each.id, max_lease_seconds)
     ]
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_job_store.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_job_store.py
@@ -15,6 +15,7 @@
 from peridotsill_jobs import _pending
 from peridotsill_jobs import _progress_rows
 from peridotsill_jobs import _records
+from peridotsill_jobs import _start_checkpoints
 from peridotsill_jobs import _tombstones
 from peridotsill_jobs import _write_fence
 import peridotsill_platform
@@ -67,6 +68,7 @@
 def _transaction(
     batch: list[_JobWrites],
     fence_checks: tuple[peridotsill_platform.Check, ...],
+    other_writes: tuple[peridotsill_platform.Write, ...] = (),
 ) -> peridotsill_platform.Transaction:
     writes = [write for each in batch for write in each.writes]
     row_checks = (
@@ -75,9 +77,12 @@
     )
     return peridotsill_platform.Transaction(
         checks=(*fence_checks, *row_checks),
-        writes=tuple(
-            peridotsill_platform.Write(key=each.key, value=each.value)
-            for each in writes
+        writes=(
+            *(
+                peridotsill_platform.Write(key=each.key, value=each.value)
+                for each in writes
+            ),
+            *other_writes,
         ),
     )
 
@@ -99,6 +104,10 @@
         lease: _lease.Lease,
         counters: peridotsill.Counters,
         limits: peridotsill_platform.TableLimits = _DEFAULT_LIMITS,
+        get_open_starts: collections.abc.Callable[
+            [], _start_checkpoints.OpenStarts
+        ]
+        | None = None,
     ) -> None:
         self._table = table
         self._limits = limits
@@ -110,6 +119,9 @@
         self._catalog = catalog
         self._lease = lease
         self._fence = _write_fence.WriteFence(table=table, lease=lease)
+        self._start_checkpoints = _start_checkpoints.StartCheckpoints(
+            table=table, counters=counters, get_open_starts=get_open_starts
+        )
         self._counters = counters
         self._jobs: dict[_JobKey, peridotsill_scheduler.Job] = {}
         self._by_id: dict[str, list[peridotsill_scheduler.Job]] = {}
@@ -143,6 +155,20 @@
         """
         return frozenset(self._quarantined_keys)
 
+    def may_start_be_open(
+        self, job: peridotsill_scheduler.Job, task: peridotsill_scheduler.Task
+    ) -> bool:
+        """Tell whether an earlier scheduler's start may be unanswered.
+
+        Args:
+            job: A job as it was loaded.
+            task: A task of it that its row has on a runner.
+        """
+        run = (job.spec.id, task.key, task.run)
+        return self._start_checkpoints.inherited.may_be_open(
+            task.runner, run, job.row_version
+        )
+
     def pop_ended_arrivals(self) -> list[tuple[float, str]]:
         """Return when jobs of teams arrived that had ended when loaded.
 
@@ -165,7 +191,10 @@
 
         Earlier schedulers can't write any of them from then on.
         """
-        if not self._fence.claim():
+        if not (
+            self._fence.claim()
+            and self._start_checkpoints.load(self._fence.version)
+        ):
             return None
         revision: int | None = None
         rows = []
@@ -397,8 +426,31 @@
             for key in settled:
                 self._dirty.pop(key, None)
             on_written([key for key in settled if key not in conflicts])
+        self._write_checkpoint()
         return frozenset(reread_keys)
 
+    def _write_checkpoint(self) -> None:
+        """Write a checkpoint of starts if one is due with no job to write."""
+        if not self._lease.held:
+            return
+        writes = self._start_checkpoints.prepare()
+        if not writes:
+            return
+        outcome = self._table.commit(
+            _transaction([], self._fence.checks, writes)
+        )
+        match outcome:
+            case result.Success():
+                self._start_checkpoints.record_written()
+                return
+            case result.Failure(
+                peridotsill_platform.exceptions.Conflict() as error
+            ):
+                self._fence.handle_conflict(error.keys)
+            case result.Failure(error):
+                _logs.log("starts:checkpoint_failed", reason=str(error))
+        self._start_checkpoints.record_failed()
+
     def is_rejected(self, job: peridotsill_scheduler.Job) -> bool:
         """Tell whether the table has rejected a job's changed rows.
 
@@ -440,15 +492,17 @@
         """Commit a batch; return the keys as `commit` does."""
         reread_keys: set[_JobKey] = set()
         remaining = list(batch)
+        checkpoint = self._start_checkpoints.prepare()
         while remaining:
             started_at = time.monotonic()
             outcome = self._table.commit(
-                _transaction(remaining, self._fence.checks)
+                _transaction(remaining, self._fence.checks, checkpoint)
             )
             elapsed = time.monotonic() - started_at
             self._counters.observe("commit_seconds", elapsed)
             match outcome:
                 case result.Success(revision):
+                    self._start_checkpoints.record_written()
                     for each in remaining:
                         self._record_written(each, int(revision))
                     break
@@ -489,6 +543,7 @@
 
     def _record_written(self, written: _JobWrites, revision: int) -> None:
         job = written.job
+        self._start_checkpoints.record_revision(revision)
         self._retry_at.pop(job.key, None)
         for each in written.writes:
             self._record_row(job, each, revision)
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_late_starts.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_late_starts.py
@@ -36,6 +36,11 @@
     def __init__(self) -> None:
         self._unanswered_at: dict[RunId, float] = {}
 
+    @property
+    def runs(self) -> tuple[RunId, ...]:
+        """The runs of all starts that are remembered."""
+        return tuple(self._unanswered_at)
+
     @property
     def pending(self) -> list[RunId]:
         """The runs that may still begin."""
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_workers.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_workers.py
@@ -13,8 +13,10 @@
 from peridotsill_jobs import _lease
 from peridotsill_jobs import _links
 from peridotsill_jobs import _logs
+from peridotsill_jobs import _open_starts
 from peridotsill_jobs import _ports
 from peridotsill_jobs import _reserved_room
+from peridotsill_jobs import _start_checkpoints
 import peridotsill_scheduler
 
 # A runner that has not answered for this long may be lost: one poll and its
@@ -398,6 +400,7 @@
         self._candidates: dict[str, Worker] = {}
         self._awaiting_runner: dict[str, list[JobTask]] = {}
         self._awaiting_since: dict[str, float] = {}
+        self._unlisted_starts = _open_starts.UnlistedStarts()
         # By runner, lifetimes that the platform has shown to have ended. A
         # late write may bring their entries back.
         self._departed: dict[str, frozenset[int]] = {}
@@ -448,6 +451,40 @@
             return
         self.place(worker, job, task, last_answered_at=0.0)
 
+    def record_inherited_start(
+        self,
+        runner: str,
+        run: _late_starts.RunId,
+        sent_before: float,
+    ) -> None:
+        """Record that a start of an earlier scheduler may be unanswered.
+
+        Args:
+            runner: The runner.
+            run: The run.
+            sent_before: By when it was sent, and the last poll that extends
+                leases there, in seconds of `_clock.monotonic_seconds`.
+        """
+        worker = self._workers.get(runner)
+        if worker is None:
+            self._unlisted_starts.record(runner, run, sent_before)
+        else:
+            worker.late_starts.record(run, sent_before)
+
+    def _late_starts_of(self, runner: str) -> _late_starts.LateStarts:
+        worker = self._workers.get(runner)
+        if worker is None:
+            return self._unlisted_starts.get(runner)
+        return worker.late_starts
+
+    def open_starts(
+        self, max_lease_seconds: float
+    ) -> _start_checkpoints.OpenStarts:
+        """Return the starts whose runs may begin, or last, unanswered."""
+        return _open_starts.collect(
+            self, self._unlisted_starts, max_lease_seconds
+        )
+
     def place(
         self,
         worker: Worker,
@@ -575,6 +612,7 @@
     def _add(self, entry: _ports.RunnerEntry) -> None:
         worker = self._make_worker(entry)
         worker.gone = entry.lifetime in self._departed.get(entry.id, ())
+        worker.late_starts = self._unlisted_starts.take(entry.id)
         self._workers[entry.id] = worker
         awaiting = self._awaiting_runner.get(entry.id, [])
         for job, task in tuple(awaiting):
@@ -698,9 +736,14 @@
         ]
 
     def _has_runs_to_lose(self, runner: str, evidence: str) -> bool:
-        if self._awaiting_runner.get(runner):
-            return True
-        worker = self._workers[runner]
+        lost, _ = _open_starts.split_kept(
+            self._awaiting_runner.get(runner, []),
+            self._late_starts_of(runner),
+            evidence,
+        )
+        worker = self._workers.get(runner)
+        if lost or worker is None:
+            return bool(lost)
         runs = [*worker.placed.values(), *worker.abandoned.values()]
         kept = _late_starts.runs_to_keep(worker, evidence, runs)
         return len(kept) < len(runs)
@@ -737,7 +780,13 @@
         self._departed[runner] = self._departed.get(
             runner, frozenset()
         ) | self._lifetimes_of(runner)
-        tasks = self._awaiting_runner.pop(runner, [])
+        tasks, kept_tasks = _open_starts.split_kept(
+            self._awaiting_runner.pop(runner, []),
+            self._late_starts_of(runner),
+            evidence,
+        )
+        if kept_tasks:
+            self._awaiting_runner[runner] = kept_tasks
         worker = self._workers.get(runner)
         run_count = len(tasks) + (len(worker.runs) if worker else 0)
         _logs.log(
@@ -792,7 +841,13 @@
                 )
                 and self._awaited_former_seconds(runner, max_lease_seconds) < 0
             ):
-                lost_tasks += self._awaiting_runner.pop(runner)
+                lost, kept_tasks = _open_starts.split_lasting(
+                    tasks, self._late_starts_of(runner), max_lease_seconds
+                )
+                lost_tasks += lost
+                self._awaiting_runner[runner] = kept_tasks
+                if not kept_tasks:
+                    del self._awaiting_runner[runner]
         return lost_tasks
 
     def _have_leases_expired(
@@ -929,6 +984,14 @@
             self._inherited_leases.seconds_left(runner, max_lease_seconds),
             self._inherited_leases.answer_seconds_left(known_at),
             self._awaited_former_seconds(runner, max_lease_seconds),
+            _former_calls.open_seconds(
+                self._late_starts_of(runner),
+                (
+                    (job.spec.id, task.key, task.run)
+                    for job, task in self._awaiting_runner.get(runner, ())
+                ),
+                max_lease_seconds,
+            ),
         )
 
     def pop_speculative(self) -> list[JobTask]:
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_write_fence.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_write_fence.py
@@ -46,6 +46,14 @@
         self._token = uuid.uuid4().hex
         self._version: int | None = None
 
+    @property
+    def version(self) -> int:
+        """The version of the row that was claimed; 0 before the claim.
+
+        Rows of a later version are this holder's.
+        """
+        return self._version or 0
+
     @property
     def checks(self) -> tuple[peridotsill_platform.Check, ...]:
         """What a write of this holder requires; nothing before the claim."""
--- /dev/null
+++ b/tests/features/start_checkpoints.feature
@@ -0,0 +1,77 @@
+Feature: A scheduler records which of its starts may be unanswered
+
+  # Guards against TWICE: a scheduler was killed with a start open, which began
+  # a run in a lifetime that nothing names. The next one waited as for a start
+  # that was answered.
+  Scenario Outline: A takeover finds a start in the rows, and its runner is silent
+    Given a scheduler that takes over a run in a lifetime that is 60 s old
+    And the last checkpoint <checkpoint>
+    When that takeover finds that the registry <registry>
+    And the takeover adopts open starts
+    Then the run is not lost before <kept> s
+    And the run is lost by <lost> s
+
+    Examples:
+      | checkpoint                 | registry             | kept | lost |
+      | does not exist             | has the lifetime     | 22.2 | 22.5 |
+      | is malformed               | has the lifetime     | 22.2 | 22.5 |
+      | is older than the row      | has the lifetime     | 22.2 | 22.5 |
+      | is older than the row      | has no entry         | 22.2 | 22.5 |
+      | is older than the row      | has an older lifetime | 22.2 | 22.5 |
+      | lists the start as open    | has the lifetime     | 22.2 | 22.5 |
+      | lists another run of it    | has the lifetime     | 3.8  | 4.1  |
+      | does not list the start    | has the lifetime     | 3.8  | 4.1  |
+      | does not list the start    | has no entry         | 3.8  | 4.1  |
+
+  # Guards against TWICE: the platform lists the VM of an open start as down,
+  # and its runner starts again under its id.
+  Scenario: The VM of an inherited open start is listed as down
+    Given a scheduler that takes over a run in a lifetime that is 60 s old
+    And the last checkpoint is older than the row
+    When that takeover finds that the registry has the lifetime
+    And the takeover adopts open starts
+    And the lists of VMs show the VM of "i-1" as down for 3 s
+    Then the run is not lost before 11.9 s
+    And the run is lost by 12.5 s
+
+  # Guards against TWICE: a checkpoint left out a start that was not answered.
+  Scenario Outline: A checkpoint is due as a start <state>
+    Given a scheduler with a start that <state>
+    When it commits a checkpoint
+    Then the next scheduler takes the start for <what>
+
+    Examples:
+      | state                                    | what     |
+      | is queued                                | open     |
+      | is on its way                            | open     |
+      | gets no answer                           | open     |
+      | is answered at the second attempt        | open     |
+      | is answered by the clock of another life | open     |
+      | is answered                              | answered |
+      | was open at the takeover                 | open     |
+      | was recorded since                       | open     |
+
+  # Guards against a scheduler that is held up, or killed, by its checkpoints.
+  Scenario Outline: A checkpoint can't be written as <why>
+    Given a scheduler with a start that is queued
+    When a checkpoint can't be written as <why>
+    Then its rounds go on and no further write is tried for 2 s
+    And the next scheduler takes the start for open
+
+    Examples:
+      | why                   |
+      | the table is away     |
+      | its answer is lost    |
+
+  # Guards against a row that the table rejects, and jobs that wait behind it.
+  Scenario: There are too many open starts for a row
+    Given a scheduler with a start that is queued
+    When it has 600 open starts of other runs and commits a checkpoint
+    Then the next scheduler takes the start for open
+
+  # Guards against TWICE: a scheduler that leaves handed over no wait for a
+  # start that was on its way.
+  Scenario: A scheduler leaves while a start is on its way
+    Given a scheduler with a start that is on its way
+    When the runner falls silent
+    Then the next scheduler is told to wait for it for 22.2 s
