Keep open starts of a runner whose other tasks are given up

Cause: as a runner whose VM is listed as down lost the tasks that certainly ended there, it counted as one that had left for good. So in the next round the tasks with open starts were given up as well, though the VM may bring the runner back.

Change: a runner counts as departed once nothing of it is kept.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_workers.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_workers.py
@@ -777,16 +777,12 @@
         )
 
     def _pop_ended(self, runner: str, evidence: str) -> list[JobTask]:
-        self._departed[runner] = self._departed.get(
-            runner, frozenset()
-        ) | self._lifetimes_of(runner)
+        lifetimes = self._lifetimes_of(runner)
         tasks, kept_tasks = _open_starts.split_kept(
             self._awaiting_runner.pop(runner, []),
             self._late_starts_of(runner),
             evidence,
         )
-        if kept_tasks:
-            self._awaiting_runner[runner] = kept_tasks
         worker = self._workers.get(runner)
         run_count = len(tasks) + (len(worker.runs) if worker else 0)
         _logs.log(
@@ -799,6 +795,7 @@
             ),
             run_count=run_count,
         )
+        kept: list[PlacedTask] = []
         if worker is not None:
             worker.record_dropped_starts()
             kept = _late_starts.runs_to_keep(
@@ -808,6 +805,13 @@
             if evidence != _departures.VM_IS_DOWN:
                 worker.lost_runs.clear()
             self._connect_anew(worker)
+        if kept_tasks:
+            self._awaiting_runner[runner] = kept_tasks
+        if not (kept or kept_tasks):
+            # Else it may come back in a next lifetime, and begin them.
+            self._departed[runner] = (
+                self._departed.get(runner, frozenset()) | lifetimes
+            )
         return tasks
 
     def pop_expired(self, max_lease_seconds: float) -> list[JobTask]:
--- a/tests/features/start_checkpoints.feature
+++ b/tests/features/start_checkpoints.feature
@@ -34,6 +34,17 @@
     Then the run is not lost before 11.9 s
     And the run is lost by 12.5 s
 
+  # Guards against TWICE: as another task there was given up, the runner counted
+  # as one that had left for good.
+  Scenario: The same beside a task whose start was answered
+    Given a scheduler that takes over a run in a lifetime that is 60 s old
+    And the last checkpoint lists the start as open
+    And a task on the same runner whose start was answered
+    When that takeover finds that the registry has the lifetime
+    And the takeover adopts open starts
+    And the lists of VMs show the VM of "i-1" as down for 3 s
+    Then only the other task is lost before 11.9 s
+
   # Guards against TWICE: a checkpoint left out a start that was not answered.
   Scenario Outline: A checkpoint is due as a start <state>
     Given a scheduler with a start that <state>
--- a/tests/features/steps/start_checkpoint_steps.py
+++ b/tests/features/steps/start_checkpoint_steps.py
@@ -65,6 +65,22 @@
     context.controller._job_store._start_checkpoints.load(0)
 
 
+@given("a task on the same runner whose start was answered")
+def _answered_task(context):
+    task = scheduler.Task(occurrence=0, step=context.task.step, index=1)
+    task.run, task.runner, task.lifetime = 2, _RUNNER, context.lifetime
+    task.phase = scheduler.TaskPhase.RUNNING
+    context.job.tasks = [*context.job.tasks, task]
+    context.controller._workers.adopt(context.job, task)
+
+
+@then("only the other task is lost before {seconds:g} s")
+def _other_task_lost(context, seconds):
+    for share in (0.5, 0.6, 1.0):
+        former_calls._round_at(context, seconds * share)
+        assert [run for run, _ in context.lost] == [2], context.lost
+
+
 @when("the takeover adopts open starts")
 def _adopt_open_starts(context):
     context.controller._adopt_open_starts((context.job,))
