Refuse open starts of an earlier scheduler also if their tasks are over

Cause: of the starts in a checkpoint only those were adopted whose tasks are active. A task that is over since, or waits, was begun again by a late attempt of its start in the next lifetime of its runner.

Change: all starts in the checkpoint are adopted, so that the next lifetime is ordered to refuse them.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_controller.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_controller.py
@@ -286,12 +286,14 @@
         sent_before = max(
             _clock.monotonic_seconds(), self._parts.lease.earlier_grants_end_at
         )
-        inherited = [
+        in_doubt = {
             (task.runner, (job.spec.id, task.key, task.run))
             for job in jobs
             for task in job.tasks
             if task.active and self._job_store.may_start_be_open(job, task)
-        ]
+        }
+        # Also of tasks that are over: a next lifetime has to refuse them.
+        inherited = sorted(in_doubt | self._job_store.inherited_open_starts)
         for runner, run in inherited:
             self._workers.record_inherited_start(runner, run, sent_before)
         _open_starts.log_inherited(inherited)
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_job_store.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_job_store.py
@@ -155,6 +155,11 @@
         """
         return frozenset(self._quarantined_keys)
 
+    @property
+    def inherited_open_starts(self) -> _start_checkpoints.OpenStarts:
+        """The starts that the last scheduler has recorded as unanswered."""
+        return self._start_checkpoints.inherited.open_starts
+
     def may_start_be_open(
         self, job: peridotsill_scheduler.Job, task: peridotsill_scheduler.Task
     ) -> bool:
--- a/tests/features/start_checkpoints.feature
+++ b/tests/features/start_checkpoints.feature
@@ -45,6 +45,16 @@
     And the lists of VMs show the VM of "i-1" as down for 3 s
     Then only the other task is lost before 11.9 s
 
+  # Guards against TWICE: a start of a run that was over was executed once more
+  # by the next lifetime of its runner, which had not been told to refuse it.
+  Scenario: The open start of a task that is over, and its runner restarts
+    Given a scheduler with run 1 on "i-1" of lifetime 5
+    And the last checkpoint lists the start as open
+    When lifetime 5 reports the end of run 1 as done
+    And the takeover adopts open starts
+    And lifetime 6 answers the link to lifetime 5 with nothing
+    Then "i-1" is ordered to stop run 1 in lifetime 6
+
   # Guards against TWICE: a checkpoint left out a start that was not answered.
   Scenario Outline: A checkpoint is due as a start <state>
     Given a scheduler with a start that <state>
