Count only jobs' rows in the test of a round's commits

Cause: five examples of plumbing took each written row for a job's row, and broke off with an error since a commit may hold the checkpoint of starts.

Change: the step leaves that one row out; what it checks of the commits, the starts and their order is as before.

Measured: all 20 examples of plumbing hold.

--- a/tests/features/steps/plumbing_steps.py
+++ b/tests/features/steps/plumbing_steps.py
@@ -39,6 +39,7 @@
 from peridotsill_jobs import _feeds
 from peridotsill_jobs import _logs
 from peridotsill_jobs import _records
+from peridotsill_jobs import _start_checkpoints
 import peridotsill_jobs.exceptions
 import peridotsill_platform.exceptions
 import peridotsill_scheduler as scheduler
@@ -560,7 +561,11 @@
                 )
         outcome = commit(transaction)
         if isinstance(outcome, result.Success):
-            jobs = [_records.parse_progress_key(key)[1] for key in keys]
+            jobs = [
+                _records.parse_progress_key(key)[1]
+                for key in keys
+                if key != _start_checkpoints.KEY
+            ]
             context.steps.append(("commit", jobs))
         return outcome
 
