Bound the checkpoint of starts by its bytes, and name a run in one place

A row with long names of runners could exceed what the table accepts, and with it the commit of a job, which would count as rejected. The id of a run was put together in five places.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_controller.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_controller.py
@@ -26,6 +26,7 @@
 from peridotsill_jobs import _handed_over_waits
 from peridotsill_jobs import _inherited_leases
 from peridotsill_jobs import _job_store
+from peridotsill_jobs import _late_starts
 from peridotsill_jobs import _lease
 from peridotsill_jobs import _lifetimes
 from peridotsill_jobs import _link_events
@@ -287,7 +288,7 @@
             _clock.monotonic_seconds(), self._parts.lease.earlier_grants_end_at
         )
         in_doubt = {
-            (task.runner, (job.spec.id, task.key, task.run))
+            (task.runner, _late_starts.run_id(job, task))
             for job in jobs
             for task in job.tasks
             if task.active and self._job_store.may_start_be_open(job, task)
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_job_store.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_job_store.py
@@ -10,6 +10,7 @@
 
 from peridotsill_jobs import _catalog
 from peridotsill_jobs import _clock
+from peridotsill_jobs import _late_starts
 from peridotsill_jobs import _lease
 from peridotsill_jobs import _logs
 from peridotsill_jobs import _pending
@@ -120,7 +121,10 @@
         self._lease = lease
         self._fence = _write_fence.WriteFence(table=table, lease=lease)
         self._start_checkpoints = _start_checkpoints.StartCheckpoints(
-            table=table, counters=counters, get_open_starts=get_open_starts
+            table=table,
+            counters=counters,
+            get_open_starts=get_open_starts,
+            max_bytes=limits.value_bytes,
         )
         self._counters = counters
         self._jobs: dict[_JobKey, peridotsill_scheduler.Job] = {}
@@ -169,9 +173,8 @@
             job: A job as it was loaded.
             task: A task of it that its row has on a runner.
         """
-        run = (job.spec.id, task.key, task.run)
         return self._start_checkpoints.inherited.may_be_open(
-            task.runner, run, job.row_version
+            task.runner, _late_starts.run_id(job, task), job.row_version
         )
 
     def pop_ended_arrivals(self) -> list[tuple[float, str]]:
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_late_starts.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_late_starts.py
@@ -12,6 +12,7 @@
 from peridotsill_jobs import _departures
 from peridotsill_jobs import _former_calls
 from peridotsill_jobs import _logs
+import peridotsill_scheduler
 
 if typing.TYPE_CHECKING:
     from peridotsill_jobs import _workers
@@ -25,6 +26,13 @@
 _MAX_LOGGED_RUNS = 12
 
 
+def run_id(
+    job: peridotsill_scheduler.Job, task: peridotsill_scheduler.Task
+) -> RunId:
+    """Return the id of a task's current run."""
+    return (job.spec.id, task.key, task.run)
+
+
 class LateStarts:
     """A runner's unanswered starts, in whichever of its lifetimes.
 
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_lifetimes.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_lifetimes.py
@@ -135,7 +135,7 @@
         for job, task in self._workers.take_awaiting(
             event.runner, event.requested_at
         ):
-            run_id = (job.spec.id, task.key, task.run)
+            run_id = _late_starts.run_id(job, task)
             is_same_lifetime = task.lifetime == worker.lifetime
             if is_same_lifetime or reported.may_include(run_id):
                 self._place(worker, job, task)
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_open_starts.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_open_starts.py
@@ -126,12 +126,12 @@
     tasks: list["_workers.JobTask"],
     is_kept: collections.abc.Callable[[_late_starts.RunId], bool],
 ) -> tuple[list["_workers.JobTask"], list["_workers.JobTask"]]:
-    kept = [
-        (job, task)
-        for job, task in tasks
-        if is_kept((job.spec.id, task.key, task.run))
-    ]
-    return [each for each in tasks if each not in kept], kept
+    lost: list[_workers.JobTask] = []
+    kept: list[_workers.JobTask] = []
+    for job, task in tasks:
+        run = _late_starts.run_id(job, task)
+        (kept if is_kept(run) else lost).append((job, task))
+    return lost, kept
 
 
 def log_inherited(starts: list[_start_checkpoints.OpenStart]) -> None:
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_start_checkpoints.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_start_checkpoints.py
@@ -24,9 +24,6 @@
 _PERIOD_SECONDS = 1.0
 # Pause after a write that failed, which may have taken a whole timeout.
 _RETRY_SECONDS = 2.0
-# More starts than this are not recorded, so that the row stays below 48 KB.
-# The last row stands until there are fewer.
-_MAX_OPEN_STARTS = 512
 
 # A runner's id and a run that was to start there.
 OpenStart = tuple[str, _late_starts.RunId]
@@ -93,6 +90,8 @@
         counters: Counts the checkpoints by outcome.
         get_open_starts: Returns the starts that may be unanswered. None if
             no checkpoints are to be made.
+        max_bytes: The size of the row. While there are more open starts than
+            fit, the last checkpoint stands.
     """
 
     def __init__(
@@ -101,10 +100,12 @@
         table: peridotsill_platform.Table,
         counters: peridotsill.Counters,
         get_open_starts: collections.abc.Callable[[], OpenStarts] | None,
+        max_bytes: int,
     ) -> None:
         self._table = table
         self._counters = counters
         self._get_open_starts = get_open_starts
+        self._max_bytes = max_bytes
         self._inherited = StartCheckpoint()
         self._revision = 0
         self._prepared: StartCheckpoint | None = None
@@ -144,19 +145,17 @@
         if now < self._due_at or self._get_open_starts is None:
             return ()
         self._due_at = now + _PERIOD_SECONDS
-        open_starts = self._get_open_starts()
-        if len(open_starts) > _MAX_OPEN_STARTS:
-            self._counters.add("start_checkpoints", outcome="too_many")
-            return ()
         checkpoint = StartCheckpoint(
-            revision=self._revision, open_starts=open_starts
+            revision=self._revision, open_starts=self._get_open_starts()
         )
         if checkpoint == self._written:
             return ()
+        value = checkpoint.to_value()
+        if len(peridotsill.encode(value)) > self._max_bytes:
+            self._counters.add("start_checkpoints", outcome="too_large")
+            return ()
         self._prepared = checkpoint
-        return (
-            peridotsill_platform.Write(key=KEY, value=checkpoint.to_value()),
-        )
+        return (peridotsill_platform.Write(key=KEY, value=value),)
 
     def record_written(self) -> None:
         """Record that the checkpoint was written, if one was prepared."""
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_workers.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_workers.py
@@ -991,7 +991,7 @@
             _former_calls.open_seconds(
                 self._late_starts_of(runner),
                 (
-                    (job.spec.id, task.key, task.run)
+                    _late_starts.run_id(job, task)
                     for job, task in self._awaiting_runner.get(runner, ())
                 ),
                 max_lease_seconds,
--- a/tests/features/start_checkpoints.feature
+++ b/tests/features/start_checkpoints.feature
@@ -87,7 +87,7 @@
   # Guards against a row that the table rejects, and jobs that wait behind it.
   Scenario: There are too many open starts for a row
     Given a scheduler with a start that is queued
-    When it has 600 open starts of other runs and commits a checkpoint
+    When it has 2000 open starts of other runs and commits a checkpoint
     Then the next scheduler takes the start for open
 
   # Guards against TWICE: a scheduler that leaves handed over no wait for a
