Record answered starts as soon as they are answered

Cause: a checkpoint was written once a second, mostly with the commit that records starts, when none of them is answered yet. So starts stayed in doubt for a second, also on an idle system.

Change: a checkpoint waits until the starts are answered, for 0.25 s at most, and is then written at once unless one was within the last 0.5 s. A VM that is listed as down without a runner ends a start that is only in doubt.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_controller.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_controller.py
@@ -294,9 +294,15 @@
             if task.active and self._job_store.may_start_be_open(job, task)
         }
         # Also of tasks that are over: a next lifetime has to refuse them.
-        inherited = sorted(in_doubt | self._job_store.inherited_open_starts)
+        unanswered = self._job_store.inherited_open_starts
+        inherited = sorted(in_doubt | unanswered)
         for runner, run in inherited:
-            self._workers.record_inherited_start(runner, run, sent_before)
+            self._workers.record_inherited_start(
+                runner,
+                run,
+                sent_before,
+                is_in_doubt=(runner, run) not in unanswered,
+            )
         _open_starts.log_inherited(inherited)
 
     def _compute_waits(self) -> dict[str, float]:
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_late_starts.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_late_starts.py
@@ -43,6 +43,7 @@
 
     def __init__(self) -> None:
         self._unanswered_at: dict[RunId, float] = {}
+        self._in_doubt: frozenset[RunId] = frozenset()
 
     @property
     def runs(self) -> tuple[RunId, ...]:
@@ -54,14 +55,26 @@
         """The runs that may still begin."""
         return [each for each in self._unanswered_at if self.may_come(each)]
 
-    def record(self, run: RunId, unanswered_at: float) -> None:
-        """Record when an attempt to start a run was found unanswered."""
+    def record(
+        self, run: RunId, unanswered_at: float, *, is_in_doubt: bool = False
+    ) -> None:
+        """Record when an attempt to start a run was found unanswered.
+
+        Args:
+            run: The run.
+            unanswered_at: When it was.
+            is_in_doubt: Whether it was answered for all that is known.
+        """
         oldest = _clock.monotonic_seconds() - _MEMORY_SECONDS
         recent = {
             each: at for each, at in self._unanswered_at.items() if at > oldest
         }
         # Replaced as a whole, as the lease's thread reads it, too.
         self._unanswered_at = {**recent, run: unanswered_at}
+        in_doubt = {each for each in self._in_doubt if each in recent}
+        self._in_doubt = frozenset(
+            in_doubt | {run} if is_in_doubt else in_doubt - {run}
+        )
 
     def unanswered_at(self, run: RunId) -> float:
         """Return when an attempt to start a run was; minus infinity if not."""
@@ -79,6 +92,15 @@
         age_seconds = _clock.monotonic_seconds() - self.unanswered_at(run)
         return age_seconds < _former_calls.LATE_CALL_SECONDS
 
+    def may_come_to_vm(self, run: RunId) -> bool:
+        """Tell the same of a VM that is listed as down, without a runner.
+
+        Most starts that are in doubt were answered, and the runner of such a
+        VM is seldom started again under its id. A task that lasts would be
+        away for too long if all of them were waited for.
+        """
+        return run not in self._in_doubt and self.may_come(run)
+
 
 def runs_to_keep(
     worker: "_workers.Worker",
@@ -97,7 +119,9 @@
     """
     if evidence != _departures.VM_IS_DOWN:
         return []
-    return [each for each in runs if worker.late_starts.may_come(each.id)]
+    return [
+        each for each in runs if worker.late_starts.may_come_to_vm(each.id)
+    ]
 
 
 def log_runs(
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_open_starts.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_open_starts.py
@@ -31,14 +31,12 @@
     ) -> collections.abc.Iterator[tuple[str, _late_starts.LateStarts]]:
         return iter(self._by_runner.items())
 
-    def record(
-        self, runner: str, run: _late_starts.RunId, sent_before: float
-    ) -> None:
-        """Record one, and by when it was sent."""
+    def add(self, runner: str) -> _late_starts.LateStarts:
+        """Return those of a runner, to which more may be added."""
         late_starts = self.get(runner)
-        late_starts.record(run, sent_before)
         # Replaced as a whole, as the lease's thread reads it, too.
         self._by_runner = {**self._by_runner, runner: late_starts}
+        return late_starts
 
     def get(self, runner: str) -> _late_starts.LateStarts:
         """Return those of a runner."""
@@ -105,7 +103,7 @@
     """
     if evidence != _departures.VM_IS_DOWN:
         return tasks, []
-    return _split(tasks, late_starts.may_come)
+    return _split(tasks, late_starts.may_come_to_vm)
 
 
 def split_lasting(
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_start_checkpoints.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_start_checkpoints.py
@@ -19,9 +19,11 @@
 
 # In the partition of the rows of jobs' progress.
 KEY = "control/scheduler/starts"
-# Starts of the last second are in doubt after a takeover. A shorter period
-# would cost more writes, as nearly every commit changes the row.
-_PERIOD_SECONDS = 1.0
+# Least time from one checkpoint to the next: nearly every commit changes it.
+_PERIOD_SECONDS = 0.5
+# A checkpoint waits this long for answers to starts that were just sent, which
+# it would list as open. Usually they come within a round trip.
+_MAX_ANSWER_WAIT_SECONDS = 0.25
 # Pause after a write that failed, which may have taken a whole timeout.
 _RETRY_SECONDS = 2.0
 
@@ -109,8 +111,9 @@
         self._inherited = StartCheckpoint()
         self._revision = 0
         self._prepared: StartCheckpoint | None = None
-        self._written: StartCheckpoint | None = None
-        self._due_at = float("-inf")
+        self._written = StartCheckpoint()
+        self._next_at = float("-inf")
+        self._outdated_since = float("inf")
 
     @property
     def inherited(self) -> StartCheckpoint:
@@ -142,14 +145,30 @@
         """Return the write of a checkpoint, or nothing if none is due."""
         self._prepared = None
         now = _clock.monotonic_seconds()
-        if now < self._due_at or self._get_open_starts is None:
+        is_outdated = (
+            self._revision > self._written.revision
+            or self._written.open_starts
+        )
+        if (
+            self._get_open_starts is None
+            or now < self._next_at
+            or not is_outdated
+        ):
             return ()
-        self._due_at = now + _PERIOD_SECONDS
         checkpoint = StartCheckpoint(
             revision=self._revision, open_starts=self._get_open_starts()
         )
         if checkpoint == self._written:
             return ()
+        self._outdated_since = min(self._outdated_since, now)
+        lists_more = checkpoint.open_starts - self._written.open_starts
+        waited_seconds = now - self._outdated_since
+        if lists_more and waited_seconds < _MAX_ANSWER_WAIT_SECONDS:
+            return ()
+        self._outdated_since = float("inf")
+        if self._written.revision:
+            # The first one, just after a takeover, doesn't hold up the next.
+            self._next_at = now + _PERIOD_SECONDS
         value = checkpoint.to_value()
         if len(peridotsill.encode(value)) > self._max_bytes:
             self._counters.add("start_checkpoints", outcome="too_large")
@@ -165,5 +184,5 @@
 
     def record_failed(self) -> None:
         """Record that a write failed; the next one follows after a while."""
-        self._due_at = _clock.monotonic_seconds() + _RETRY_SECONDS
+        self._next_at = _clock.monotonic_seconds() + _RETRY_SECONDS
         self._counters.add("start_checkpoints", outcome="failed")
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_workers.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_workers.py
@@ -456,6 +456,8 @@
         runner: str,
         run: _late_starts.RunId,
         sent_before: float,
+        *,
+        is_in_doubt: bool,
     ) -> None:
         """Record that a start of an earlier scheduler may be unanswered.
 
@@ -464,12 +466,15 @@
             run: The run.
             sent_before: By when it was sent, and the last poll that extends
                 leases there, in seconds of `_clock.monotonic_seconds`.
+            is_in_doubt: Whether it was answered for all that is known.
         """
         worker = self._workers.get(runner)
-        if worker is None:
-            self._unlisted_starts.record(runner, run, sent_before)
-        else:
-            worker.late_starts.record(run, sent_before)
+        late_starts = (
+            self._unlisted_starts.add(runner)
+            if worker is None
+            else worker.late_starts
+        )
+        late_starts.record(run, sent_before, is_in_doubt=is_in_doubt)
 
     def _late_starts_of(self, runner: str) -> _late_starts.LateStarts:
         worker = self._workers.get(runner)
--- a/tests/features/start_checkpoints.feature
+++ b/tests/features/start_checkpoints.feature
@@ -27,13 +27,29 @@
   # and its runner starts again under its id.
   Scenario: The VM of an inherited open start is listed as down
     Given a scheduler that takes over a run in a lifetime that is 60 s old
-    And the last checkpoint is older than the row
+    And the last checkpoint lists the start as open
     When that takeover finds that the registry has the lifetime
     And the takeover adopts open starts
     And the lists of VMs show the VM of "i-1" as down for 3 s
     Then the run is not lost before 11.9 s
     And the run is lost by 12.5 s
 
+  # Guards against LOST: a task was waited for as its start was in doubt, though
+  # its VM was listed as down, without a runner.
+  Scenario: The VM of a start in doubt is listed as down
+    Given a scheduler that takes over a run in a lifetime that is 60 s old
+    And the last checkpoint is older than the row
+    When that takeover finds that the registry has the lifetime
+    And the takeover adopts open starts
+    And the lists of VMs show the VM of "i-1" as down for 3 s
+    Then the run is lost by 3.2 s
+
+  # Guards against a start in doubt for as long as nothing else is written.
+  Scenario: A start is answered and nothing else happens
+    Given a scheduler with a start that is answered
+    When it makes a round 0.02 s later
+    Then the next scheduler takes the start for answered
+
   # Guards against TWICE: as another task there was given up, the runner counted
   # as one that had left for good.
   Scenario: The same beside a task whose start was answered
