Take a start for open until its outcome is handled

Cause: found on reading. A run that its runner had listed counted as answered, though an earlier attempt of its start may have got no answer: the link had posted that, and it was not handled yet.

Change: a start is open while an answer is waited for, unless the run is being stopped.

Measured: the new example of start_checkpoints fails without the change; 27 passed with it.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_open_starts.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_open_starts.py
@@ -12,6 +12,7 @@
 from peridotsill_jobs import _late_starts
 from peridotsill_jobs import _logs
 from peridotsill_jobs import _start_checkpoints
+import peridotsill_scheduler
 
 if typing.TYPE_CHECKING:
     from peridotsill_jobs import _workers
@@ -84,11 +85,16 @@
 
 
 def _is_open(worker: "_workers.Worker", placed: "_workers.PlacedTask") -> bool:
-    """Tell whether a start of this scheduler is queued or on its way."""
-    is_unconfirmed = placed.awaits_answer and not placed.is_known_to_run
-    return is_unconfirmed or worker.link.may_have_begun(
-        placed.name, placed.run
+    """Tell whether a start of this scheduler is queued or on its way.
+
+    A run that its runner lists may have another attempt of its start yet,
+    whose outcome was posted and not handled.
+    """
+    awaits_start = (
+        placed.awaits_answer
+        and placed.task.phase is not peridotsill_scheduler.TaskPhase.STOPPING
     )
+    return awaits_start or worker.link.may_have_begun(placed.name, placed.run)
 
 
 def split_kept(
--- a/tests/features/start_checkpoints.feature
+++ b/tests/features/start_checkpoints.feature
@@ -81,6 +81,7 @@
       | state                                    | what     |
       | is queued                                | open     |
       | is on its way                            | open     |
+      | is listed before its outcome is handled  | open     |
       | gets no answer                           | open     |
       | is answered at the second attempt        | open     |
       | is answered by the clock of another life | open     |
--- a/tests/features/steps/start_checkpoint_steps.py
+++ b/tests/features/steps/start_checkpoint_steps.py
@@ -143,6 +143,9 @@
         )
     store.mark_dirty(context.job)
     store.commit()
+    if state == "is listed before its outcome is handled":
+        placed = worker.placed[(base._JOB, context.task.key)]
+        placed.listed_by_runner = True
     if state in _OUTCOMES:
         result, fields = _OUTCOMES[state]
         former_calls._report_start(
