Remember a runner whose entry lapses while tasks wait for it

Cause: the rows name the former lifetime and the registry the next one, so that the tasks wait and none is placed. As the entry of a runner that is cut off lapsed, the runner was dropped as one without runs, and with it the time at which that lifetime began. The wait then went by the former one, 3.9 s.

Evidence: the new example of former_calls fails without the change, with the run lost before 20.2 s.

Change: a runner is kept while tasks wait for it. It is closed to new starts, as before, since the registry doesn't list it.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_workers.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_workers.py
@@ -582,7 +582,8 @@
                 continue
             self._set_unlisted(worker)
             self._drop_candidate(runner)
-            if not worker.runs:
+            # Tasks that wait for it need to know when it began.
+            if not worker.runs and not self._awaiting_runner.get(runner):
                 worker.link.stop()
                 del self._workers[runner]
 
--- a/tests/features/former_calls.feature
+++ b/tests/features/former_calls.feature
@@ -18,6 +18,7 @@
       | 2   | has no entry           | never answers     | 20.2 | 20.5 |
       | 2   | has an older lifetime  | never answers     | 20.2 | 20.5 |
       | 30  | has a young lifetime   | never answers     | 20.2 | 20.5 |
+      | 30  | has one that lapses    | never answers     | 20.2 | 20.5 |
       | 12  | has the lifetime       | never answers     | 10.2 | 10.5 |
       | 30  | has the lifetime       | never answers     | 3.8  | 4.1  |
       | -4  | has the lifetime       | never answers     | 22.2 | 22.5 |
--- a/tests/features/steps/former_call_steps.py
+++ b/tests/features/steps/former_call_steps.py
@@ -87,7 +87,9 @@
         "has an older lifetime": context.lifetime - 60_000,
         "has a young lifetime": context.clocks.unix_ms(2),
     }
-    if what == "has no entry":
+    if what == "has one that lapses":
+        _list_lifetime(context, lifetimes["has a young lifetime"])
+    if what in ("has no entry", "has one that lapses"):
         context.controller._handle_event(
             _feeds.RegistrySnapshot(
                 entries=(stubs.runner_entry("i-9"),),
