Give the stub of the write fence the version that is read from it

Cause: four examples of cancelling_early broke off with an error: the stub's version was no number, and the job store reads it since the checkpoint of starts.

Change: the stub has a version. What the examples check is as before.

--- a/tests/features/steps/cancelling_early_steps.py
+++ b/tests/features/steps/cancelling_early_steps.py
@@ -189,7 +189,10 @@
         counters=peridotsill.Counters(),
     )
     store._fence = unittest.mock.Mock(
-        claim=lambda: True, checks=(), handle_conflict=lambda keys: None
+        version=0,
+        claim=lambda: True,
+        checks=(),
+        handle_conflict=lambda keys: None,
     )
     context.add_cleanup(store.close)
     return store
