Add review case 11: a late start reaches a runner that was away

Cause: a runner without runs is forgotten once its entry lapses, and with it the starts that got no answer. Its next lifetime isn't told to refuse them.

--- /dev/null
+++ b/review/11/case.py
@@ -0,0 +1,93 @@
+"""A start that is carried out late, after its runner was away and is back."""
+
+import pathlib
+import time
+
+import harness
+from emulator import nodes
+
+# When the runner carries out the start, from the order on (2 to 12 s allowed).
+_LATE_SECONDS = 11.5
+# How long the runner is away: its entry lapses after three heartbeats.
+_AWAY_SECONDS = 6.0
+_WATCHED_SECONDS = 15.0
+_JOB = nodes.job_id("pass")
+_TASK = f"{_JOB}.0.0.0"
+_STEPS = [{"count": 1, "cpu": 4000, "estimated_ms": 500}]
+
+
+def play(record):
+    """Return what is broken."""
+    with harness.deployment(node_count=2, runner_count=4) as cluster:
+        record.watch_runners()
+        world = cluster.world
+        runners = tuple(world.runners.values())
+        if harness.trouble():
+            for each in runners:
+                each.faults.late_seconds = _LATE_SECONDS
+        began = time.monotonic()
+        record.began = began
+        orders = _watch_orders(runners)
+        record.submit(cluster, 0, _JOB, _STEPS, seconds=0.5)
+        harness.wait_until(lambda: orders, 5.0, "an order")
+        # Only the first attempt is left unanswered.
+        for each in runners:
+            each.faults.late_seconds = 0.0
+        harness.wait_until(
+            lambda: cluster.state(harness.POOL, _JOB) == "completed",
+            8.0,
+            "the job completed",
+        )
+        record.show(cluster, _JOB)
+        harness.wait_until(
+            lambda: world.log.runs_of(_TASK)[0].acknowledged,
+            3.0,
+            "the end was noted",
+        )
+        runner = orders[0]
+        if harness.trouble():
+            record.add(f"{runner.id} crashes")
+            world.begin_restart(runner, is_silent=False)
+            time.sleep(_AWAY_SECONDS)
+            runner = world.end_restart(runner)
+            record.add(f"{runner.id} starts again, born {runner.born}")
+        time.sleep(max(0.0, began + _WATCHED_SECONDS - time.monotonic()))
+        record.show(cluster, _JOB)
+        for each in tuple(world.runners.values()):
+            each.end_due_runs()
+        runs = world.log.runs_of(_TASK)
+        record.add_runs(runs)
+        return _starts_after_done(runs)
+
+
+def _watch_orders(runners):
+    """Return a list that gets the runner of each start order."""
+    orders = []
+    for each in runners:
+        each.start = _noting(each, each.start, orders)
+    return orders
+
+
+def _noting(runner, start, orders):
+    def noted(body, delayed=False):
+        if not delayed:
+            orders.append(runner)
+        return start(body, delayed)
+
+    return noted
+
+
+def _starts_after_done(runs):
+    return [
+        f"TWICE: {later.task} run {later.run} began on {later.runner.id} "
+        f"{later.began - done.ended:.2f} s after run {done.run} had ended "
+        "done, and that end was noted"
+        for done in runs
+        if done.outcome == "done" and done.acknowledged
+        for later in runs
+        if later.began > done.ended
+    ]
+
+
+if __name__ == "__main__":
+    harness.main(pathlib.Path(__file__).parent, play)
