--- a/review/11/case.py
+++ b/review/11/case.py
@@ -3,8 +3,8 @@
 import pathlib
 import time
 
-import harness
 from emulator import nodes
+import harness
 
 # When the runner carries out the start, from the order on (2 to 12 s allowed).
 _LATE_SECONDS = 11.5
@@ -22,12 +22,12 @@
         record.watch_runners()
         world = cluster.world
         runners = tuple(world.runners.values())
+        orders = harness.watch_orders()
         if harness.trouble():
             for each in runners:
                 each.faults.late_seconds = _LATE_SECONDS
         began = time.monotonic()
         record.began = began
-        orders = _watch_orders(runners)
         record.submit(cluster, 0, _JOB, _STEPS, seconds=0.5)
         harness.wait_until(lambda: orders, 5.0, "an order")
         # Only the first attempt is left unanswered.
@@ -57,36 +57,7 @@
             each.end_due_runs()
         runs = world.log.runs_of(_TASK)
         record.add_runs(runs)
-        return _starts_after_done(runs)
-
-
-def _watch_orders(runners):
-    """Return a list that gets the runner of each start order."""
-    orders = []
-    for each in runners:
-        each.start = _noting(each, each.start, orders)
-    return orders
-
-
-def _noting(runner, start, orders):
-    def noted(body, delayed=False):
-        if not delayed:
-            orders.append(runner)
-        return start(body, delayed)
-
-    return noted
-
-
-def _starts_after_done(runs):
-    return [
-        f"TWICE: {later.task} run {later.run} began on {later.runner.id} "
-        f"{later.began - done.ended:.2f} s after run {done.run} had ended "
-        "done, and that end was noted"
-        for done in runs
-        if done.outcome == "done" and done.acknowledged
-        for later in runs
-        if later.began > done.ended
-    ]
+        return harness.starts_after_done(runs)
 
 
 if __name__ == "__main__":
--- a/review/standin-3/harness.py
+++ b/review/standin-3/harness.py
@@ -15,8 +15,10 @@
 import time
 
 from emulator import nodes
+from emulator import rules
 from emulator import runners
 from emulator import wire
+from emulator import world as worlds
 
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 POOL = "conditions"
@@ -32,6 +34,8 @@
 _SETTLE_SECONDS = 2.0
 # An entry of the registry is removed after three heartbeats of 1.5 s.
 _ENTRY_EXPIRY_SECONDS = 4.5
+# For how long the runners are up when the nodes start.
+_RUNNER_AGE_SECONDS = 600
 
 
 class NotRunError(Exception):
@@ -85,12 +89,29 @@
             each.stop()
 
 
+def _age_runners(world):
+    """Let the runners' clocks and births say that they began before."""
+    for each in world.runners.values():
+        each.born -= _RUNNER_AGE_SECONDS * 1000
+        each._clock_start -= _RUNNER_AGE_SECONDS
+        world.write("servers", each.id, each.row())
+
+
+def _add_aged_pool(add_pool):
+    def added(world, *args, **kwargs):
+        add_pool(world, *args, **kwargs)
+        _age_runners(world)
+
+    return added
+
+
 @contextlib.contextmanager
 def deployment(*, node_count, runner_count):
     """Run nodes and one pool of runners while the context lasts."""
     hosts = [f"127.2.0.{number + 1}" for number in range(node_count)]
     wire.served = lambda world: _served(world, hosts)
     wire.free_ports = _free_ports
+    worlds.World.add_pool = _add_aged_pool(worlds.World.add_pool)
     with nodes.cluster(
         nodes=node_count,
         pools={POOL: runner_count},
@@ -105,6 +126,8 @@
 class Record:
     """Collects what runners and clients see, in order of time.
 
+    `noted_at` holds, by work item and run, when its end was first noted.
+
     Args:
         folder: Where `record.txt` is written.
     """
@@ -114,6 +137,7 @@
         self._lines = []
         self._lock = threading.Lock()
         self.began = time.monotonic()
+        self.noted_at = {}
 
     def add(self, text, at=None):
         """Add a line, for now or another monotonic time."""
@@ -132,6 +156,16 @@
         """Record each start and stop order as a runner handles it."""
         for name in ("start", "stop"):
             self._watch(name)
+        note = rules.RunLog.record_acknowledged
+
+        def noted(log, runner, row):
+            key = (row[1], row[2])
+            if key not in self.noted_at:
+                self.noted_at[key] = time.monotonic()
+                self.add(f"{runner.id}: end of {row[1]} run {row[2]} noted")
+            note(log, runner, row)
+
+        rules.RunLog.record_acknowledged = noted
 
     def _watch(self, name):
         call = getattr(runners.Runner, name)
@@ -198,6 +232,40 @@
         time.sleep(0.005)
 
 
+def watch_orders():
+    """Return a list that gets the runner of each start and stop order."""
+    orders = []
+    for name in ("start", "stop"):
+        _note_orders(name, orders)
+    return orders
+
+
+def _note_orders(name, orders):
+    call = getattr(runners.Runner, name)
+
+    def noted(runner, body, delayed=False):
+        try:
+            return call(runner, body, delayed)
+        finally:
+            if not delayed:
+                orders.append(runner)
+
+    setattr(runners.Runner, name, noted)
+
+
+def starts_after_done(runs):
+    """Return a line for each start of a run after one that was done."""
+    return [
+        f"TWICE: {later.task} run {later.run} began on {later.runner.id} "
+        f"{later.began - done.ended:.2f} s after run {done.run} had ended "
+        "done, and that end was noted"
+        for done in runs
+        if done.outcome == "done" and done.acknowledged
+        for later in runs
+        if later.began > done.ended
+    ]
+
+
 def main(folder, play):
     """Play a case, write its record, and exit as the issue asks.
 
