Let the scripts of review 3 use ports that are not for outgoing connections

Cause: of five plays at once one could not start a node, whose port another process had for an outgoing connection.

--- a/review/standin-3/harness.py
+++ b/review/standin-3/harness.py
@@ -9,6 +9,7 @@
 import json
 import os
 import pathlib
+import random
 import socket
 import sys
 import threading
@@ -48,12 +49,19 @@
 
 
 def _free_ports(count):
-    """Return ports that were free on the loopback address."""
-    with contextlib.ExitStack() as stack:
-        probes = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for probe in probes:
-            probe.bind(("127.0.0.1", 0))
-        return [probe.getsockname()[1] for probe in probes]
+    """Return ports that are free on the loopback addresses that are used.
+
+    They are below those that systems give to outgoing connections.
+    """
+    ports = []
+    while len(ports) < count:
+        port = random.SystemRandom().randrange(10_000, 32_000)
+        with contextlib.suppress(OSError), contextlib.ExitStack() as stack:
+            for host in ("127.0.0.1", "127.1.0.1", "127.2.0.1"):
+                probe = stack.enter_context(socket.socket())
+                probe.bind((host, port))
+            ports.append(port)
+    return ports
 
 
 @contextlib.contextmanager
