--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -4,4 +4,4 @@
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
 PYTHONPATH=target/deps:tests:review/standin-3 PYTHONDONTWRITEBYTECODE=1 \
-    exec timeout 110 python3 review/15/case.py
+    exec timeout 110 python3 review/13/case.py
