Add review case 13: a next lifetime answers orders before a late start

Cause: the answer to an order shows by its clock that another lifetime of the runner has answered. It is told to refuse late starts only once a poll is answered, or the registry shows it.

Added: review/13 with a script. The harness notes polls.

--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,108 +1,99 @@
-"""A runner crashes under work items that last and checkpoint much."""
+"""A restarted runner answers orders before a late start comes to it."""
 
 import pathlib
+import threading
 import time
 
 from emulator import nodes
-from emulator import runners
 import harness
 
-_CHECKPOINT_BYTES = 2000
-_CRASH_AFTER_SECONDS = 5.0
-_DOWN_SECONDS = 4.5
-# The rule: from 6 s after the last run, if 3 s and the 4 s before are calm.
-_CALM_SECONDS = 4.0
-_NOTHING_RUNS_SECONDS = 3.0
-_WATCHED_SECONDS = 30.0
-_JOB = nodes.job_id("season")
-_COUNT = 24
-_STEPS = [
-    {
-        "count": _COUNT,
-        "cpu": 3000,
-        "mem_mb": 4000,
-        "long_lived": True,
-        "checkpointing": True,
-        "max_per_server": 4,
-    }
-]
+# When the runner carries out the start, from the order on (2 to 12 s allowed).
+_LATE_SECONDS = 5.0
+# The runner loses power this long before, at the most.
+_BEFORE_LATE_SECONDS = 1.4
+_AWAY_SECONDS = 0.2
+# It is in the registry again after this time, less than a heartbeat of 1.5 s.
+_REGISTERED_AFTER_SECONDS = 1.2
+_WATCHED_SECONDS = 9.0
+_JOB = nodes.job_id("pass")
+_TASK = f"{_JOB}.0.0.0"
+_STEPS = [{"count": 1, "cpu": 4000, "estimated_ms": 500}]
+_OTHER_JOB = nodes.job_id("others")
+_OTHER_STEPS = [{"count": 8, "cpu": 14000, "estimated_ms": 500}]
 
 
 def play(record):
     """Return what is broken."""
-    _list_checkpoints(_CHECKPOINT_BYTES)
-    with harness.deployment(node_count=2, runner_count=8) as cluster:
+    with harness.deployment(node_count=2, runner_count=4) as cluster:
         record.watch_runners()
         world = cluster.world
-        record.began = time.monotonic()
-        record.submit(cluster, 0, _JOB, _STEPS)
+        runners = tuple(world.runners.values())
+        orders = harness.watch_orders()
+        polls = harness.watch_polls()
+        if harness.trouble():
+            for each in runners:
+                each.faults.late_seconds = _LATE_SECONDS
+        began = time.monotonic()
+        record.began = began
+        record.submit(cluster, 0, _JOB, _STEPS, seconds=0.5)
+        harness.wait_until(lambda: orders, 5.0, "an order")
+        late_at = time.monotonic() + _LATE_SECONDS
+        # Only the first attempt is left unanswered.
+        for each in runners:
+            each.faults.late_seconds = 0.0
         harness.wait_until(
-            lambda: len(world.log.starts_of(_JOB)) == _COUNT,
-            _CRASH_AFTER_SECONDS,
-            "all work items run",
+            lambda: (
+                world.log.runs_of(_TASK)
+                and world.log.runs_of(_TASK)[0].acknowledged
+            ),
+            3.0,
+            "the end was noted",
         )
-        time.sleep(_CRASH_AFTER_SECONDS)
-        runner = world.log.starts_of(_JOB)[0].runner
-        tasks = sorted(runner.runs)
-        if not harness.trouble():
-            time.sleep(_WATCHED_SECONDS)
-            record.show(cluster, _JOB)
-            record.add_runs(world.log.starts_of(_JOB))
-            ended = [each for each in world.log.starts_of(_JOB) if each.ended]
-            return [f"LOST: {each.task} has ended" for each in ended]
-        record.add(
-            f"{runner.id} crashes, back in {_DOWN_SECONDS} s; it had "
-            + ", ".join(tasks)
-        )
-        world.crash(runner, restart_after_seconds=_DOWN_SECONDS)
-        crashed_at = time.monotonic()
-        time.sleep(_WATCHED_SECONDS)
         record.show(cluster, _JOB)
-        runs = world.log.starts_of(_JOB)
+        time.sleep(max(0.0, late_at - _BEFORE_LATE_SECONDS - time.monotonic()))
+        if harness.trouble():
+            _restart(record, world, orders[0], polls)
+        record.submit(cluster, 0, _OTHER_JOB, _OTHER_STEPS, seconds=1.0)
+        time.sleep(max(0.0, began + _WATCHED_SECONDS - time.monotonic()))
+        record.show(cluster, _JOB)
+        for each in tuple(world.runners.values()):
+            each.end_due_runs()
+        runs = world.log.runs_of(_TASK)
         record.add_runs(runs)
-        due = _DOWN_SECONDS + _CALM_SECONDS + _NOTHING_RUNS_SECONDS
-        lost = [
-            task
-            for task in tasks
-            if not any(
-                each.task == task
-                and crashed_at < each.began < crashed_at + due
-                for each in runs
-            )
-        ]
-        up = sum(each.up for each in world.runners.values())
-        return [
-            f"LOST: {task} wasn't started again within {due} s of its last "
-            f"run's end, with {up} runners up and room for it on most"
-            for task in lost
-        ]
-
-
-def _list_checkpoints(size):
-    """Let runners list a value of a size as what each run has saved.
-
-    There is a new value with each second of work.
-    """
-    hold = runners.Runner.hold
-
-    def listed(runner, body, delayed=False):
-        answer = hold(runner, body, delayed)
-        for row in answer["running"]:
-            seconds = int(time.monotonic() - runner.runs_began(row[0]))
-            row[2] = _checkpoint(f"{row[0]} {seconds}", size)
-        return answer
-
-    runners.Runner.hold = listed
-    runners.Runner.runs_began = _began
-
-
-def _began(runner, task):
-    run = runner.runs.get(task)
-    return run.began if run is not None else time.monotonic()
-
-
-def _checkpoint(text, size):
-    return text.encode().hex().zfill(size)[-size:]
+        broken = harness.starts_after_done(runs)
+        if broken:
+            _require_orders_before(world, runs[-1])
+        return broken
+
+
+def _restart(record, world, runner, polls):
+    """Let a runner lose power just after it got a poll, and come back."""
+    known = len(polls)
+    harness.wait_until(lambda: runner in polls[known:], 2.0, "a poll")
+    record.add(f"{runner.id} loses power")
+    world.begin_restart(runner, is_silent=True)
+    runner.faults.keeps_calls = False
+    time.sleep(_AWAY_SECONDS)
+    runner = world.end_restart(runner, reaches_store=False)
+    record.add(f"{runner.id} starts again, born {runner.born}")
+    timer = threading.Timer(_REGISTERED_AFTER_SECONDS, _register, (runner,))
+    timer.daemon = True
+    timer.start()
+
+
+def _register(runner):
+    runner.faults.unregistered = False
+
+
+def _require_orders_before(world, late_run):
+    """Require that the lifetime had answered an order of ours by then."""
+    answered = [
+        each
+        for each in world.log.starts_of(_OTHER_JOB)
+        if each.runner is late_run.runner and each.began < late_run.began
+    ]
+    if not answered:
+        raise harness.NotRunError("no order had come to that lifetime before")
 
 
 if __name__ == "__main__":
--- a/review/standin-3/harness.py
+++ b/review/standin-3/harness.py
@@ -248,6 +248,19 @@
     return orders
 
 
+def watch_polls():
+    """Return a list that gets the runner of each poll as it comes."""
+    polls = []
+    hold = runners.Runner.hold
+
+    def noted(runner, body, delayed=False):
+        polls.append(runner)
+        return hold(runner, body, delayed)
+
+    runners.Runner.hold = noted
+    return polls
+
+
 def _note_orders(name, orders):
     call = getattr(runners.Runner, name)
 
