--- a/review/12/case.py
+++ b/review/12/case.py
@@ -14,11 +14,14 @@
 _JOB = nodes.job_id("pass")
 _TASK = f"{_JOB}.0.0.0"
 _STEPS = [{"count": 1, "cpu": 4000, "estimated_ms": 500}]
+# Its orders are answered: at most half of all may be left unanswered.
+_OTHER_JOB = nodes.job_id("others")
+_OTHER_STEPS = [{"count": 8, "cpu": 4000, "estimated_ms": 500}]
 
 
 def play(record):
     """Return what is broken."""
-    with harness.deployment(node_count=2, runner_count=4) as cluster:
+    with harness.deployment(node_count=2, runner_count=8) as cluster:
         record.watch_runners()
         world = cluster.world
         runners = tuple(world.runners.values())
@@ -33,11 +36,15 @@
         # Only the first attempt is left unanswered.
         for each in runners:
             each.faults.late_seconds = 0.0
-        harness.wait_until(
-            lambda: cluster.state(harness.POOL, _JOB) == "completed",
-            8.0,
-            "the job completed",
-        )
+        record.submit(cluster, 0, _OTHER_JOB, _OTHER_STEPS, seconds=0.5)
+        for job in (_JOB, _OTHER_JOB):
+            harness.wait_until(
+                lambda job=job: (
+                    cluster.state(harness.POOL, job) == "completed"
+                ),
+                8.0,
+                f"{job} completed",
+            )
         record.show(cluster, _JOB)
         harness.wait_until(
             lambda: world.log.runs_of(_TASK)[0].acknowledged,
--- a/review/13/case.py
+++ b/review/13/case.py
@@ -19,12 +19,12 @@
 _TASK = f"{_JOB}.0.0.0"
 _STEPS = [{"count": 1, "cpu": 4000, "estimated_ms": 500}]
 _OTHER_JOB = nodes.job_id("others")
-_OTHER_STEPS = [{"count": 8, "cpu": 14000, "estimated_ms": 500}]
+_OTHER_STEPS = [{"count": 16, "cpu": 14000, "estimated_ms": 500}]
 
 
 def play(record):
     """Return what is broken."""
-    with harness.deployment(node_count=2, runner_count=4) as cluster:
+    with harness.deployment(node_count=2, runner_count=8) as cluster:
         record.watch_runners()
         world = cluster.world
         runners = tuple(world.runners.values())
