Refuse late calls to runners by fencing tokens

A start got no answer, its second attempt was answered, the runner restarted under its id, and the next lifetime executed the first attempt.

Cause: all calls of a holder of the lease bore one fencing token, its epoch, so a runner refused a former holder's late calls and none of the present one's.

Change: a call to a runner bears a higher token than each call to it that got no answer. The first call that a lifetime executes makes it refuse all of them. The epoch grows by the tokens that it reserves, so that a node of an earlier version, which takes the epoch after the last as its token, is above them all. A call that is refused while a later one bore a higher token is sent again; the lease is lost if the highest token is refused.

Why it works: tokens only grow, a runner does nothing for one below the highest it has seen, and each unanswered call has a lower one than the next call.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_command_rows.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_command_rows.py
@@ -81,6 +81,7 @@
         self._table = table
         self._lease = lease
         self._epoch = lease.epoch
+        self._predecessor_epoch = lease.predecessor_epoch
         self._handover_seconds = handover_seconds
         self._began_at = _clock.monotonic_seconds()
         self._silent_seconds = lease.seconds_since_last_holder
@@ -108,7 +109,7 @@
 
         The last holder may have started tasks since the rows were read.
         """
-        if self._epoch <= 1:
+        if not self._predecessor_epoch:
             return self._began_at
         return self._began_at + max(
             0.0, self._handover_seconds - self._silent_seconds
@@ -161,7 +162,7 @@
             vm: now + min(left, longest_seconds)
             for vm, left in content.rests.items()
         }
-        is_last_holders = content.epoch == self._epoch - 1
+        is_last_holders = content.epoch == self._predecessor_epoch
         lease_ended_at = self._began_at
         if not is_last_holders:
             lease_ended_at += _lease.LEASE_SECONDS
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_controller.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_controller.py
@@ -20,6 +20,7 @@
 from peridotsill_jobs import _commands
 from peridotsill_jobs import _departures
 from peridotsill_jobs import _feeds
+from peridotsill_jobs import _fencing_tokens
 from peridotsill_jobs import _fleet
 from peridotsill_jobs import _gone_runners
 from peridotsill_jobs import _grants
@@ -111,6 +112,7 @@
                 parts.settings.current.peer_limits
             ),
         )
+        self._tokens = _fencing_tokens.FencingTokens(epoch=parts.lease.epoch)
         self._departures = _departures.Departures()
         self._workers = _workers.Workers(
             connect=self._connect_runner,
@@ -194,6 +196,7 @@
                     lease=self._parts.lease,
                     max_lease_seconds=self._max_lease_seconds,
                 ),
+                tokens=self._tokens.of_runner(entry.id),
                 post=self._inbox.put,
             )
         )
@@ -613,8 +616,6 @@
             name=_ports.TaskName(job=job.spec.id, task=task.key),
             run=task.run,
             payload=job.spec.payload,
-            lease_until_ms=0.0,
-            fence=self._parts.lease.epoch,
             checkpoint=task.checkpoint,
             ticket=self._ticket_for(job, task),
         )
@@ -676,7 +677,7 @@
             age_seconds=round(
                 _clock.monotonic_seconds() - start.job.arrived_at, 3
             ),
-            epoch=order.fence,
+            epoch=self._parts.lease.epoch,
         )
         if worker is not None:
             worker.link.order_start(order)
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_lease.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_lease.py
@@ -15,6 +15,7 @@
 
 from peridotsill_jobs import _clock
 from peridotsill_jobs import _earlier_grants
+from peridotsill_jobs import _fencing_tokens
 from peridotsill_jobs import _holder_check
 from peridotsill_jobs import _logs
 from peridotsill_jobs import _records
@@ -112,10 +113,11 @@
 class Lease:
     """One node's view of the scheduler's lease.
 
-    Orders carry the holder's epoch, which increases with each takeover. A
-    node takes over when the row's version has not changed for the duration
-    of the lease on the node's own clock, so no clocks of different nodes
-    are compared. It takes over a released lease at once.
+    The epoch increases with each takeover, by the number of fencing tokens
+    that it reserves for the holder's calls to runners. A node takes over
+    when the row's version has not changed for the duration of the lease on
+    the node's own clock, so no clocks of different nodes are compared. It
+    takes over a released lease at once.
 
     The row also holds the highest capability of any holder so far. A much
     less capable node waits longer before it takes over, because a takeover
@@ -170,6 +172,7 @@
         self._failed_reads = 0
         self._row_unchanged = False
         self._epoch = 0
+        self._predecessor_epoch = 0
         # The epoch of the last attempt to take the lease, and the highest
         # under which this process has told others that it won't hold it.
         self._attempted_epoch = 0
@@ -230,6 +233,11 @@
         """The epoch under which this node holds the lease, or last did."""
         return self._epoch
 
+    @property
+    def predecessor_epoch(self) -> int:
+        """The epoch of the holder before this one; 0 if there was none."""
+        return self._predecessor_epoch
+
     @property
     def held(self) -> bool:
         """Whether this node may send orders now."""
@@ -298,10 +306,12 @@
         self._max_capability = max(row.max_capability, self._capability)
         last_holder = self._make_last_holder(row)
         stopped_at = self._when_stopped(last_holder, state, waits)
+        epoch = row.epoch + _fencing_tokens.TOKENS_PER_EPOCH
         with self._lock:
             self._last_holder = last_holder
             self._earlier_grants_end_at = last_holder.grants_end_at(stopped_at)
-            self._attempted_epoch = row.epoch + 1
+            self._attempted_epoch = epoch
+        self._predecessor_epoch = row.epoch
         self._commands_recorded_since = (
             row.epoch + 1
             if row.commands_recorded_since is None
@@ -309,7 +319,7 @@
         )
         self._inherited_waits = waits
         self._compute_waits = None
-        if not self._commit_as_holder(row.version, row.epoch + 1):
+        if not self._commit_as_holder(row.version, epoch):
             return False
         _logs.log(
             "lease:acquired",
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_orders.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_orders.py
@@ -140,11 +140,13 @@
             self._report_unanswered_start(attempts, "withdrawn")
             return
         attempts.attempts_left -= 1
-        leased_order = attrs.evolve(order, lease_until_ms=until)
         self._start_in_flight = order
         known_clock_ms = self._parts.grants.last_clock_ms
         self._client.call(
-            self._parts.calls.start(leased_order, _TIMEOUT_SECONDS),
+            lambda token: self._parts.calls.start(
+                attrs.evolve(order, lease_until_ms=until, fence=token),
+                _TIMEOUT_SECONDS,
+            ),
             lambda read: self._handle_start_answer(
                 attempts, read, known_clock_ms
             ),
@@ -167,6 +169,9 @@
         except exceptions.StaleFencingToken as error:
             self._parts.lease.mark_lost(str(error))
             self._report_unanswered_start(attempts, str(error))
+        except exceptions.CallOvertaken:
+            attempts.attempts_left += 1
+            self._send_start(attempts)
         except exceptions.ConnectionRefused as error:
             self._report_unanswered_start(attempts, str(error))
         except exceptions.WrongLifetime as error:
@@ -213,11 +218,8 @@
     def _send_stop(self, order: _Stop) -> None:
         self._withdrawn.discard(order)
         self._client.call(
-            self._parts.calls.stop(
-                order.name,
-                order.run,
-                self._parts.lease.epoch,
-                _TIMEOUT_SECONDS,
+            lambda token: self._parts.calls.stop(
+                order.name, order.run, token, _TIMEOUT_SECONDS
             ),
             lambda read: self._handle_stop_answer(order, read),
         )
@@ -229,6 +231,9 @@
             read()
         except exceptions.StaleFencingToken as error:
             self._parts.lease.mark_lost(str(error))
+        except exceptions.CallOvertaken:
+            self._send_stop(order)
+            return
         except (
             exceptions.RunnerUnhealthy,
             exceptions.ConnectionRefused,
@@ -248,12 +253,8 @@
 
     def _send_pace(self, order: _Pace) -> None:
         self._client.call(
-            self._parts.calls.pace(
-                order.name,
-                order.run,
-                order.percent,
-                self._parts.lease.epoch,
-                _TIMEOUT_SECONDS,
+            lambda token: self._parts.calls.pace(
+                order.name, order.run, order.percent, token, _TIMEOUT_SECONDS
             ),
             lambda read: self._handle_pace_answer(order, read),
         )
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_ports.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_ports.py
@@ -184,7 +184,8 @@
 class StartOrder:
     """Order to start a run.
 
-    ``lease_until_ms`` is a time on the runner's clock. ``send_before`` is
+    ``lease_until_ms`` is a time on the runner's clock. It and ``fence``, the
+    fencing token, are set when the order is sent. ``send_before`` is
     when what the registry said of the runner becomes too old to rely on, in
     seconds of the monotonic clock.
     """
@@ -192,8 +193,8 @@
     name: TaskName
     run: int
     payload: str
-    lease_until_ms: float
-    fence: int
+    lease_until_ms: float = 0.0
+    fence: int = 0
     checkpoint: str = ""
     ticket: str = ""
     send_before: float = float("inf")
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_runner_client.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_runner_client.py
@@ -7,6 +7,7 @@
 import peridotsill
 
 from peridotsill_jobs import _clock
+from peridotsill_jobs import _fencing_tokens
 from peridotsill_jobs import _grants
 from peridotsill_jobs import _lease
 from peridotsill_jobs import _link_events
@@ -25,7 +26,8 @@
 
     ``loop`` runs the link, and ``calls`` builds its calls. ``post`` takes the
     link's events. ``lease`` is marked as lost if the runner has seen a
-    scheduler of a higher epoch.
+    scheduler of a higher epoch. ``tokens`` are shared by all links to the
+    runner.
     """
 
     entry: _ports.RunnerEntry
@@ -33,6 +35,7 @@
     calls: _ports.RunnerCalls
     lease: _lease.Lease
     grants: _grants.Grants
+    tokens: _fencing_tokens.RunnerTokens
     post: collections.abc.Callable[[_link_events.LinkEvent], None]
 
 
@@ -46,27 +49,69 @@
         self._parts = parts
         self._runner = parts.entry.id
         self._failing_since: float | None = None
+        self._token_in_flight: int | None = None
         self._connection = peridotsill.JsonConnection(
             loop=parts.loop, address=parts.entry.address
         )
 
     def call(
         self,
-        runner_call: _ports.RunnerCall[_T],
+        build_call: collections.abc.Callable[[int], _ports.RunnerCall[_T]],
         on_answer: collections.abc.Callable[[AnswerReader[_T]], None],
     ) -> None:
-        """Call the runner; ``on_answer`` gets the reader of its answer."""
+        """Call the runner; ``on_answer`` gets the reader of its answer.
+
+        Args:
+            build_call: Builds the call that bears a fencing token.
+            on_answer: Called once the call has ended.
+        """
+        token = self._parts.tokens.use()
+        runner_call = build_call(token)
+        self._token_in_flight = token
 
         def on_done(outcome: peridotsill.CallResult) -> None:
-            on_answer(lambda: self._read(runner_call, outcome))
+            self._token_in_flight = None
+            on_answer(lambda: self._read(runner_call, token, outcome))
 
         self._connection.call(runner_call.call, on_done)
 
     def close(self) -> None:
         """Close the connection; the answer of a call in flight is dropped."""
         self._connection.close()
+        if self._token_in_flight is not None:
+            self._record_unanswered(self._token_in_flight)
+            self._token_in_flight = None
+
+    def _record_unanswered(self, token: int) -> None:
+        tokens = self._parts.tokens
+        tokens.record_unanswered(token)
+        if tokens.is_exhausted:
+            self._parts.lease.mark_lost("its fencing tokens are used up")
 
     def _read(
+        self,
+        runner_call: _ports.RunnerCall[_T],
+        token: int,
+        outcome: peridotsill.CallResult,
+    ) -> _T:
+        """Return the answer, or raise what the call's ``read`` does.
+
+        Raises:
+            exceptions.CallOvertaken: The runner did nothing.
+        """
+        try:
+            return self._decode(runner_call, outcome)
+        except exceptions.StaleFencingToken as error:
+            if not self._parts.tokens.is_overtaken(token):
+                raise
+            _logs.log("runner:call_overtaken", runner=self._runner)
+            raise exceptions.CallOvertaken(str(error)) from error
+        except exceptions.RunnerUnavailable as error:
+            if error.sent:
+                self._record_unanswered(token)
+            raise
+
+    def _decode(
         self,
         runner_call: _ports.RunnerCall[_T],
         outcome: peridotsill.CallResult,
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_runner_polling.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_runner_polling.py
@@ -151,8 +151,8 @@
         self._extending_poll_in_flight = until is not None
         self._timeout_at = requested_at + timeout_seconds
         self._client.call(
-            self._parts.calls.poll(
-                fence=self._parts.lease.epoch,
+            lambda token: self._parts.calls.poll(
+                fence=token,
                 last_seen=last_seen,
                 lease_until_ms=until,
                 wait_seconds=wait_seconds,
@@ -173,6 +173,8 @@
         except exceptions.StaleFencingToken as error:
             self._parts.lease.mark_lost(str(error))
             self._poll_later()
+        except exceptions.CallOvertaken:
+            self._poll_again()
         except exceptions.RunnerError as error:
             if extends_leases and _may_be_executed(error):
                 self._unanswered_poll_at = _clock.monotonic_seconds()
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/exceptions.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/exceptions.py
@@ -46,6 +46,10 @@
     """The fencing token is older than one the callee has already seen."""
 
 
+class CallOvertaken(RunnerError):
+    """A runner did nothing, as a later call of this scheduler came first."""
+
+
 class ConnectionRefused(RunnerUnavailable):
     """The runner's address refuses connections, or is not the runner's.
 
--- a/tests/benches/plumbing.py
+++ b/tests/benches/plumbing.py
@@ -384,6 +384,7 @@
             calls=_runners.runner_calls(entry),
             lease=lease,
             grants=grants,
+            tokens=stubs.runner_tokens(entry.id),
             post=post,
         )
     )
--- a/tests/emulator/handovers.py
+++ b/tests/emulator/handovers.py
@@ -57,6 +57,7 @@
     """The lease of one holder, which uses it until ``used_until``."""
 
     epoch: int
+    predecessor_epoch: int
     seconds_since_last_holder: float
     used_until: float
     inherited_waits: dict | None = None
@@ -142,6 +143,7 @@
     def _take_over(self, silent_seconds, waits=None):
         lease = _Lease(
             epoch=len(self._holders) + 1,
+            predecessor_epoch=len(self._holders),
             seconds_since_last_holder=silent_seconds,
             used_until=self._now + _USED_SECONDS,
             inherited_waits=waits,
--- a/tests/emulator/nodes.py
+++ b/tests/emulator/nodes.py
@@ -36,7 +36,7 @@
     """A node that runs as a process of its own.
 
     ``callers`` and ``readiness`` are the addresses on which it serves callers
-    and its readiness and metrics.
+    and its readiness and metrics, and ``module`` is what it runs.
     """
 
     number: int
@@ -45,6 +45,7 @@
     settings: pathlib.Path
     log: pathlib.Path
     process: subprocess.Popen | None = None
+    module: str = "peridotsill_adapter"
 
     @property
     def store_host(self):
@@ -55,7 +56,7 @@
         """Start the process."""
         with self.log.open("ab") as out:
             self.process = subprocess.Popen(
-                [sys.executable, "-m", "peridotsill_adapter"],
+                [sys.executable, "-m", self.module],
                 env={**os.environ, "PERIDOTSILL_CONFIG": str(self.settings)},
                 stdout=out,
                 stderr=out,
--- a/tests/emulator/runners.py
+++ b/tests/emulator/runners.py
@@ -7,6 +7,7 @@
 import attrs
 
 from emulator import gangs
+from peridotsill_jobs import _fencing_tokens
 
 
 class UnansweredError(Exception):
@@ -77,8 +78,15 @@
     unheard_epoch: int = 0
     only_epoch: int = 0
 
-    def cuts_off(self, epoch):
-        """Tell whether requests under an epoch don't reach the runner."""
+    def cuts_off(self, token):
+        """Tell whether requests with a fencing token don't reach the runner.
+
+        That of a holder of the lease is of the block below its epoch.
+        """
+        if not token:
+            return False
+        block = _fencing_tokens.TOKENS_PER_EPOCH
+        epoch = -(-token // block) * block
         is_other = self.only_epoch and epoch != self.only_epoch
         return bool(is_other) or epoch == self.unheard_epoch
 
@@ -123,9 +131,8 @@
     def _inject_faults(self, body, name=""):
         if name and self.faults.silent and self.faults.keeps_calls:
             self.world.kept_calls[self.id].append((name, body))
-        epoch = body.get("fencing_token", 0)
-        is_cut_off = bool(epoch) and self.faults.cuts_off(epoch)
-        if self.faults.silent or is_cut_off:
+        token = body.get("fencing_token", 0)
+        if self.faults.silent or self.faults.cuts_off(token):
             raise UnansweredError(self.id)
         if not self.up:
             raise CrashedError(self.id)
--- a/tests/emulator/stubs.py
+++ b/tests/emulator/stubs.py
@@ -6,6 +6,7 @@
 from returns import result
 
 import peridotsill_jobs
+from peridotsill_jobs import _fencing_tokens
 from peridotsill_jobs import _grants
 from peridotsill_jobs import _links
 from peridotsill_jobs import _runner_client
@@ -43,6 +44,12 @@
     return peridotsill_jobs.RunnerEntry(id=runner, **{**defaults, **fields})
 
 
+def runner_tokens(runner="i-1"):
+    """Return the tokens of calls to a runner by the first holder."""
+    epoch = _fencing_tokens.TOKENS_PER_EPOCH
+    return _fencing_tokens.FencingTokens(epoch=epoch).of_runner(runner)
+
+
 def runner_link(lease, max_lease_seconds, entry=None):
     """Return a link to a runner, whose calls get no answer."""
     link = _links.RunnerLink(
@@ -54,6 +61,7 @@
             grants=_grants.Grants(
                 lease=lease, max_lease_seconds=max_lease_seconds
             ),
+            tokens=runner_tokens(),
             post=lambda event: None,
         )
     )
--- a/tests/features/steps/answer_steps.py
+++ b/tests/features/steps/answer_steps.py
@@ -169,6 +169,7 @@
         table=context.review_table,
         lease=unittest.mock.Mock(
             epoch=epoch,
+            predecessor_epoch=epoch - 1,
             seconds_since_last_holder=silent_seconds,
             inherited_waits=None,
             commands_recorded_since=1,
--- a/tests/features/steps/calls_steps.py
+++ b/tests/features/steps/calls_steps.py
@@ -11,6 +11,7 @@
 from behave import given
 from behave import then
 from behave import when
+from emulator import stubs
 import peridotsill
 import peridotsill.exceptions
 from returns import result
@@ -293,11 +294,16 @@
     entry, asked = _build_runner_call(name)
     context.events = []
     parts = unittest.mock.Mock(
-        entry=entry, post=context.events.append, grants=_new_grants()
+        entry=entry,
+        post=context.events.append,
+        grants=_new_grants(),
+        tokens=stubs.runner_tokens(),
     )
     client = _runner_client.RunnerClient(parts=parts)
     client._connection = unittest.mock.Mock()
-    client.call(asked, lambda read: setattr(context, "read", read))
+    client.call(
+        lambda token: asked, lambda read: setattr(context, "read", read)
+    )
     _, done = client._connection.call.call_args.args
     done(outcome)
 
@@ -327,12 +333,17 @@
     context.events = []
     context.grants = _new_grants()
     parts = unittest.mock.Mock(
-        entry=entry, post=context.events.append, grants=context.grants
+        entry=entry,
+        post=context.events.append,
+        grants=context.grants,
+        tokens=stubs.runner_tokens(),
     )
     client = _runner_client.RunnerClient(parts=parts)
     client._connection = unittest.mock.Mock()
     for number, name in enumerate(results.split("; ")):
-        client.call(poll, lambda read: setattr(context, "read", read))
+        client.call(
+            lambda token: poll, lambda read: setattr(context, "read", read)
+        )
         done = client._connection.call.call_args.args[1]
         error = _RUNNER_FAILURES.get(name)
         done(result.Failure(error) if error else result.Success(_REPORT))
--- a/tests/features/steps/controller_steps.py
+++ b/tests/features/steps/controller_steps.py
@@ -20,6 +20,7 @@
 from peridotsill_jobs import _commands
 from peridotsill_jobs import _controller
 from peridotsill_jobs import _feeds
+from peridotsill_jobs import _fencing_tokens
 from peridotsill_jobs import _fleet
 from peridotsill_jobs import _job_store
 from peridotsill_jobs import _lease
@@ -513,7 +514,8 @@
     deadline = time.monotonic() + seconds
     while len(context.epochs) < 2 and time.monotonic() < deadline:
         time.sleep(0.05)
-    assert context.epochs == [1, 2], context.epochs
+    epochs = [_fencing_tokens.TOKENS_PER_EPOCH * each for each in (1, 2)]
+    assert context.epochs == epochs, context.epochs
     assert context.lease.held
 
 
--- a/tests/features/steps/lease_steps.py
+++ b/tests/features/steps/lease_steps.py
@@ -277,7 +277,7 @@
     # The node polls every 0.1 s, and the clock's sums are inexact.
     delay = context.taken_after - seconds
     assert -1e-6 < delay < _POLL_SECONDS + 1e-6, context.taken_after
-    asked = {("last:1", context.poller.epoch - 1)}
+    asked = {("last:1", context.poller.predecessor_epoch)}
     assert set(context.questions) == asked, context.questions
 
 
--- a/tests/features/steps/maintenance_steps.py
+++ b/tests/features/steps/maintenance_steps.py
@@ -130,6 +130,7 @@
                 table=context.store,
                 lease=unittest.mock.Mock(
                     epoch=1,
+                    predecessor_epoch=0,
                     seconds_since_last_holder=0.0,
                     commands_recorded_since=1,
                 ),
--- a/tests/features/steps/paused_holder_steps.py
+++ b/tests/features/steps/paused_holder_steps.py
@@ -344,6 +344,7 @@
 def _make_command_row(context, epoch):
     lease = unittest.mock.Mock(
         epoch=epoch,
+        predecessor_epoch=epoch - 1,
         lost=False,
         seconds_since_last_holder=1.6,
         inherited_waits=None,
--- a/tests/features/steps/start_checkpoint_steps.py
+++ b/tests/features/steps/start_checkpoint_steps.py
@@ -234,7 +234,7 @@
         lease=lease,
         counters=peridotsill.Counters(),
     )
-    lease._epoch = 99
+    lease._epoch *= 99
     assert store.load() is not None
     job = store.get(context.job.key)
     store.close()
