--- a/tests/features/steps/model_steps.py
+++ b/tests/features/steps/model_steps.py
@@ -2,6 +2,7 @@
 
 from behave import then
 from behave import when
+from model import late_calls
 from model import starts
 
 # Bound of the search; the model has fewer than half as many states.
@@ -19,6 +20,17 @@
     context.verdict = starts.Model(without=left_out).check(_MAX_STATES)
 
 
+@when("all states of the fencing tokens are enumerated")
+def _enumerate_tokens(context):
+    context.verdict = late_calls.Model().check(_MAX_STATES)
+
+
+@when("the states of the fencing tokens are enumerated without {mechanism}")
+def _enumerate_tokens_without(context, mechanism):
+    left_out = frozenset({late_calls.Mechanism(mechanism)})
+    context.verdict = late_calls.Model(without=left_out).check(_MAX_STATES)
+
+
 @then("no state violates the protocol")
 def _no_violation(context):
     assert not context.verdict.violation, context.verdict
