--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_job_store.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_job_store.py
@@ -572,6 +572,7 @@
         error: peridotsill_platform.exceptions.CommitRejected,
     ) -> None:
         job = rejected.job
+        self._progress_rows.leave_out_checkpoints(job)
         self._counters.add("commits_rejected")
         self._retry_at[job.key] = (
             _clock.monotonic_seconds() + _REJECTED_RETRY_SECONDS
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_records.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_records.py
@@ -189,7 +189,10 @@
 
 
 def progress_value(
-    job: peridotsill_scheduler.Job, epoch: int
+    job: peridotsill_scheduler.Job,
+    epoch: int,
+    *,
+    with_checkpoints: bool = True,
 ) -> dict[str, typing.Any]:
     """Return the value of a job's ``progress`` row.
 
@@ -197,9 +200,11 @@
     counted run and checkpoint; tasks that were never started are left out.
     ``epoch`` is that of the scheduler that writes the row. ``crashes`` holds,
     by task, a list for each crash with the fields of `Crash` in order; it,
-    ``reason`` and ``team`` are left out if they are empty.
+    ``reason`` and ``team`` are left out if they are empty. Without
+    checkpoints, a next holder starts the tasks from their beginning.
     """
-    return {**_job_value(job, epoch), **tasks_value(job.tasks)}
+    tasks = tasks_value(job.tasks, with_checkpoints=with_checkpoints)
+    return {**_job_value(job, epoch), **tasks}
 
 
 def _job_value(
@@ -219,6 +224,8 @@
 
 def tasks_value(
     tasks: collections.abc.Sequence[peridotsill_scheduler.Task],
+    *,
+    with_checkpoints: bool = True,
 ) -> dict[str, typing.Any]:
     """Return the part of a row's value that holds tasks and their crashes."""
     value: dict[str, typing.Any] = {
@@ -230,7 +237,7 @@
                 task.lifetime,
                 task.failures,
                 task.last_counted_run,
-                task.checkpoint,
+                task.checkpoint if with_checkpoints else "",
             ]
             for task in tasks
             if task.run
