Count each failed run once, in whatever order they are listed

Cause: a task held the highest run whose failure was counted, so that the failure of run 1 that was listed after that of run 2 was taken for a repeat.

Change: it holds the runs that were counted. The row names them beside the highest one, which earlier versions read, if they are not all up to it.

Test: three examples of controller fail on the code before and pass.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_records.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_records.py
@@ -200,8 +200,10 @@
     counted run and checkpoint; tasks that were never started are left out.
     ``epoch`` is that of the scheduler that writes the row. ``crashes`` holds,
     by task, a list for each crash with the fields of `Crash` in order; it,
-    ``reason`` and ``team`` are left out if they are empty. Without
-    checkpoints, a next holder starts the tasks from their beginning.
+    ``reason`` and ``team`` are left out if they are empty. ``counted`` holds,
+    by task, the runs whose failures were counted, if these are not all runs
+    up to the last counted one. Without checkpoints, a next holder starts the
+    tasks from their beginning.
     """
     tasks = tasks_value(job.tasks, with_checkpoints=with_checkpoints)
     return {**_job_value(job, epoch), **tasks}
@@ -236,7 +238,7 @@
                 task.runner,
                 task.lifetime,
                 task.failures,
-                task.last_counted_run,
+                max(task.counted_runs, default=0),
                 task.checkpoint if with_checkpoints else "",
             ]
             for task in tasks
@@ -250,9 +252,21 @@
     }
     if crashes:
         value["crashes"] = crashes
+    counted = {
+        task.key: sorted(task.counted_runs)
+        for task in tasks
+        if task.counted_runs != _runs_up_to(max(task.counted_runs, default=0))
+    }
+    if counted:
+        value["counted"] = counted
     return value
 
 
+def _runs_up_to(last_counted_run: int) -> frozenset[int]:
+    """Return the runs that an earlier version takes as counted."""
+    return frozenset(range(1, last_counted_run + 1))
+
+
 @attrs.frozen(kw_only=True)
 class TaskRows:
     """Says how a job's tasks are divided among rows of ``progress_tasks``.
@@ -332,11 +346,11 @@
     if task_rows is None:
         return row
     keys = task_rows.keys_for(parse_progress_key(row.key))
-    value = {**row.value, "tasks": {}, "crashes": {}}
+    value = {**row.value, "tasks": {}, "crashes": {}, "counted": {}}
     try:
         opened = int(row.value["opened"])
         for each in (rows_by_key[key] for key in keys if key in rows_by_key):
-            for field in ("tasks", "crashes"):
+            for field in ("tasks", "crashes", "counted"):
                 value[field] |= {
                     key: fields
                     for key, fields in each.value.get(field, {}).items()
@@ -434,6 +448,8 @@
         _restore_task(by_key[key], _parse_task_fields(*fields))
     for key, crashes in value.get("crashes", {}).items():
         by_key[key].crashes = tuple(_parse_crash(*each) for each in crashes)
+    for key, runs in value.get("counted", {}).items():
+        by_key[key].counted_runs = frozenset(map(int, runs))
     return tasks
 
 
@@ -507,5 +523,6 @@
     task.runner = record.runner
     task.lifetime = record.lifetime
     task.failures = record.failures
-    task.last_counted_run = record.last_counted_run
+    if not task.step.long_lived:
+        task.counted_runs = _runs_up_to(record.last_counted_run)
     task.checkpoint = record.checkpoint
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_runs.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_runs.py
@@ -113,10 +113,9 @@
         if job.final or task.step.long_lived or task.is_over:
             return
         if end.kind is _ports.EndKind.FAILED:
-            if end.run <= task.last_counted_run:
+            if end.run in task.counted_runs:
                 return
-            task.last_counted_run = end.run
-            task.failures += 1
+            task.count_failure(end.run)
             if task.failures >= job.queue.max_attempts:
                 self._stop_redundant_run(job, task)
                 task.phase = _Phase.FAILED
@@ -218,8 +217,7 @@
         job: peridotsill_scheduler.Job,
         task: peridotsill_scheduler.Task,
     ) -> None:
-        task.failures += 1
-        task.last_counted_run = task.run
+        task.count_failure(task.run)
         task.failed_on = task.runner
         limit = job.queue.max_attempts
         if not task.step.long_lived and task.failures >= limit:
--- a/packages/peridotsill_scheduler/src/peridotsill_scheduler/_progress.py
+++ b/packages/peridotsill_scheduler/src/peridotsill_scheduler/_progress.py
@@ -66,8 +66,8 @@
     millisecond at which that runner started. ``started_at`` is in seconds
     of the monotonic clock, 0 until the runner has confirmed the start.
     ``failed_on`` is the runner on which the task last failed.
-    ``last_counted_run`` is the highest run already counted in ``failures``, so
-    that a repeated report isn't counted twice. During a backoff the task
+    ``counted_runs`` are the runs that were counted in ``failures``, so that a
+    repeated report isn't counted twice. During a backoff the task
     isn't started before ``not_before``, in seconds of the monotonic clock.
     ``crashes`` holds the crashes under its runs whose cause is not known, and
     ``requeued_at`` when the last of them made it wait.
@@ -81,7 +81,7 @@
     runner: str = ""
     lifetime: int = 0
     failures: int = 0
-    last_counted_run: int = 0
+    counted_runs: frozenset[int] = frozenset()
     checkpoint: str = ""
     started_at: float = 0.0
     failed_on: str = ""
@@ -98,6 +98,14 @@
         """Report changes to the counts of the job from now on."""
         self._tally = tally
 
+    def count_failure(self, run: int) -> None:
+        """Count the failure of a run, unless it was counted before."""
+        if run not in self.counted_runs:
+            self.failures += 1
+            # The failures of a task that lasts have no limit.
+            earlier = self.counted_runs if not self.step.long_lived else ()
+            self.counted_runs = frozenset({*earlier, run})
+
     @property
     def phase(self) -> TaskPhase:
         """The task's phase; each change is reported to the job's counts."""
--- a/tests/features/controller.feature
+++ b/tests/features/controller.feature
@@ -15,6 +15,26 @@
     And runner "i-1" lists run 1 as failed once more
     Then the task has failed once and waits
 
+  # Guards against BUDGET: a failure of run 1 that was listed after that of run
+  # 2 was taken for a repeated report.
+  Scenario Outline: Failures of copies are counted in any order (<event>)
+    Given a scheduler with a task of run 1 on runner "i-1"
+    When run 1 is given up and run 2 is assigned to runner "i-2"
+    And runner "i-2" lists run 2 as failed
+    And <event>
+    And runner "i-1" lists run 1 as failed
+    Then the task has failed <count> times
+    When the scheduler reads the job's row again
+    And runner "i-1" lists run 1 as failed once more
+    And runner "i-2" lists run 2 as failed once more
+    Then the task has failed <count> times
+
+    Examples:
+      | event                                              | count |
+      | a scheduling round is run                          | 2     |
+      | the scheduler reads the job's row again            | 2     |
+      | it reads the row as an earlier version had left it | 1     |
+
   Scenario: Capacity of a run that is being stopped stays reserved
     Given a scheduler with a task of run 1 on runner "i-1"
     When the job is cancelled
--- a/tests/features/steps/controller_steps.py
+++ b/tests/features/steps/controller_steps.py
@@ -270,7 +270,21 @@
     row = context.store.read((key,)).unwrap()[0]
     controller._job_store._restore_progress(context.job, row)
     context.task = context.job.tasks[0]
-    controller._workers.get("i-1", 1).last_applied_end = 0
+    for worker in controller._workers:
+        worker.last_applied_end = 0
+
+
+@when("it reads the row as an earlier version had left it")
+def _reread_earlier_row(context):
+    context.controller._job_store.commit()
+    key = _records.row_key(_records.PROGRESS, "q", _JOB)
+    del context.store.rows[key][0]["counted"]
+    _reread_row(context)
+
+
+@then("the task has failed {count:d} times")
+def _failed_times(context, count):
+    assert context.task.failures == count, context.task
 
 
 @then("the task has failed once and waits")
