Poll a runner sooner while a start may come late to its next lifetime

Cause: a long poll that was sent to the former lifetime is waited for, by up to 1.7 s. A runner without runs whose entry has lapsed isn't polled at all until it is listed again.

Change: for as long as a start may come late, long polls take 0.5 s in place of 1 s, and a runner without an entry is polled on.

Test: an example of late_starts; it fails without the change.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_links.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_links.py
@@ -83,7 +83,7 @@
         self._poller.set_paused(paused)
 
     def poll_frequently(self, frequently: bool) -> None:
-        """Set whether to shorten long polls, to follow tail latencies."""
+        """Set whether to shorten long polls."""
         self._poller.poll_frequently(frequently)
 
     def acknowledge_ends(self, last_end: int) -> None:
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_pacer.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_pacer.py
@@ -14,8 +14,12 @@
 _MIN_PACE_INTERVAL_SECONDS = 0.45
 
 
-def pace_fillers(worker: _workers.Worker) -> None:
-    """Set the filler tasks' speed by the serving tasks' tail latencies."""
+def pace_fillers(worker: _workers.Worker) -> bool:
+    """Set the filler tasks' speed by the serving tasks' tail latencies.
+
+    Returns:
+        Whether there are fillers that have to follow tail latencies.
+    """
     running = [
         each
         for each in worker.placed.values()
@@ -29,16 +33,17 @@
         for each in running
         if each.task.step.tail_target_ms
     ]
-    worker.link.poll_frequently(bool(fillers and tails))
+    follows_tails = bool(fillers and tails)
     now = _clock.monotonic_seconds()
     if not fillers or now - worker.paced_at < _MIN_PACE_INTERVAL_SECONDS:
-        return
+        return follows_tails
     worker.paced_at = now
     current_percent = min(each.speed_percent for each in fillers)
     percent = peridotsill_scheduler.plan_filler_speed(tails, current_percent)
     for each in fillers:
         if each.speed_percent != percent:
             _order_pace(worker, each, percent, tails)
+    return follows_tails
 
 
 def _order_pace(
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_runner_polling.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_runner_polling.py
@@ -12,9 +12,9 @@
 
 # A runner answers a poll when a run ends, or after this time.
 _LONG_POLL_SECONDS = 1.0
-# The same while filler tasks are paced: response times are measured over
-# this time.
-_PACED_LONG_POLL_SECONDS = 0.5
+# The same while a runner is to be polled frequently: response times, by which
+# filler tasks are paced, are measured over this time.
+_FREQUENT_LONG_POLL_SECONDS = 0.5
 # Timeout of an answer beyond the long poll; some twenty times the usual
 # answer time.
 _ANSWER_MARGIN_SECONDS = 0.7
@@ -85,9 +85,9 @@
             self._parts.loop.run_soon(self._poll)
 
     def poll_frequently(self, frequently: bool) -> None:
-        """Set whether to shorten long polls, to follow tail latencies."""
+        """Set whether to shorten long polls."""
         self._long_poll_seconds = (
-            _PACED_LONG_POLL_SECONDS if frequently else _LONG_POLL_SECONDS
+            _FREQUENT_LONG_POLL_SECONDS if frequently else _LONG_POLL_SECONDS
         )
 
     def acknowledge_ends(self, last_end: int) -> None:
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_runs.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_runs.py
@@ -301,7 +301,10 @@
         worker.unknown_runs = len(running)
         for each in running.values():
             self._stop_unknown_run(worker, each)
-        _pacer.pace_fillers(worker)
+        # A lifetime refuses late starts from its first poll on.
+        awaits_late_starts = bool(worker.late_starts.pending)
+        follows_tails = _pacer.pace_fillers(worker)
+        worker.link.poll_frequently(follows_tails or awaits_late_starts)
 
     def _reconcile_abandoned(
         self,
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_workers.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_workers.py
@@ -582,8 +582,13 @@
                 continue
             self._set_unlisted(worker)
             self._drop_candidate(runner)
-            # Tasks that wait for it need to know when it began.
-            if not worker.runs and not self._awaiting_runner.get(runner):
+            # Tasks that wait for it need to know when it began, and a next
+            # lifetime has to be polled before a late start comes to it.
+            if not (
+                worker.runs
+                or self._awaiting_runner.get(runner)
+                or worker.late_starts.pending
+            ):
                 worker.link.stop()
                 del self._workers[runner]
 
--- a/tests/features/late_starts.feature
+++ b/tests/features/late_starts.feature
@@ -57,6 +57,22 @@
     And lifetime 6 answers the link to lifetime 5 with nothing
     Then "i-1" is ordered to stop run 1 in lifetime 6
 
+  # Guards against TWICE: a late start reached a next lifetime that was not
+  # polled yet, as its entry had lapsed, or as a long poll of the former one was
+  # waited for.
+  Scenario Outline: A next lifetime is polled soon while a start may come late
+    Given a scheduler with run 1 on "i-1" of lifetime 5
+    And the first attempt of its start got no answer <age> s ago
+    When lifetime 5 reports the end of run 1 as done
+    Then the polls of "i-1" are <often>
+    When the registry has no entry of "i-1"
+    Then "i-1" is <kept>
+
+    Examples:
+      | age | often     | kept             |
+      | 1   | shortened | still polled     |
+      | 30  | as usual  | polled no longer |
+
   # Guards against TWICE: a VM that is down has lost what ran there, but its
   # runner may start again under its id, and a late start reaches that one.
   Scenario Outline: The VM of a runner with an unanswered start is <state>
--- a/tests/features/steps/late_start_steps.py
+++ b/tests/features/steps/late_start_steps.py
@@ -132,3 +132,25 @@
 def _tells_of_polls(context, polls):
     is_told = context.link.unanswered_poll_at > float("-inf")
     assert is_told is (polls == "a poll"), context.link.unanswered_poll_at
+
+
+@then('the polls of "i-1" are {often}')
+def _polled_often(context, often):
+    (link,) = context.made_links
+    expected = often == "shortened"
+    assert link.frequently is expected, often
+
+
+@when('the registry has no entry of "i-1"')
+def _no_entry(context):
+    context.controller._workers.update(())
+
+
+@then('"i-1" is still polled')
+def _still_polled(context):
+    assert context.controller._workers.find(_RUNNER) is not None
+
+
+@then('"i-1" is polled no longer')
+def _polled_no_longer(context):
+    assert context.controller._workers.find(_RUNNER) is None
