--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_inspection.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_inspection.py
@@ -17,7 +17,7 @@
 
 @attrs.frozen(kw_only=True)
 class SchedulerView:
-    """The scheduler's lease; ``epoch`` counts takeovers.
+    """The scheduler's lease; ``epoch`` grows with each takeover.
 
     ``holder`` is empty if the lease was released.
     """
