Compare counted runs by their number, and count a failure in one place

Cause: each write of a job built the set of all runs up to the last counted one for each of its tasks, and a stale end was looked up before it was counted, which looks it up again. Change: runs begin at 1, so all up to the last are counted if there are as many as its number. Counting tells whether the run was counted before.

--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_records.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_records.py
@@ -238,7 +238,7 @@
                 task.runner,
                 task.lifetime,
                 task.failures,
-                max(task.counted_runs, default=0),
+                task.last_counted_run,
                 task.checkpoint if with_checkpoints else "",
             ]
             for task in tasks
@@ -255,18 +255,13 @@
     counted = {
         task.key: sorted(task.counted_runs)
         for task in tasks
-        if task.counted_runs != _runs_up_to(max(task.counted_runs, default=0))
+        if len(task.counted_runs) != task.last_counted_run
     }
     if counted:
         value["counted"] = counted
     return value
 
 
-def _runs_up_to(last_counted_run: int) -> frozenset[int]:
-    """Return the runs that an earlier version takes as counted."""
-    return frozenset(range(1, last_counted_run + 1))
-
-
 @attrs.frozen(kw_only=True)
 class TaskRows:
     """Says how a job's tasks are divided among rows of ``progress_tasks``.
@@ -524,5 +519,6 @@
     task.lifetime = record.lifetime
     task.failures = record.failures
     if not task.step.long_lived:
-        task.counted_runs = _runs_up_to(record.last_counted_run)
+        # An earlier version takes all runs up to the last one as counted.
+        task.counted_runs = frozenset(range(1, record.last_counted_run + 1))
     task.checkpoint = record.checkpoint
--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_runs.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_runs.py
@@ -113,9 +113,8 @@
         if job.final or task.step.long_lived or task.is_over:
             return
         if end.kind is _ports.EndKind.FAILED:
-            if end.run in task.counted_runs:
+            if not task.count_failure(end.run):
                 return
-            task.count_failure(end.run)
             if task.failures >= job.queue.max_attempts:
                 self._stop_redundant_run(job, task)
                 task.phase = _Phase.FAILED
--- a/packages/peridotsill_scheduler/src/peridotsill_scheduler/_progress.py
+++ b/packages/peridotsill_scheduler/src/peridotsill_scheduler/_progress.py
@@ -98,13 +98,20 @@
         """Report changes to the counts of the job from now on."""
         self._tally = tally
 
-    def count_failure(self, run: int) -> None:
-        """Count the failure of a run, unless it was counted before."""
-        if run not in self.counted_runs:
-            self.failures += 1
-            # The failures of a task that lasts have no limit.
-            earlier = self.counted_runs if not self.step.long_lived else ()
-            self.counted_runs = frozenset({*earlier, run})
+    @property
+    def last_counted_run(self) -> int:
+        """The highest run that was counted in ``failures``; 0 if none was."""
+        return max(self.counted_runs, default=0)
+
+    def count_failure(self, run: int) -> bool:
+        """Count the failure of a run; false if it was counted before."""
+        if run in self.counted_runs:
+            return False
+        self.failures += 1
+        # The failures of a task that lasts have no limit.
+        earlier = self.counted_runs if not self.step.long_lived else ()
+        self.counted_runs = frozenset({*earlier, run})
+        return True
 
     @property
     def phase(self) -> TaskPhase:
