--- a/packages/peridotsill_jobs/src/peridotsill_jobs/_lease.py
+++ b/packages/peridotsill_jobs/src/peridotsill_jobs/_lease.py
@@ -172,7 +172,6 @@
         self._failed_reads = 0
         self._row_unchanged = False
         self._epoch = 0
-        self._predecessor_epoch = 0
         # The epoch of the last attempt to take the lease, and the highest
         # under which this process has told others that it won't hold it.
         self._attempted_epoch = 0
@@ -236,7 +235,7 @@
     @property
     def predecessor_epoch(self) -> int:
         """The epoch of the holder before this one; 0 if there was none."""
-        return self._predecessor_epoch
+        return self._last_holder.epoch if self._last_holder else 0
 
     @property
     def held(self) -> bool:
@@ -311,7 +310,6 @@
             self._last_holder = last_holder
             self._earlier_grants_end_at = last_holder.grants_end_at(stopped_at)
             self._attempted_epoch = epoch
-        self._predecessor_epoch = row.epoch
         self._commands_recorded_since = (
             row.epoch + 1
             if row.commands_recorded_since is None
