Let both models use one search, and nodes tell their own log lines

Cause: the model of late calls had a copy of the search of the model of starts, and of its steps; a step filtered log lines as the cluster does. Change: tests/model/search.py; the steps name the model; NodeProcess.events.

--- a/tests/emulator/nodes.py
+++ b/tests/emulator/nodes.py
@@ -105,6 +105,14 @@
                 entries.append(json.loads(line))
         return entries
 
+    def events(self, message_type):
+        """Return the log lines of a message type."""
+        return [
+            line
+            for line in self.lines()
+            if line.get("message_type") == message_type
+        ]
+
     def other_lines(self):
         """Return the lines that are no JSON, as of a process that failed."""
         return [
@@ -289,10 +297,7 @@
     def events(self, message_type):
         """Return the log lines of a message type from all nodes."""
         return [
-            line
-            for node in self.nodes
-            for line in node.lines()
-            if line.get("message_type") == message_type
+            line for node in self.nodes for line in node.events(message_type)
         ]
 
 
--- a/tests/features/model.feature
+++ b/tests/features/model.feature
@@ -5,7 +5,7 @@
     Then no state violates the protocol
 
   Scenario Outline: The enumeration finds what goes wrong without <mechanism>
-    When the states are enumerated without <mechanism>
+    When the states of the start protocol are enumerated without <mechanism>
     Then a state that violates it is found
 
     Examples:
--- a/tests/features/steps/fencing_token_steps.py
+++ b/tests/features/steps/fencing_token_steps.py
@@ -159,7 +159,6 @@
 @then("the next call to it bears {expected}")
 def _check_next_token(context, expected):
     context.link._poller._polling = False
-    context.link._poller._commit_timer = None
     context.link.start()
     token = _token(context)
     if expected == "a higher token":
@@ -423,9 +422,5 @@
 @then("each of the nodes has scheduled at least twice")
 def _both_scheduled(context):
     for node in context.cluster.nodes:
-        acquired = [
-            line
-            for line in node.lines()
-            if line.get("message_type") == "lease:acquired"
-        ]
+        acquired = node.events("lease:acquired")
         assert len(acquired) >= 2, acquired
--- a/tests/features/steps/model_steps.py
+++ b/tests/features/steps/model_steps.py
@@ -9,26 +9,19 @@
 _MAX_STATES = 1_000_000
 
 
-@when("all states of the start protocol are enumerated")
-def _enumerate(context):
-    context.verdict = starts.Model().check(_MAX_STATES)
+_MODELS = {"start protocol": starts, "fencing tokens": late_calls}
 
 
-@when("the states are enumerated without {mechanism}")
-def _enumerate_without(context, mechanism):
-    left_out = frozenset({starts.Mechanism(mechanism)})
-    context.verdict = starts.Model(without=left_out).check(_MAX_STATES)
+@when("all states of the {name} are enumerated")
+def _enumerate(context, name):
+    context.verdict = _MODELS[name].Model().check(_MAX_STATES)
 
 
-@when("all states of the fencing tokens are enumerated")
-def _enumerate_tokens(context):
-    context.verdict = late_calls.Model().check(_MAX_STATES)
-
-
-@when("the states of the fencing tokens are enumerated without {mechanism}")
-def _enumerate_tokens_without(context, mechanism):
-    left_out = frozenset({late_calls.Mechanism(mechanism)})
-    context.verdict = late_calls.Model(without=left_out).check(_MAX_STATES)
+@when("the states of the {name} are enumerated without {mechanism}")
+def _enumerate_without(context, name, mechanism):
+    model = _MODELS[name]
+    left_out = frozenset({model.Mechanism(mechanism)})
+    context.verdict = model.Model(without=left_out).check(_MAX_STATES)
 
 
 @then("no state violates the protocol")
--- a/tests/model/late_calls.py
+++ b/tests/model/late_calls.py
@@ -14,13 +14,12 @@
 enumeration then has to find a violation.
 """
 
-import collections
 import collections.abc
 import enum
 
 import attrs
 
-from model import starts
+from model import search
 
 _MAX_CALLS = 3
 _MAX_CALLS_IN_FLIGHT = 2
@@ -100,24 +99,10 @@
     def __init__(self, *, without: frozenset[Mechanism] = frozenset()) -> None:
         self._without = without
 
-    def check(self, max_states: int) -> starts.Verdict:
-        """Search the states breadth-first, up to the first violation."""
+    def check(self, max_states: int) -> search.Verdict:
+        """Search the states, up to the first violation."""
         first = [State(holders=(each,)) for each in self._new_holders(0)]
-        seen = set(first)
-        queue = collections.deque((each, 0) for each in first)
-        while queue and len(seen) < max_states:
-            state, depth = queue.popleft()
-            for found in self._successors(state):
-                if found.violation:
-                    return starts.Verdict(
-                        states=len(seen),
-                        violation=found.violation,
-                        steps=depth + 1,
-                    )
-                if found not in seen:
-                    seen.add(found)
-                    queue.append((found, depth + 1))
-        return starts.Verdict(states=len(seen), violation="", steps=0)
+        return search.search(first, self._successors, max_states)
 
     def _has(self, mechanism: Mechanism) -> bool:
         return mechanism not in self._without
--- a/tests/model/starts.py
+++ b/tests/model/starts.py
@@ -8,12 +8,13 @@
 two runs of the task at once, or one started after the task's end.
 """
 
-import collections
 import collections.abc
 import enum
 
 import attrs
 
+from model import search
+
 _MAX_RUNS = 2
 _MAX_ORDERS = 2
 _RUNNERS = (0, 1)
@@ -114,18 +115,6 @@
     violation: str = ""
 
 
-@attrs.frozen(kw_only=True, cache_hash=True)
-class Verdict:
-    """The result of an enumeration.
-
-    ``violation`` is empty if none was found; else ``steps`` led to it.
-    """
-
-    states: int
-    violation: str
-    steps: int
-
-
 def _replaced(items: tuple, index: int, item: object) -> tuple:
     return (*items[:index], item, *items[index + 1 :])
 
@@ -140,24 +129,9 @@
     def __init__(self, *, without: frozenset[Mechanism] = frozenset()) -> None:
         self._without = without
 
-    def check(self, max_states: int) -> Verdict:
-        """Search the states breadth-first, up to the first violation."""
-        first = State()
-        seen = {first}
-        queue = collections.deque([(first, 0)])
-        while queue and len(seen) < max_states:
-            state, depth = queue.popleft()
-            for found in self._successors(state):
-                if found.violation:
-                    return Verdict(
-                        states=len(seen),
-                        violation=found.violation,
-                        steps=depth + 1,
-                    )
-                if found not in seen:
-                    seen.add(found)
-                    queue.append((found, depth + 1))
-        return Verdict(states=len(seen), violation="", steps=0)
+    def check(self, max_states: int) -> search.Verdict:
+        """Search the states, up to the first violation."""
+        return search.search([State()], self._successors, max_states)
 
     def _has(self, mechanism: Mechanism) -> bool:
         return mechanism not in self._without
