Let a step take its link from the stubs

Cause: the steps on fencing tokens built a link part by part, as the stubs do. Change: the stub takes parts that replace its own.

--- a/tests/emulator/stubs.py
+++ b/tests/emulator/stubs.py
@@ -50,20 +50,24 @@
     return _fencing_tokens.FencingTokens(epoch=epoch).of_runner(runner)
 
 
-def runner_link(lease, max_lease_seconds, entry=None):
-    """Return a link to a runner, whose calls get no answer."""
+def runner_link(lease, max_lease_seconds, entry=None, **parts):
+    """Return a link to a runner, whose calls get no answer.
+
+    ``parts`` replace those of its `LinkParts`.
+    """
+    defaults = {
+        "entry": entry or runner_entry(),
+        "loop": unittest.mock.Mock(),
+        "calls": unittest.mock.Mock(),
+        "lease": lease,
+        "grants": _grants.Grants(
+            lease=lease, max_lease_seconds=max_lease_seconds
+        ),
+        "tokens": runner_tokens(),
+        "post": lambda event: None,
+    }
     link = _links.RunnerLink(
-        parts=_runner_client.LinkParts(
-            entry=entry or runner_entry(),
-            loop=unittest.mock.Mock(),
-            calls=unittest.mock.Mock(),
-            lease=lease,
-            grants=_grants.Grants(
-                lease=lease, max_lease_seconds=max_lease_seconds
-            ),
-            tokens=runner_tokens(),
-            post=lambda event: None,
-        )
+        parts=_runner_client.LinkParts(**{**defaults, **parts})
     )
     link._poller._client._connection = unittest.mock.Mock()
     return link
--- a/tests/features/steps/fencing_token_steps.py
+++ b/tests/features/steps/fencing_token_steps.py
@@ -18,12 +18,9 @@
 
 from peridotsill_adapter import _runners
 from peridotsill_jobs import _fencing_tokens
-from peridotsill_jobs import _grants
 from peridotsill_jobs import _lease
-from peridotsill_jobs import _links
 from peridotsill_jobs import _ports
 from peridotsill_jobs import _records
-from peridotsill_jobs import _runner_client
 
 _POOL = "trails"
 _MAX_REFUSED_CALLS = 5
@@ -78,21 +75,17 @@
     entry = stubs.runner_entry()
     loop = unittest.mock.Mock()
     loop.run_soon.side_effect = lambda callback: callback()
-    grants = _grants.Grants(lease=context.lease, max_lease_seconds=10.0)
-    link = _links.RunnerLink(
-        parts=_runner_client.LinkParts(
-            entry=entry,
-            loop=loop,
-            calls=_runners.runner_calls(entry),
-            lease=context.lease,
-            grants=grants,
-            tokens=context.tokens.of_runner(entry.id),
-            post=unittest.mock.Mock(),
-        )
+    link = stubs.runner_link(
+        context.lease,
+        10.0,
+        entry,
+        loop=loop,
+        calls=_runners.runner_calls(entry),
+        tokens=context.tokens.of_runner(entry.id),
     )
     for part in (link._poller, link._orders):
         part._client._connection = _Connection(context.sent)
-    grants.record_report(
+    link._parts.grants.record_report(
         _ports.RunnerReport(lifetime=1, clock_ms=5000.0, running=(), ended=())
     )
     link._poller._lifetime_confirmed = True
